Add the transport between nodes

Cause: net/rpc has no schema, cancellation, deadlines or proof that a request never left. Change: a protobuf codec, a pool with one persistent connection per node, a cancel message, and a request state that changes once to started or abandoned. Before: errors marked with cockroachdb/errors.Mark did not match the standard errors.Is, and an oversized body left the stream out of step; both were found by the tests. After: typed errors, and the connection ends after a body that could not be read.

--- /dev/null
+++ b/transport/client.go
@@ -0,0 +1,308 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// Kinds of errors of a call to another node; match them with errors.Is.
+var (
+	// ErrNotSent marks a request of which no byte was written.
+	ErrNotSent = errors.New("the request did not leave; it may be sent to another node")
+	// ErrAnswerLost marks a request that was sent and whose answer did not come.
+	ErrAnswerLost = errors.New("the request was sent and its answer was lost; ask the same node again")
+)
+
+// Error is the error of a call to another node. It matches its kind and its
+// cause.
+type Error struct {
+	// Kind is ErrNotSent or ErrAnswerLost.
+	Kind    error
+	Address string
+	Cause   error
+}
+
+// Error returns address, kind with remedy, and cause.
+func (e *Error) Error() string {
+	return "transport: node " + e.Address + ": " + e.Kind.Error() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns kind and cause.
+func (e *Error) Unwrap() []error { return []error{e.Kind, e.Cause} }
+
+// dialTimeout bounds the opening of a connection. Opening one takes about 1 ms
+// within a region.
+const dialTimeout = 500 * time.Millisecond
+
+// ClientConfig configures a Pool.
+type ClientConfig struct {
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+	// MaxBodyBytes bounds the body of one answer.
+	MaxBodyBytes int64
+	// IdleTimeout closes a connection that was not used for this time.
+	IdleTimeout time.Duration
+}
+
+// Pool holds one persistent connection per node address. It is safe for
+// concurrent use.
+type Pool struct {
+	config ClientConfig
+	mutex  sync.Mutex
+	peers  map[string]*peer
+	closed bool
+}
+
+// NewPool returns a Pool without connections.
+func NewPool(config ClientConfig) *Pool {
+	return &Pool{config: config, peers: make(map[string]*peer)}
+}
+
+// Close closes all connections; calls in progress end with ErrAnswerLost.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+	for _, peer := range p.peers {
+		peer.close()
+	}
+}
+
+// CloseIdle closes the connections that were not used for the idle timeout.
+func (p *Pool) CloseIdle(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, peer := range p.peers {
+		if peer.calls.Load() == 0 && now.Sub(peer.lastUse) >= p.config.IdleTimeout {
+			peer.close()
+			delete(p.peers, address)
+		}
+	}
+}
+
+// Connections returns the number of open connections.
+func (p *Pool) Connections() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	open := 0
+	for _, peer := range p.peers {
+		if peer.connected() {
+			open++
+		}
+	}
+	return open
+}
+
+// errForeignAnswer is the cause when an answer carries the id of another call.
+var errForeignAnswer = errors.New("the answer belongs to another call")
+
+// Call runs one operation at the node with the address. When the context ends
+// first, the node is told to cancel the call and the answer is dropped.
+func (p *Pool) Call(ctx context.Context, address string, request *pb.CallRequest) (*pb.CallResponse, error) {
+	response := &pb.CallResponse{}
+	err := p.invoke(ctx, address, "Call", request, response)
+	if errors.Is(err, ErrAnswerLost) && ctx.Err() != nil {
+		p.cancel(address, request.GetId())
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !proto.Equal(response.GetId(), request.GetId()) {
+		return nil, &Error{Kind: ErrAnswerLost, Address: address, Cause: errForeignAnswer}
+	}
+	return response, nil
+}
+
+// cancel tells the node that the caller gave up; nobody waits for the answer.
+func (p *Pool) cancel(address string, id *pb.CallId) {
+	peer := p.peer(address)
+	client, err := peer.open(context.Background())
+	if err != nil {
+		return
+	}
+	out := &outgoing{message: &pb.CancelRequest{Id: id}}
+	client.Go(serviceName+".Cancel", out, &pb.CancelResponse{}, make(chan *rpc.Call, 1))
+}
+
+// Probe asks the node for its state.
+func (p *Pool) Probe(ctx context.Context, address string, request *pb.ProbeRequest) (*pb.ProbeResponse, error) {
+	response := &pb.ProbeResponse{}
+	return response, p.invoke(ctx, address, "Probe", request, response)
+}
+
+// Exchange compares stream positions and passes records.
+func (p *Pool) Exchange(ctx context.Context, address string, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	response := &pb.ExchangeResponse{}
+	return response, p.invoke(ctx, address, "Exchange", request, response)
+}
+
+// Handover passes one chunk of an at-most-once table.
+func (p *Pool) Handover(ctx context.Context, address string, request *pb.HandoverRequest) (*pb.HandoverResponse, error) {
+	response := &pb.HandoverResponse{}
+	return response, p.invoke(ctx, address, "Handover", request, response)
+}
+
+// Explain asks the node for journal entries.
+func (p *Pool) Explain(ctx context.Context, address string, request *pb.ExplainRequest) (*pb.ExplainResponse, error) {
+	response := &pb.ExplainResponse{}
+	return response, p.invoke(ctx, address, "Explain", request, response)
+}
+
+// Burn asks the node for its burn counters.
+func (p *Pool) Burn(ctx context.Context, address string, request *pb.BurnRequest) (*pb.BurnResponse, error) {
+	response := &pb.BurnResponse{}
+	return response, p.invoke(ctx, address, "Burn", request, response)
+}
+
+// invoke sends one request and waits for its answer or the end of the context.
+// A response of which the wait ended early may still be written to by net/rpc
+// and must not be read. The request is written by a goroutine of its own,
+// because a peer that does not read blocks the writer.
+func (p *Pool) invoke(ctx context.Context, address, method string, request, response proto.Message) error {
+	peer := p.peer(address)
+	peer.calls.Add(1)
+	defer peer.calls.Add(-1)
+	client, err := peer.open(ctx)
+	if err != nil {
+		return &Error{Kind: ErrNotSent, Address: address, Cause: err}
+	}
+	out := &outgoing{message: request}
+	done := make(chan *rpc.Call, 1)
+	go client.Go(serviceName+"."+method, out, response, done)
+	select {
+	case call := <-done:
+		return callError(call.Error, out, address)
+	case <-ctx.Done():
+		return callError(ctx.Err(), out, address)
+	}
+}
+
+func callError(err error, out *outgoing, address string) error {
+	if err == nil {
+		return nil
+	}
+	if out.abandon() {
+		return &Error{Kind: ErrNotSent, Address: address, Cause: err}
+	}
+	return &Error{Kind: ErrAnswerLost, Address: address, Cause: err}
+}
+
+func (p *Pool) peer(address string) *peer {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	found, ok := p.peers[address]
+	if !ok {
+		found = &peer{address: address, config: p.config}
+		p.peers[address] = found
+	}
+	found.lastUse = time.Now()
+	found.closed = p.closed
+	return found
+}
+
+// peer is the connection to one address. Its mutex serialises dialling, so
+// that concurrent calls share one connection.
+type peer struct {
+	address string
+	config  ClientConfig
+	lastUse time.Time
+	closed  bool
+	calls   atomic.Int64
+	mutex   sync.Mutex
+	client  *rpc.Client
+	codec   *watchedCodec
+}
+
+func (p *peer) open(ctx context.Context) (*rpc.Client, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return nil, errors.New("transport: the pool is closed")
+	}
+	if p.client != nil && !p.codec.broken() {
+		return p.client, nil
+	}
+	conn, err := dial(ctx, p.address, p.config.TLS)
+	if err != nil {
+		return nil, err
+	}
+	p.codec = newWatchedCodec(conn, p.config.MaxBodyBytes)
+	p.client = rpc.NewClientWithCodec(p.codec)
+	return p.client, nil
+}
+
+func (p *peer) connected() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.client != nil && !p.codec.broken()
+}
+
+func (p *peer) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+	if p.client != nil {
+		_ = p.client.Close()
+	}
+}
+
+func dial(ctx context.Context, address string, config *tls.Config) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := &net.Dialer{}
+	if config == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	secured := &tls.Dialer{NetDialer: dialer, Config: config}
+	return secured.DialContext(ctx, "tcp", address)
+}
+
+// watchedCodec notes the loss of its connection, so that the next call dials
+// again instead of failing.
+type watchedCodec struct {
+	clientCodec
+	lost chan struct{}
+	once sync.Once
+}
+
+func newWatchedCodec(conn net.Conn, maxBodyBytes int64) *watchedCodec {
+	return &watchedCodec{
+		clientCodec: clientCodec{frames: newFrames(conn, maxBodyBytes)},
+		lost:        make(chan struct{}),
+	}
+}
+
+func (c *watchedCodec) ReadResponseHeader(r *rpc.Response) error {
+	err := c.clientCodec.ReadResponseHeader(r)
+	if err != nil {
+		c.once.Do(func() { close(c.lost) })
+	}
+	return err
+}
+
+func (c *watchedCodec) ReadResponseBody(body any) error {
+	err := c.clientCodec.ReadResponseBody(body)
+	if err != nil {
+		c.once.Do(func() { close(c.lost) })
+	}
+	return err
+}
+
+func (c *watchedCodec) broken() bool {
+	select {
+	case <-c.lost:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/transport/server.go
@@ -0,0 +1,206 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// handshakeTimeout ends a connection whose peer stalls in the TLS handshake.
+const handshakeTimeout = 3 * time.Second
+
+// Handler serves the methods that nodes call on each other. The context ends
+// when the connection of the calling node is lost. Methods fill the response
+// and are called concurrently.
+type Handler interface {
+	Call(ctx context.Context, request *pb.CallRequest, response *pb.CallResponse)
+	Cancel(request *pb.CancelRequest, response *pb.CancelResponse)
+	Probe(request *pb.ProbeRequest, response *pb.ProbeResponse)
+	Exchange(ctx context.Context, request *pb.ExchangeRequest, response *pb.ExchangeResponse) error
+	Handover(request *pb.HandoverRequest, response *pb.HandoverResponse)
+	Explain(request *pb.ExplainRequest, response *pb.ExplainResponse)
+	Burn(request *pb.BurnRequest, response *pb.BurnResponse)
+}
+
+// Authorize decides whether a peer with this certificate chain may connect. A
+// nil state means a connection without TLS.
+type Authorize func(state *tls.ConnectionState) error
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Handler Handler
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+	// Authorize may be nil: every peer that completes the handshake is accepted.
+	Authorize Authorize
+	// MaxBodyBytes bounds the body of one call.
+	MaxBodyBytes int64
+	// MaxConnections bounds the connections served at one time.
+	MaxConnections int
+}
+
+// Server accepts connections from other nodes.
+type Server struct {
+	config ServerConfig
+	mutex  sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+	wait   sync.WaitGroup
+}
+
+// NewServer returns a Server that serves no listener yet.
+func NewServer(config ServerConfig) *Server {
+	return &Server{config: config, conns: make(map[net.Conn]struct{})}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "transport: accept failed; check the limit of open files")
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go s.serveConn(conn)
+	}
+}
+
+// Close closes all connections and waits for their handlers.
+func (s *Server) Close() {
+	s.mutex.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mutex.Unlock()
+	s.wait.Wait()
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed || len(s.conns) >= s.config.MaxConnections {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.wait.Add(1)
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mutex.Lock()
+	delete(s.conns, conn)
+	s.mutex.Unlock()
+	s.wait.Done()
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.untrack(conn)
+	defer conn.Close()
+	secured, err := s.secure(conn)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &endpoint{ctx: ctx, handler: s.config.Handler}); err != nil {
+		return
+	}
+	server.ServeCodec(&closingCodec{
+		serverCodec: serverCodec{frames: newFrames(secured, s.config.MaxBodyBytes)},
+		lost:        cancel,
+	})
+}
+
+func (s *Server) secure(conn net.Conn) (net.Conn, error) {
+	if s.config.TLS == nil {
+		return conn, s.authorize(nil)
+	}
+	secured := tls.Server(conn, s.config.TLS)
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, err
+	}
+	state := secured.ConnectionState()
+	return secured, s.authorize(&state)
+}
+
+func (s *Server) authorize(state *tls.ConnectionState) error {
+	if s.config.Authorize == nil {
+		return nil
+	}
+	return s.config.Authorize(state)
+}
+
+// closingCodec cancels the calls of a connection as soon as the connection is
+// lost. rpc.Server.ServeCodec itself waits for running calls first.
+type closingCodec struct {
+	serverCodec
+	lost context.CancelFunc
+}
+
+func (c *closingCodec) ReadRequestHeader(r *rpc.Request) error {
+	err := c.serverCodec.ReadRequestHeader(r)
+	if err != nil {
+		c.lost()
+	}
+	return err
+}
+
+// serviceName is the net/rpc service under which a node serves its methods.
+const serviceName = "Node"
+
+// endpoint is the net/rpc receiver of one connection.
+type endpoint struct {
+	ctx     context.Context
+	handler Handler
+}
+
+func (e *endpoint) Call(request *pb.CallRequest, response *pb.CallResponse) error {
+	e.handler.Call(e.ctx, request, response)
+	return nil
+}
+
+func (e *endpoint) Cancel(request *pb.CancelRequest, response *pb.CancelResponse) error {
+	e.handler.Cancel(request, response)
+	return nil
+}
+
+func (e *endpoint) Probe(request *pb.ProbeRequest, response *pb.ProbeResponse) error {
+	e.handler.Probe(request, response)
+	return nil
+}
+
+func (e *endpoint) Exchange(request *pb.ExchangeRequest, response *pb.ExchangeResponse) error {
+	return e.handler.Exchange(e.ctx, request, response)
+}
+
+func (e *endpoint) Handover(request *pb.HandoverRequest, response *pb.HandoverResponse) error {
+	e.handler.Handover(request, response)
+	return nil
+}
+
+func (e *endpoint) Explain(request *pb.ExplainRequest, response *pb.ExplainResponse) error {
+	e.handler.Explain(request, response)
+	return nil
+}
+
+func (e *endpoint) Burn(request *pb.BurnRequest, response *pb.BurnResponse) error {
+	e.handler.Burn(request, response)
+	return nil
+}
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,132 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+const testBodyBytes = 1 << 20
+
+// echo answers calls with their own body after an optional wait.
+type echo struct {
+	cancelled atomic.Int64
+	lost      atomic.Int64
+	wait      chan struct{}
+}
+
+func (e *echo) Call(ctx context.Context, request *pb.CallRequest, response *pb.CallResponse) {
+	if e.wait != nil {
+		select {
+		case <-e.wait:
+		case <-ctx.Done():
+			e.lost.Add(1)
+		}
+	}
+	response.Id = request.GetId()
+	response.Body = request.GetBody()
+}
+
+func (e *echo) Cancel(*pb.CancelRequest, *pb.CancelResponse)       { e.cancelled.Add(1) }
+func (e *echo) Probe(*pb.ProbeRequest, *pb.ProbeResponse)          {}
+func (e *echo) Handover(*pb.HandoverRequest, *pb.HandoverResponse) {}
+func (e *echo) Explain(*pb.ExplainRequest, *pb.ExplainResponse)    {}
+func (e *echo) Burn(*pb.BurnRequest, *pb.BurnResponse)             {}
+func (e *echo) Exchange(context.Context, *pb.ExchangeRequest, *pb.ExchangeResponse) error {
+	return errors.New("refused for the test")
+}
+
+func startServer(t *testing.T, handler Handler) (string, *Server) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer(ServerConfig{Handler: handler, MaxBodyBytes: testBodyBytes, MaxConnections: 8})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		require.NoError(t, listener.Close())
+		server.Close()
+	})
+	return listener.Addr().String(), server
+}
+
+func newTestPool(t *testing.T) *Pool {
+	pool := NewPool(ClientConfig{MaxBodyBytes: testBodyBytes, IdleTimeout: time.Minute})
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func callID(sequence uint64) *pb.CallId { return &pb.CallId{Sender: 7, Sequence: sequence} }
+
+// Guards against an answer that is delivered to another call and against an
+// error response that breaks the connection for later calls.
+func TestAnswersMatchTheirCalls(t *testing.T) {
+	address, _ := startServer(t, &echo{})
+	pool := newTestPool(t)
+	ctx := context.Background()
+	for i := uint64(1); i <= 20; i++ {
+		request := &pb.CallRequest{Id: callID(i), Body: []byte{byte(i)}}
+		response, err := pool.Call(ctx, address, request)
+		require.NoError(t, err)
+		require.Equal(t, []byte{byte(i)}, response.GetBody())
+		_, err = pool.Exchange(ctx, address, &pb.ExchangeRequest{})
+		require.ErrorContains(t, err, "refused for the test")
+	}
+	require.Equal(t, 1, pool.Connections())
+}
+
+// Guards against a false proof of "not sent" and against a missing one.
+func TestErrorsTellWhetherTheRequestLeft(t *testing.T) {
+	handler := &echo{wait: make(chan struct{})}
+	address, server := startServer(t, handler)
+	pool := newTestPool(t)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := pool.Call(ctx, address, &pb.CallRequest{Id: callID(1)})
+	require.ErrorIs(t, err, ErrAnswerLost)
+	require.Eventually(t, func() bool { return handler.cancelled.Load() == 1 }, time.Second, time.Millisecond)
+
+	go server.Close()
+	require.Eventually(t, func() bool { return handler.lost.Load() >= 1 }, time.Second, time.Millisecond)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = pool.Call(context.Background(), closed, &pb.CallRequest{Id: callID(2)})
+	require.ErrorIs(t, err, ErrNotSent)
+	require.NotErrorIs(t, err, ErrAnswerLost)
+}
+
+// Guards against a request that is written after its caller was told that it
+// never left.
+func TestAbandonedRequestIsNeverWritten(t *testing.T) {
+	out := &outgoing{message: &pb.CallRequest{}}
+	require.True(t, out.abandon())
+	codec := &clientCodec{}
+	require.ErrorIs(t, codec.WriteRequest(nil, out), errAbandoned)
+
+	started := &outgoing{message: &pb.CallRequest{}}
+	require.True(t, started.start())
+	require.False(t, started.abandon())
+}
+
+// Guards against a peer that makes the receiver allocate without bound.
+func TestOversizedFrameEndsTheConnection(t *testing.T) {
+	address, _ := startServer(t, &echo{})
+	pool := newTestPool(t)
+	body := make([]byte, testBodyBytes+frameOverheadBytes+1)
+	_, err := pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(1), Body: body})
+	require.ErrorIs(t, err, ErrAnswerLost)
+	_, err = pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(2)})
+	require.NoError(t, err, "the pool must dial again after a lost connection")
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
