Add the log client and the stand-ins for the log service and targets

Cause: tests and the demo need the platform's side. Change: HTTP client of the log with error kinds that tell refused from unknown, a log service with retention, rate limit, outages and lost answers, a target with slots, cold start, drain, shedding and a ledger of what it executed. Conclusion: tests show that a lost answer is never reported as refused.

--- /dev/null
+++ b/internal/standin/logservice/logservice_test.go
@@ -0,0 +1,71 @@
+package logservice
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/platform"
+)
+
+func newClient(t *testing.T, service *Service) *platform.HTTPLog {
+	server := httptest.NewServer(service.Handler())
+	log := platform.NewHTTPLog(server.URL, time.Second)
+	t.Cleanup(func() {
+		log.Close()
+		server.Close()
+	})
+	return log
+}
+
+// Guards against retention that renumbers offsets.
+func TestRetentionKeepsOffsets(t *testing.T) {
+	log := newClient(t, New(Config{Retain: 2}))
+	ctx := context.Background()
+	for i := range 5 {
+		offset, err := log.Append(ctx, "s", []byte{byte(i)})
+		require.NoError(t, err)
+		require.Equal(t, uint64(i), offset)
+	}
+	batch, err := log.Read(ctx, "s", 0, 10)
+	require.NoError(t, err)
+	require.Equal(t, uint64(3), batch.Earliest)
+	require.Equal(t, uint64(5), batch.Next)
+	require.Equal(t, []platform.Record{{Offset: 3, Data: []byte{3}}, {Offset: 4, Data: []byte{4}}}, batch.Records)
+}
+
+// Guards against a lost answer that is reported as refused, which would let
+// the caller append a second time.
+func TestFaultsMapToErrorKinds(t *testing.T) {
+	service := New(Config{})
+	log := newClient(t, service)
+	ctx := context.Background()
+
+	service.SetFaults(Faults{LoseAppendAnswers: true})
+	_, err := log.Append(ctx, "s", []byte("a"))
+	require.ErrorIs(t, err, platform.ErrAppendUnknown)
+	require.Equal(t, uint64(1), service.Appends())
+
+	service.SetFaults(Faults{Down: true})
+	_, err = log.Append(ctx, "s", []byte("b"))
+	require.ErrorIs(t, err, platform.ErrRefused)
+	_, err = log.Read(ctx, "s", 0, 1)
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.Equal(t, uint64(1), service.Appends())
+}
+
+// Guards against a rate limit that does not bind.
+func TestRateLimitRefuses(t *testing.T) {
+	service := New(Config{AppendsPerSecond: 3})
+	refused := 0
+	for range 20 {
+		if _, err := service.Append(context.Background(), "s", nil); err != nil {
+			require.ErrorIs(t, err, platform.ErrRefused)
+			refused++
+		}
+	}
+	require.GreaterOrEqual(t, refused, 15)
+}
--- /dev/null
+++ b/internal/standin/target/ledger.go
@@ -0,0 +1,90 @@
+package target
+
+import "sync"
+
+// Ledger records what targets really executed. It stands for the users' data
+// bases and outlives the targets that write to it. It is safe for concurrent
+// use.
+type Ledger struct {
+	mutex sync.Mutex
+	begun map[Execution]int
+	done  map[Execution]int
+	cut   []Execution
+}
+
+// Execution names one operation on behalf of one business request.
+type Execution struct {
+	Service   string
+	Operation string
+	ID        string
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{begun: make(map[Execution]int), done: make(map[Execution]int)}
+}
+
+func (l *Ledger) begin(e Execution) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.begun[e]++
+}
+
+func (l *Ledger) finish(e Execution) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.done[e]++
+}
+
+func (l *Ledger) recordCut(e Execution) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.cut = append(l.cut, e)
+}
+
+// Begun returns how often the execution began.
+func (l *Ledger) Begun(e Execution) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.begun[e]
+}
+
+// Done returns how often the execution ended with an answer.
+func (l *Ledger) Done(e Execution) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.done[e]
+}
+
+// Repeated returns the executions of the operation that began more than once.
+func (l *Ledger) Repeated(service, operation string) []Execution {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var repeated []Execution
+	for execution, count := range l.begun {
+		if count > 1 && execution.Service == service && execution.Operation == operation {
+			repeated = append(repeated, execution)
+		}
+	}
+	return repeated
+}
+
+// Total returns the number of begun executions of the service.
+func (l *Ledger) Total(service string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	total := 0
+	for execution, count := range l.begun {
+		if execution.Service == service {
+			total += count
+		}
+	}
+	return total
+}
+
+// Cut returns the executions that a planned stop aborted.
+func (l *Ledger) Cut() []Execution {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Execution(nil), l.cut...)
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,392 @@
+// Package target is a small stand-in for a users' target: slots, service
+// times, cold start, drain, shedding, cancellation, deadlines, and health and
+// load endpoints that may mislead. Its operations call other services through
+// the node beside it.
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/wire"
+)
+
+// Downstream is a call that an operation makes to another service.
+type Downstream struct {
+	Service   string
+	Operation string
+}
+
+// Operation describes the work of one operation.
+type Operation struct {
+	Name string
+	// Work is the mean duration for which a slot is held.
+	Work time.Duration
+	// Calls are made one after the other after the own work.
+	Calls []Downstream
+	// AnswerBytes is the size of the filler in the answer.
+	AnswerBytes int
+}
+
+// Config configures a Target.
+type Config struct {
+	Service     string
+	Slots       int
+	Connections int
+	// NodeURL is the base URL of the node's listener for its target.
+	NodeURL    string
+	Operations []Operation
+	// ColdStart is the duration for which work takes ColdFactor times as long
+	// after the start.
+	ColdStart  time.Duration
+	ColdFactor float64
+	// ShedAbove refuses requests when more than this number wait for a slot; 0
+	// never refuses.
+	ShedAbove int
+	Seed      uint64
+	Ledger    *Ledger
+	// Listen is the address to listen on; empty means a free loopback port.
+	Listen string
+}
+
+// Request is the body that callers of the stand-in send.
+type Request struct {
+	ID string `json:"id"`
+}
+
+// Answer is the body of an answer of the stand-in.
+type Answer struct {
+	ID        string `json:"id"`
+	Service   string `json:"service"`
+	Operation string `json:"operation"`
+	Filler    string `json:"filler"`
+}
+
+// Target is one running stand-in.
+type Target struct {
+	config     Config
+	operations map[string]Operation
+	slots      chan struct{}
+	waiting    atomic.Int64
+	running    atomic.Int64
+	slowdown   atomic.Int64 // factor in thousandths
+	reported   atomic.Int64 // reported load in thousandths; negative: true load
+	state      atomic.Int32
+	started    time.Time
+	listener   net.Listener
+	server     *http.Server
+	client     *http.Client
+	stop       context.CancelFunc
+	wait       sync.WaitGroup
+	randMutex  sync.Mutex
+	random     *rand.Rand
+}
+
+const (
+	fullSpeed        = 1000
+	announceInterval = 200 * time.Millisecond
+	announceTimeout  = time.Second
+	maxBodyBytes     = 1 << 20
+)
+
+// Start listens, serves and announces the target to its node.
+func Start(config Config) (*Target, error) {
+	if config.Listen == "" {
+		config.Listen = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "target: listen failed; use a free loopback address")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t := &Target{
+		config:     config,
+		operations: make(map[string]Operation),
+		slots:      make(chan struct{}, config.Slots),
+		started:    time.Now(),
+		listener:   listener,
+		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: config.Slots}},
+		stop:       stop,
+		random:     rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
+	}
+	for _, operation := range config.Operations {
+		t.operations[operation.Name] = operation
+	}
+	t.slowdown.Store(fullSpeed)
+	t.reported.Store(-1)
+	t.state.Store(int32(pb.TargetState_TARGET_STATE_READY))
+	t.server = &http.Server{Handler: t.handler(), BaseContext: func(net.Listener) context.Context { return ctx }}
+	t.wait.Add(2)
+	go t.serve()
+	go t.announceLoop(ctx)
+	return t, nil
+}
+
+// Address returns the IP:port of the target.
+func (t *Target) Address() string { return t.listener.Addr().String() }
+
+// SetSlowdown makes work take factor times as long.
+func (t *Target) SetSlowdown(factor float64) { t.slowdown.Store(int64(factor * fullSpeed)) }
+
+// SetReportedLoad makes the load endpoint report this value, whatever is true.
+func (t *Target) SetReportedLoad(load float64) { t.reported.Store(int64(load * fullSpeed)) }
+
+// Running returns the number of requests that hold a slot or wait for one.
+func (t *Target) Running() int { return int(t.running.Load()) }
+
+// Drain announces that the target leaves and waits until the node reports that
+// no work is left. It then stops the target; what still runs is recorded as cut.
+func (t *Target) Drain(ctx context.Context) error {
+	t.state.Store(int32(pb.TargetState_TARGET_STATE_DRAINING))
+	for {
+		answer, err := t.announce(ctx)
+		if err == nil && answer.GetDrained() && t.running.Load() == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return errors.Wrap(ctx.Err(), "target: the drain did not end in time; raise limits.drain")
+		case <-time.After(announceInterval / 4):
+		}
+	}
+	t.Stop()
+	return nil
+}
+
+// Stop ends the target at once. Executions in progress count as cut.
+func (t *Target) Stop() {
+	t.state.Store(int32(pb.TargetState_TARGET_STATE_DRAINING))
+	t.end()
+}
+
+// Crash ends the target at once, as a lost VM does; nothing counts as cut by a
+// planned stop.
+func (t *Target) Crash() {
+	t.state.Store(int32(pb.TargetState_TARGET_STATE_UNSPECIFIED))
+	t.end()
+}
+
+func (t *Target) end() {
+	t.stop()
+	_ = t.server.Close()
+	t.client.CloseIdleConnections()
+	t.wait.Wait()
+}
+
+func (t *Target) serve() {
+	defer t.wait.Done()
+	_ = t.server.Serve(t.listener)
+}
+
+func (t *Target) announceLoop(ctx context.Context) {
+	defer t.wait.Done()
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		// A failed announcement is repeated at the next tick.
+		_, _ = t.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Target) announce(ctx context.Context) (*pb.AnnouncementAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	body, err := protojson.Marshal(&pb.Announcement{
+		Service:     t.config.Service,
+		Address:     t.Address(),
+		Slots:       uint32(t.config.Slots),
+		Connections: uint32(t.config.Connections),
+		State:       pb.TargetState(t.state.Load()),
+	})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, t.config.NodeURL+wire.TargetPath, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	answer, err := t.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return nil, errors.Newf("target: the node refused the announcement: %s", data)
+	}
+	decoded := &pb.AnnouncementAnswer{}
+	return decoded, protojson.Unmarshal(data, decoded)
+}
+
+func (t *Target) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.OperationsPath+"{operation}", t.serveOperation)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /load", t.serveLoad)
+	return mux
+}
+
+// serveLoad reports the share of used slots, or the misleading value.
+func (t *Target) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	load := float64(t.reported.Load()) / fullSpeed
+	if load < 0 {
+		load = float64(t.running.Load()) / float64(t.config.Slots)
+	}
+	_, _ = io.WriteString(w, strconv.FormatFloat(load, 'f', 3, 64))
+}
+
+func (t *Target) serveOperation(w http.ResponseWriter, r *http.Request) {
+	operation, ok := t.operations[r.PathValue("operation")]
+	if !ok {
+		http.Error(w, "unknown operation; check the catalogue", http.StatusNotFound)
+		return
+	}
+	var request Request
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&request); err != nil {
+		http.Error(w, "the body must be JSON with an id", http.StatusBadRequest)
+		return
+	}
+	if limit := t.config.ShedAbove; limit > 0 && t.waiting.Load() > int64(limit) {
+		w.Header().Set(wire.RefusedHeader, "true")
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	t.running.Add(1)
+	defer t.running.Add(-1)
+	t.execute(w, r, operation, request)
+}
+
+func (t *Target) execute(w http.ResponseWriter, r *http.Request, operation Operation, request Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), deadlineOf(r))
+	defer cancel()
+	if !t.acquire(ctx) {
+		w.Header().Set(wire.RefusedHeader, "true")
+		http.Error(w, "no slot before the deadline", http.StatusServiceUnavailable)
+		return
+	}
+	execution := Execution{Service: t.config.Service, Operation: operation.Name, ID: request.ID}
+	t.config.Ledger.begin(execution)
+	worked := t.work(ctx, operation.Work)
+	<-t.slots
+	if !worked || !t.callAll(ctx, r, operation, request) {
+		t.recordEnd(r.Context(), execution)
+		http.Error(w, "failed", http.StatusBadGateway)
+		return
+	}
+	t.config.Ledger.finish(execution)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Answer{
+		ID:        request.ID,
+		Service:   t.config.Service,
+		Operation: operation.Name,
+		Filler:    string(bytes.Repeat([]byte("x"), operation.AnswerBytes)),
+	})
+}
+
+// recordEnd notes executions that the stop of the target aborted.
+func (t *Target) recordEnd(ctx context.Context, execution Execution) {
+	stopping := pb.TargetState(t.state.Load()) == pb.TargetState_TARGET_STATE_DRAINING
+	if stopping && ctx.Err() != nil {
+		t.config.Ledger.recordCut(execution)
+	}
+}
+
+func (t *Target) acquire(ctx context.Context) bool {
+	t.waiting.Add(1)
+	defer t.waiting.Add(-1)
+	select {
+	case t.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// work holds the slot for an exponentially distributed time.
+func (t *Target) work(ctx context.Context, mean time.Duration) bool {
+	t.randMutex.Lock()
+	factor := 0.5 + 0.5*t.random.ExpFloat64()
+	t.randMutex.Unlock()
+	factor *= float64(t.slowdown.Load()) / fullSpeed
+	if time.Since(t.started) < t.config.ColdStart {
+		factor *= t.config.ColdFactor
+	}
+	timer := time.NewTimer(time.Duration(float64(mean) * factor))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (t *Target) callAll(ctx context.Context, r *http.Request, operation Operation, request Request) bool {
+	for _, downstream := range operation.Calls {
+		if !t.call(ctx, r.Header.Get(wire.CallHeader), downstream, request) {
+			return false
+		}
+	}
+	return true
+}
+
+// call asks another service through the node and checks the answer.
+func (t *Target) call(ctx context.Context, token string, downstream Downstream, request Request) bool {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return false
+	}
+	address := t.config.NodeURL + wire.ServicesPath + downstream.Service + "/" + downstream.Operation
+	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	outgoing.Header.Set(wire.CallHeader, token)
+	answer, err := t.client.Do(outgoing)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxBodyBytes))
+		return false
+	}
+	var decoded Answer
+	if err := json.NewDecoder(answer.Body).Decode(&decoded); err != nil {
+		return false
+	}
+	return decoded.ID == request.ID && decoded.Service == downstream.Service
+}
+
+// defaultDeadline applies to requests without a deadline.
+const defaultDeadline = 30 * time.Second
+
+func deadlineOf(r *http.Request) time.Duration {
+	remaining, err := time.ParseDuration(r.Header.Get(wire.DeadlineHeader))
+	if err != nil || remaining <= 0 {
+		return defaultDeadline
+	}
+	return remaining
+}
