--- /dev/null
+++ b/node/executor/call.go
@@ -0,0 +1,95 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/once"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/core/retry"
+	"github.com/primrosemount/primrosemount/core/threshold"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// Call is one attempt to run an operation at the target.
+type Call struct {
+	Request *pb.CallRequest
+	// Number identifies the operation within its service.
+	Number     uint32
+	Idempotent bool
+	// Deadline is the time by which the sender needs the answer.
+	Deadline time.Time
+	// RunTime is the longest time that the operation may run at the target.
+	RunTime time.Duration
+	// Retention is how long the outcome of a key is kept.
+	Retention time.Duration
+	// AnswerBytes bounds the body of the answer.
+	AnswerBytes int64
+}
+
+func (c *Call) keyed() bool { return c.Request.GetKey() != "" }
+
+func (c *Call) level() outcome.Level {
+	context := c.Request.GetContext()
+	return outcome.LevelOf(outcome.ClassFromProto(context.GetClass()), context.GetCohort())
+}
+
+func (c *Call) fingerprint() once.Fingerprint {
+	request := c.Request
+	return once.FingerprintOf(request.GetService(), request.GetOperation(), request.GetCaller(), request.GetBody())
+}
+
+// Running is a call that the target processes. The calls that the target makes
+// meanwhile take their context and their retries from it. It is safe for
+// concurrent use.
+type Running struct {
+	Call *Call
+	// Token names the running call in the CallHeader of the target.
+	Token string
+	// Started is the time at which the gate admitted the call.
+	Started time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// Allowance holds the retries that the calls below may use.
+	Allowance *retry.Allowance
+	// Dependencies learns which calls the operation needs.
+	Dependencies *threshold.Run
+
+	mutex         sync.Mutex
+	children      int
+	childrenSince time.Time
+	downstream    time.Duration
+}
+
+// Context ends when the call is cancelled or its run time is over.
+func (r *Running) Context() context.Context { return r.ctx }
+
+// BeginChild notes that the target waits for another service. Each call needs
+// one EndChild.
+func (r *Running) BeginChild(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.children == 0 {
+		r.childrenSince = now
+	}
+	r.children++
+}
+
+// EndChild ends the wait that BeginChild began. Waits that overlap count once.
+func (r *Running) EndChild(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.children--
+	if r.children == 0 {
+		r.downstream += now.Sub(r.childrenSince)
+	}
+}
+
+func (r *Running) downstreamTime() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.downstream
+}
--- /dev/null
+++ b/node/executor/executor.go
@@ -0,0 +1,338 @@
+package executor
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/gate"
+	"github.com/primrosemount/primrosemount/core/once"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/core/retry"
+	"github.com/primrosemount/primrosemount/core/threshold"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+const (
+	// eventQueue is the number of events that may wait for the task.
+	eventQueue = 256
+	tokenBytes = 12
+)
+
+// Config configures an Executor.
+type Config struct {
+	Service     string
+	Incarnation uint64
+	// KeyTableBytes bounds the at-most-once table.
+	KeyTableBytes int64
+	// Operations learns on which services the operations depend.
+	Operations *threshold.Operations
+	Logger     *zap.Logger
+}
+
+// State is the published state of the gate.
+type State struct {
+	Threshold outcome.Level
+	InFlight  int
+	Queued    int
+	Limit     int
+	// InProgress counts queued and started calls.
+	InProgress int
+	Down       bool
+	// Closed is true when no new call is accepted any more.
+	Closed bool
+}
+
+// Executor runs calls at one target for one incarnation of the node. It is
+// safe for concurrent use.
+type Executor struct {
+	config  Config
+	logger  *zap.Logger
+	events  chan event
+	client  *targetClient
+	address atomic.Value // string
+	state   atomic.Pointer[State]
+	ctx     context.Context
+	stop    context.CancelFunc
+	wait    sync.WaitGroup
+}
+
+// New starts an Executor; Stop ends it.
+func New(config Config) *Executor {
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Executor{
+		config: config,
+		logger: config.Logger,
+		events: make(chan event, eventQueue),
+		client: newTargetClient(),
+		ctx:    ctx,
+		stop:   stop,
+	}
+	e.address.Store("")
+	now := time.Now()
+	t := &task{
+		executor: e,
+		gate:     gate.New(gate.Config{}, now),
+		table: once.New(once.Config{
+			Service:  config.Service,
+			Executor: config.Incarnation,
+			MaxBytes: config.KeyTableBytes,
+		}, now),
+		calls:   make(map[uint64]*present),
+		tokens:  make(map[string]*Running),
+		waiters: make(map[string][]chan once.Result),
+	}
+	t.gate.SetDown(true)
+	t.down = true
+	t.publish()
+	e.wait.Add(1)
+	go func() {
+		defer e.wait.Done()
+		t.run(ctx)
+	}()
+	return e
+}
+
+// Incarnation returns the incarnation whose keys the executor runs.
+func (e *Executor) Incarnation() uint64 { return e.config.Incarnation }
+
+// State returns the latest published state.
+func (e *Executor) State() State { return *e.state.Load() }
+
+// Stop ends the task and cancels what still runs.
+func (e *Executor) Stop() {
+	e.stop()
+	e.wait.Wait()
+	e.client.close()
+}
+
+// send passes an event to the task. It returns false if the task has ended.
+func (e *Executor) send(ev event) bool {
+	select {
+	case e.events <- ev:
+		return true
+	case <-e.ctx.Done():
+		return false
+	}
+}
+
+// Execute runs the call at the target, or returns the stored outcome of its
+// key. The response carries outcome, reason and unspent allowance. The context
+// ends when the sender gives up.
+func (e *Executor) Execute(ctx context.Context, call *Call) *pb.CallResponse {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	response := e.execute(ctx, call)
+	response.Id = call.Request.GetId()
+	return response
+}
+
+func (e *Executor) execute(ctx context.Context, call *Call) *pb.CallResponse {
+	o := &offer{call: call, reply: make(chan admission, 1), id: make(chan uint64, 1)}
+	if !e.send(o) {
+		return e.stopped(call)
+	}
+	decided, ok := e.awaitAdmission(ctx, o)
+	switch {
+	case !ok:
+		return e.stopped(call)
+	case decided.err != nil:
+		return refusal(call, decided.err)
+	case decided.replay != nil:
+		return replay(call, decided.replay)
+	case decided.wait != nil:
+		return e.awaitResult(ctx, call, decided.wait)
+	}
+	return e.await(ctx, call, decided.start, <-o.id)
+}
+
+// awaitAdmission waits for the decision. If the sender gives up, the attempt
+// is withdrawn and the task still answers, because a start may be on its way.
+func (e *Executor) awaitAdmission(ctx context.Context, o *offer) (admission, bool) {
+	select {
+	case decided := <-o.reply:
+		return decided, true
+	case <-e.ctx.Done():
+		return e.lateAdmission(o)
+	case <-ctx.Done():
+	}
+	select {
+	case id := <-o.id:
+		o.id <- id
+		e.send(&withdrawal{id: id})
+	case <-e.ctx.Done():
+		return e.lateAdmission(o)
+	}
+	select {
+	case decided := <-o.reply:
+		return decided, true
+	case <-e.ctx.Done():
+		return e.lateAdmission(o)
+	}
+}
+
+// lateAdmission waits for the end of the task, which answers every offer that
+// it has seen.
+func (e *Executor) lateAdmission(o *offer) (admission, bool) {
+	e.wait.Wait()
+	select {
+	case decided := <-o.reply:
+		return decided, true
+	default:
+		return admission{}, false
+	}
+}
+
+// await runs a started call in a goroutine of its own and waits for its answer
+// or the end of the context.
+func (e *Executor) await(ctx context.Context, call *Call, running *Running, id uint64) *pb.CallResponse {
+	done := make(chan *pb.CallResponse, 1)
+	go func() { done <- e.runAtTarget(call, running, id) }()
+	select {
+	case response := <-done:
+		return response
+	case <-ctx.Done():
+	}
+	if call.keyed() {
+		return failed(call, outcome.New(outcome.Unknown, outcome.InProgress, "the request still runs at the target"))
+	}
+	running.cancel()
+	return <-done
+}
+
+// runAtTarget sends the call and records its end before anybody is told.
+func (e *Executor) runAtTarget(call *Call, running *Running, id uint64) *pb.CallResponse {
+	defer running.cancel()
+	address, _ := e.address.Load().(string)
+	answer := e.client.send(running.ctx, address, running)
+	end := &finished{id: id, answer: answer, applied: make(chan struct{})}
+	if e.send(end) {
+		select {
+		case <-end.applied:
+		case <-e.ctx.Done():
+		}
+	}
+	response := resultResponse(&answer.result)
+	response.UnspentAllowance = running.Allowance.Close()
+	running.Dependencies.Finish(time.Now(), !good(response))
+	return response
+}
+
+func (e *Executor) awaitResult(ctx context.Context, call *Call, wait chan once.Result) *pb.CallResponse {
+	select {
+	case result := <-wait:
+		return replay(call, &result)
+	case <-ctx.Done():
+		return failed(call, outcome.New(outcome.Unknown, outcome.InProgress, "an earlier attempt with this key still runs"))
+	case <-e.ctx.Done():
+		return failed(call, outcome.New(outcome.Unknown, outcome.ExecutorGone, "the node stops"))
+	}
+}
+
+func (e *Executor) newRunning(call *Call, now time.Time) *Running {
+	deadline := call.Deadline
+	if call.keyed() {
+		deadline = now.Add(call.RunTime)
+	}
+	ctx, cancel := context.WithDeadline(e.ctx, deadline)
+	return &Running{
+		Call:         call,
+		Token:        newToken(),
+		Started:      now,
+		ctx:          ctx,
+		cancel:       cancel,
+		Allowance:    retry.NewAllowance(call.Request.GetContext().GetRetryAllowance()),
+		Dependencies: e.config.Operations.Start(call.Request.GetOperation()),
+	}
+}
+
+// newToken returns an unguessable name of a running call.
+func newToken() string {
+	var token [tokenBytes]byte
+	// crypto/rand.Read never fails; the program ends if the system has no
+	// randomness.
+	_, _ = rand.Read(token[:])
+	return hex.EncodeToString(token[:])
+}
+
+// Find returns the running call with the token, or nil.
+func (e *Executor) Find(token string) *Running {
+	f := &findRunning{token: token, reply: make(chan *Running, 1)}
+	if !e.send(f) {
+		return nil
+	}
+	select {
+	case running := <-f.reply:
+		return running
+	case <-e.ctx.Done():
+		return nil
+	}
+}
+
+// Announce takes news of the target. slots and queue are already capped by the
+// catalogue. It returns the number of calls in progress.
+func (e *Executor) Announce(message *pb.Announcement, slots, queue int) int {
+	a := &announcement{message: message, slots: slots, queue: queue, applied: make(chan announced, 1)}
+	if !e.send(a) {
+		return 0
+	}
+	select {
+	case result := <-a.applied:
+		return result.inProgress
+	case <-e.ctx.Done():
+		return 0
+	}
+}
+
+// Close makes the executor accept no new call. Running calls end as usual.
+func (e *Executor) Close() {
+	c := &closing{applied: make(chan struct{})}
+	if !e.send(c) {
+		return
+	}
+	select {
+	case <-c.applied:
+	case <-e.ctx.Done():
+	}
+}
+
+// Export returns the handover messages of a closed executor.
+func (e *Executor) Export() []*pb.HandoverRequest {
+	x := &export{reply: make(chan []*pb.HandoverRequest, 1)}
+	if !e.send(x) {
+		return nil
+	}
+	select {
+	case chunks := <-x.reply:
+		return chunks
+	case <-e.ctx.Done():
+		return nil
+	}
+}
+
+// Adopt takes one chunk of the table of a leaving executor.
+func (e *Executor) Adopt(request *pb.HandoverRequest) *pb.HandoverResponse {
+	a := &adoption{request: request, reply: make(chan *pb.HandoverResponse, 1)}
+	if !e.send(a) {
+		return &pb.HandoverResponse{Detail: "the node stops; send the table to another node"}
+	}
+	select {
+	case response := <-a.reply:
+		return response
+	case <-e.ctx.Done():
+		return &pb.HandoverResponse{Detail: "the node stops; send the table to another node"}
+	}
+}
+
+// stopped answers a call that reached an executor after its end.
+func (e *Executor) stopped(call *Call) *pb.CallResponse {
+	if call.keyed() {
+		return failed(call, outcome.New(outcome.Unknown, outcome.ExecutorGone, "the executor of the key has stopped"))
+	}
+	return refusal(call, outcome.New(outcome.NotRun, outcome.Draining, "the node stops"))
+}
--- /dev/null
+++ b/node/executor/response.go
@@ -0,0 +1,73 @@
+package executor
+
+import (
+	"encoding/hex"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/once"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// failed returns the response to a call that ended with an error. Its retry
+// allowance counts as spent, because calls below may still use it.
+func failed(_ *Call, err *outcome.Error) *pb.CallResponse {
+	return &pb.CallResponse{
+		Outcome:         err.Outcome.Proto(),
+		Reason:          err.Reason.Proto(),
+		Detail:          err.Detail,
+		RetryAfterNanos: int64(err.RetryAfter),
+	}
+}
+
+// refusal returns the response to a call of which nothing ran, so that its
+// whole allowance is unspent.
+func refusal(call *Call, err *outcome.Error) *pb.CallResponse {
+	response := failed(call, err)
+	response.UnspentAllowance = call.Request.GetContext().GetRetryAllowance()
+	return response
+}
+
+// replay returns the stored outcome of a key; this attempt spent nothing.
+func replay(call *Call, result *once.Result) *pb.CallResponse {
+	response := resultResponse(result)
+	response.Replayed = true
+	response.UnspentAllowance = call.Request.GetContext().GetRetryAllowance()
+	return response
+}
+
+func resultResponse(result *once.Result) *pb.CallResponse {
+	response := &pb.CallResponse{
+		Outcome:    result.Outcome.Proto(),
+		Reason:     result.Reason.Proto(),
+		Status:     result.Status,
+		Headers:    result.Headers,
+		Body:       result.Body,
+		BodyLength: uint64(len(result.Body)),
+	}
+	if result.BodyOmitted {
+		response.Detail = "the operation completed; its answer was too large to keep"
+	}
+	return response
+}
+
+func requestID(call *pb.CallRequest) string {
+	if call.GetKey() != "" {
+		return call.GetKey()
+	}
+	return hexID(call.GetContext().GetRootId())
+}
+
+func targetFields(target *pb.Announcement, down bool) []zap.Field {
+	return []zap.Field{zap.String("target", target.GetAddress()), zap.Bool("down", down)}
+}
+
+func hexID(id []byte) string { return hex.EncodeToString(id) }
+
+// good reports whether the target answered without an error status.
+func good(response *pb.CallResponse) bool {
+	completed := response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED
+	return completed && response.GetStatus() < http.StatusInternalServerError
+}
--- /dev/null
+++ b/node/executor/task.go
@@ -0,0 +1,329 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/gate"
+	"github.com/primrosemount/primrosemount/core/once"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// expireInterval is the time between two clean-ups of the at-most-once table.
+const expireInterval = time.Second
+
+// event is a message to the task.
+type event interface {
+	apply(t *task, now time.Time)
+}
+
+// present is a call that the gate queues or has started.
+type present struct {
+	id      uint64
+	call    *Call
+	admit   chan admission
+	running *Running
+}
+
+// admission is the task's answer to one attempt. Exactly one of its parts is
+// set.
+type admission struct {
+	start  *Running
+	replay *once.Result
+	wait   chan once.Result
+	err    *outcome.Error
+}
+
+// task owns the gate, the table and the present calls. Only its own goroutine
+// touches its fields.
+type task struct {
+	executor *Executor
+	gate     *gate.Gate
+	table    *once.Table
+	sequence uint64
+	calls    map[uint64]*present
+	tokens   map[string]*Running
+	waiters  map[string][]chan once.Result
+	target   *pb.Announcement
+	down     bool
+	draining bool
+	expireAt time.Time
+}
+
+func (t *task) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		t.advance(now)
+		timer.Reset(t.untilWake(now))
+		select {
+		case <-ctx.Done():
+			t.abort()
+			return
+		case e := <-t.executor.events:
+			e.apply(t, time.Now())
+		case <-timer.C:
+		}
+	}
+}
+
+// advance reports what the gate decided meanwhile and publishes its state.
+func (t *task) advance(now time.Time) {
+	for _, e := range t.gate.Poll(now) {
+		t.decide(now, t.calls[e.ID], e.Decision)
+	}
+	if now.After(t.expireAt) {
+		t.table.Expire(now)
+		t.expireAt = now.Add(expireInterval)
+	}
+	t.publish()
+}
+
+func (t *task) untilWake(now time.Time) time.Duration {
+	wake := t.expireAt
+	if next := t.gate.NextWake(now); !next.IsZero() && next.Before(wake) {
+		wake = next
+	}
+	return max(wake.Sub(now), 0)
+}
+
+// abort refuses everything that waits; the context of started calls ends by
+// itself.
+func (t *task) abort() {
+	for _, p := range t.calls {
+		if p.running == nil {
+			p.admit <- admission{err: outcome.New(outcome.NotRun, outcome.Draining, "the node stops")}
+		}
+	}
+}
+
+// offer is an attempt that asks for admission.
+type offer struct {
+	call  *Call
+	reply chan admission
+	id    chan uint64
+}
+
+func (o *offer) apply(t *task, now time.Time) {
+	t.sequence++
+	o.id <- t.sequence
+	p := &present{id: t.sequence, call: o.call, admit: o.reply}
+	if !o.call.keyed() {
+		t.admit(now, p)
+		return
+	}
+	request := o.call.Request
+	decision := t.lookup(now, o.call)
+	switch decision.Kind {
+	case once.Start:
+		t.admit(now, p)
+	case once.Replay:
+		o.reply <- admission{replay: decision.Result}
+	case once.Wait:
+		result := make(chan once.Result, 1)
+		t.waiters[request.GetKey()] = append(t.waiters[request.GetKey()], result)
+		o.reply <- admission{wait: result}
+	default:
+		o.reply <- admission{err: decision.Err}
+	}
+}
+
+func (t *task) lookup(now time.Time, call *Call) once.Decision {
+	key := call.Request.GetKey()
+	if call.Request.GetQueryOnly() {
+		return t.table.Settle(now, key, call.fingerprint())
+	}
+	return t.table.Begin(now, key, call.fingerprint(), call.Retention)
+}
+
+// admit asks the gate.
+func (t *task) admit(now time.Time, p *present) {
+	t.calls[p.id] = p
+	decision := t.gate.Offer(now, gate.Request{
+		ID:        p.id,
+		Level:     p.call.level(),
+		Deadline:  p.call.Deadline,
+		Operation: p.call.Number,
+	})
+	if decision.Kind != gate.Queue {
+		t.decide(now, p, decision)
+	}
+}
+
+// decide carries out a start or a refusal by the gate.
+func (t *task) decide(now time.Time, p *present, decision gate.Decision) {
+	if p == nil {
+		return
+	}
+	if decision.Kind == gate.Start {
+		p.running = t.executor.newRunning(p.call, now)
+		t.tokens[p.running.Token] = p.running
+		p.admit <- admission{start: p.running}
+		return
+	}
+	t.refuse(now, p, &outcome.Error{
+		Outcome:    outcome.NotRun,
+		Reason:     decision.Reason,
+		Detail:     "the gate of the target refused the request",
+		RetryAfter: decision.RetryAfter,
+	})
+}
+
+func (t *task) refuse(now time.Time, p *present, err *outcome.Error) {
+	delete(t.calls, p.id)
+	if p.call.keyed() {
+		key := p.call.Request.GetKey()
+		t.table.NotStarted(now, key, err.Reason)
+		t.wake(key, once.Result{Outcome: outcome.NotRun, Reason: err.Reason})
+	}
+	p.admit <- admission{err: err}
+}
+
+// wake passes the result of a key to the attempts that wait for it.
+func (t *task) wake(key string, result once.Result) {
+	for _, waiter := range t.waiters[key] {
+		waiter <- result
+	}
+	delete(t.waiters, key)
+}
+
+// withdrawal takes a queued attempt back because its sender gave up.
+type withdrawal struct {
+	id uint64
+}
+
+func (w *withdrawal) apply(t *task, now time.Time) {
+	p, ok := t.calls[w.id]
+	if !ok || p.running != nil {
+		return
+	}
+	t.gate.Cancel(now, w.id)
+	t.refuse(now, p, outcome.New(outcome.NotRun, outcome.Cancelled, "the sender gave up while the request waited"))
+}
+
+// finished is the end of a started call.
+type finished struct {
+	id      uint64
+	answer  targetAnswer
+	applied chan struct{}
+}
+
+func (f *finished) apply(t *task, now time.Time) {
+	defer close(f.applied)
+	p, ok := t.calls[f.id]
+	if !ok {
+		return
+	}
+	delete(t.calls, f.id)
+	delete(t.tokens, p.running.Token)
+	t.gate.Done(now, f.id, gate.Sample{
+		Operation:  p.call.Number,
+		Latency:    now.Sub(p.running.Started),
+		Downstream: p.running.downstreamTime(),
+		Refused:    f.answer.refused,
+		Failed:     f.answer.result.Outcome == outcome.Unknown,
+	})
+	if p.call.keyed() {
+		key := p.call.Request.GetKey()
+		t.table.Finish(now, key, f.answer.result)
+		t.wake(key, f.answer.result)
+	}
+	if f.answer.unreachable {
+		t.setDown(true)
+	}
+}
+
+func (t *task) setDown(down bool) {
+	if t.down == down {
+		return
+	}
+	t.down = down
+	t.gate.SetDown(down)
+	t.executor.logger.Info("target changed state", targetFields(t.target, down)...)
+}
+
+// lookup by token.
+type findRunning struct {
+	token string
+	reply chan *Running
+}
+
+func (f *findRunning) apply(t *task, _ time.Time) { f.reply <- t.tokens[f.token] }
+
+// announcement is news of the target.
+type announcement struct {
+	message *pb.Announcement
+	slots   int
+	queue   int
+	applied chan announced
+}
+
+type announced struct {
+	inProgress int
+}
+
+func (a *announcement) apply(t *task, now time.Time) {
+	first := t.target == nil
+	moved := !first && t.target.GetAddress() != a.message.GetAddress()
+	t.target = a.message
+	t.executor.address.Store(a.message.GetAddress())
+	t.gate.SetCapacity(a.slots, a.queue)
+	ready := a.message.GetState() == pb.TargetState_TARGET_STATE_READY
+	if ready && (first || moved || t.down) {
+		t.gate.StartRampUp(now)
+	}
+	if ready || a.message.GetState() == pb.TargetState_TARGET_STATE_DRAINING {
+		t.setDown(false)
+	} else {
+		t.setDown(true)
+	}
+	a.applied <- announced{inProgress: len(t.calls)}
+}
+
+// closing ends the acceptance of new calls.
+type closing struct {
+	applied chan struct{}
+}
+
+func (c *closing) apply(t *task, now time.Time) {
+	t.draining = true
+	t.gate.SetDraining(true)
+	t.table.Close(now)
+	close(c.applied)
+}
+
+// export asks for the handover messages of the closed table.
+type export struct {
+	reply chan []*pb.HandoverRequest
+}
+
+func (e *export) apply(t *task, now time.Time) {
+	var chunks []*pb.HandoverRequest
+	for chunk := range t.table.Export(now) {
+		chunks = append(chunks, chunk)
+	}
+	e.reply <- chunks
+}
+
+// adoption is one chunk of the table of another incarnation.
+type adoption struct {
+	request *pb.HandoverRequest
+	reply   chan *pb.HandoverResponse
+}
+
+func (a *adoption) apply(t *task, now time.Time) { a.reply <- t.table.Adopt(now, a.request) }
+
+// publish makes the state of the gate readable without the task.
+func (t *task) publish() {
+	t.executor.state.Store(&State{
+		Threshold:  t.gate.Threshold(),
+		InFlight:   t.gate.InFlight(),
+		Queued:     t.gate.Queued(),
+		Limit:      t.gate.Limit(),
+		InProgress: len(t.calls),
+		Down:       t.down || t.target == nil,
+		Closed:     t.draining,
+	})
+}
