Add the concurrency limit and the admission gate

Cause: a target has no admission control. Change: core/limit adapts the concurrency limit of one target to the own time of its requests and tests by a trial cut whether concurrency causes a delay. core/gate queues by level, moves a threshold by the standing queue delay, refuses what cannot meet its deadline, evicts the lowest level first, and handles ramp-up, drain and a target that is down.

--- /dev/null
+++ b/core/gate/threshold.go
@@ -0,0 +1,135 @@
+package gate
+
+import (
+	"math"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+const (
+	// calmExcess is the share of the target delay below which the threshold
+	// rises. Between it and 1 the threshold holds.
+	calmExcess = 0.5
+	// drainGain and lowestFactor shape the admitted share of the started rate
+	// while the queue is too long: less is admitted than started, so that the
+	// queue drains while all slots stay in use.
+	drainGain    = 0.1
+	lowestFactor = 0.7
+	// raiseGain is the share of the free capacity that one raise hands out.
+	raiseGain = 0.5
+	// leastRaise keeps the threshold probing when all slots are in use.
+	leastRaise = 0.02
+	// mostRaise bounds one raise, so that a wave of callers that had been
+	// refused does not arrive within one window.
+	mostRaise = 1.0
+	// busyLevels and idleLevels bound one raise in levels, for levels whose
+	// demand is not known. Idle gates reopen fully within six windows.
+	busyLevels = 16
+	idleLevels = 64
+	// idleUse is the use of slots below which a gate is idle.
+	idleUse = 0.75
+	// demandWeight is the weight of the newest window in the demand of levels
+	// that callers send.
+	demandWeight = 0.3
+	// demandDecay is the factor per window on the remembered demand of levels
+	// above the threshold: half of it remains after 14 windows.
+	demandDecay = 0.95
+	// lowestThreshold always admits some critical requests, because a gate that
+	// admits nothing learns nothing.
+	lowestThreshold = outcome.Level(outcome.Critical) * outcome.Cohorts
+)
+
+// load is what one window showed.
+type load struct {
+	duration time.Duration
+	starts   int
+	// excess is the standing queue delay divided by the target delay.
+	excess float64
+	// lackedRoom tells that requests at admitted levels were refused or evicted.
+	lackedRoom bool
+	// use is the mean share of the limit that was in use.
+	use float64
+}
+
+// threshold controls the highest admitted level. It counts the demand of each
+// level, refused demand included, so that it computes how far to move instead
+// of searching for it.
+type threshold struct {
+	level outcome.Level
+	// seen counts the offers of each level in the current window.
+	seen [levels]float64
+	// demand is the rate of offers of each level in requests per second. Above
+	// the threshold it is remembered for a while, because callers that know
+	// the threshold do not send these levels.
+	demand [levels]float64
+}
+
+// adjust moves the threshold by one window and begins the next one.
+func (t *threshold) adjust(w load) {
+	offered := sum(t.seen[:t.level+1])
+	t.remember(w.duration)
+	t.seen = [levels]float64{}
+	switch {
+	case w.excess > 1 || w.lackedRoom:
+		t.lower(offered, w)
+	case w.excess < calmExcess:
+		t.raise(w.use)
+	}
+}
+
+// lower moves down until the demand of the admitted levels fits the rate at
+// which requests start.
+func (t *threshold) lower(offered float64, w load) {
+	factor := 1 - drainGain*(w.excess-1)
+	factor = math.Min(1, math.Max(lowestFactor, factor))
+	allowed := factor * float64(w.starts)
+	if offered <= allowed {
+		return
+	}
+	demand := sum(t.demand[:t.level+1])
+	surplus := demand * (1 - allowed/offered)
+	for surplus > 0 && t.level > lowestThreshold {
+		surplus -= t.demand[t.level]
+		t.level--
+	}
+}
+
+// raise moves up by a part of the free capacity, at least one level.
+func (t *threshold) raise(use float64) {
+	factor := raiseGain * (1/math.Max(use, 0.01) - 1)
+	factor = math.Min(mostRaise, math.Max(leastRaise, factor))
+	most := busyLevels
+	if use < idleUse {
+		most = idleLevels
+	}
+	room := factor * sum(t.demand[:t.level+1])
+	for step := 0; step < most && t.level < outcome.MaxLevel; step++ {
+		room -= t.demand[t.level+1]
+		if room < 0 && step > 0 {
+			return
+		}
+		t.level++
+	}
+}
+
+// remember merges the offers of the window into the demand.
+func (t *threshold) remember(duration time.Duration) {
+	seconds := math.Max(duration.Seconds(), 0.001)
+	for level := range t.demand {
+		rate := t.seen[level] / seconds
+		if outcome.Level(level) > t.level && rate < t.demand[level] {
+			t.demand[level] = math.Max(rate, demandDecay*t.demand[level])
+			continue
+		}
+		t.demand[level] += demandWeight * (rate - t.demand[level])
+	}
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
--- /dev/null
+++ b/core/gate/trace_test.go
@@ -0,0 +1,212 @@
+package gate
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+var classNames = map[string]outcome.Class{
+	"critical": outcome.Critical, "normal": outcome.Normal, "sheddable": outcome.Sheddable,
+}
+
+// traceRunner executes the commands of one trace file.
+type traceRunner struct {
+	t    *testing.T
+	gate *Gate
+	now  time.Time
+	// ends holds the running requests of the command "run" in order of end.
+	ends []runningRequest
+	next uint64
+	seed uint64
+}
+
+type runningRequest struct {
+	id    uint64
+	start time.Time
+	end   time.Time
+}
+
+// TestTraces guards the stated outcomes of queue order, eviction, threshold
+// movement, deadline refusals, ramp-up and drain.
+func TestTraces(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		r := &traceRunner{t: t, now: time.Unix(1000, 0), next: 1 << 32, seed: 1}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return r.command(d)
+		})
+	})
+}
+
+func (r *traceRunner) command(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "new":
+		r.gate = New(Config{Slots: intArg(d, "slots"), Queue: intArg(d, "queue")}, r.now)
+		return ""
+	case "script":
+		var out strings.Builder
+		for _, line := range strings.Split(d.Input, "\n") {
+			fmt.Fprintf(&out, "%s: %s\n", line, r.step(strings.Fields(line)))
+		}
+		return out.String()
+	case "run":
+		return r.run(d)
+	}
+	r.t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+// step executes one line of a script.
+func (r *traceRunner) step(words []string) string {
+	g := r.gate
+	switch words[0] {
+	case "offer":
+		return r.offer(words[1:])
+	case "done":
+		latency, _ := time.ParseDuration(words[2])
+		g.Done(r.now, number(words[1]), Sample{Latency: latency})
+	case "refused":
+		latency, _ := time.ParseDuration(words[2])
+		g.Done(r.now, number(words[1]), Sample{Latency: latency, Refused: true})
+	case "cancel":
+		return fmt.Sprint(g.Cancel(r.now, number(words[1])))
+	case "poll":
+		return formatEvents(g.Poll(r.now))
+	case "wait":
+		d, _ := time.ParseDuration(words[1])
+		r.now = r.now.Add(d)
+	case "drain":
+		g.SetDraining(words[1] == "on")
+	case "down":
+		g.SetDown(words[1] == "on")
+	case "ramp":
+		g.StartRampUp(r.now)
+	case "capacity":
+		g.SetCapacity(int(number(words[1])), int(number(words[2])))
+	case "wake":
+		if wake := g.NextWake(r.now); !wake.IsZero() {
+			return "in " + wake.Sub(r.now).String()
+		}
+		return "never"
+	case "state":
+	default:
+		r.t.Fatalf("unknown step %s", words[0])
+	}
+	return fmt.Sprintf("in flight %d of %d, queued %d", g.InFlight(), g.Limit(), g.Queued())
+}
+
+func (r *traceRunner) offer(words []string) string {
+	cohort := uint32(number(words[2]))
+	request := Request{ID: number(words[0]), Level: outcome.LevelOf(classNames[words[1]], cohort)}
+	if len(words) > 3 {
+		left, _ := time.ParseDuration(words[3])
+		request.Deadline = r.now.Add(left)
+	}
+	return formatDecision(r.gate.Offer(r.now, request))
+}
+
+// run offers requests of all classes in turn at a steady rate to a target with
+// a constant service time, and reports what happened.
+func (r *traceRunner) run(d *datadriven.TestData) string {
+	length, service := durationArg(d, "for"), durationArg(d, "service")
+	gap := time.Second / time.Duration(intArg(d, "rate"))
+	started, reasons := map[outcome.Class]int{}, map[string]int{}
+	levels := map[uint64]outcome.Level{}
+	offered, highest := 0, 0
+	end := r.now.Add(length)
+	for ; r.now.Before(end); r.now = r.now.Add(gap) {
+		r.finish(r.now, service, started, reasons, levels)
+		r.next++
+		r.seed = r.seed*6364136223846793005 + 1442695040888963407
+		class := outcome.Class(r.next%3) + outcome.Critical
+		level := outcome.LevelOf(class, uint32(r.seed>>40))
+		offered++
+		levels[r.next] = level
+		switch dec := r.gate.Offer(r.now, Request{ID: r.next, Level: level, Deadline: r.now.Add(time.Second)}); dec.Kind {
+		case Start:
+			started[class]++
+			r.ends = append(r.ends, runningRequest{r.next, r.now, r.now.Add(service)})
+		case Refuse:
+			reasons[dec.Reason.String()]++
+		}
+		highest = max(highest, r.gate.InFlight())
+	}
+	threshold := r.gate.Threshold()
+	total := started[outcome.Critical] + started[outcome.Normal] + started[outcome.Sheddable]
+	return fmt.Sprintf("admitted class: %s\nstarted of critical: %d %%\nstarted of sheddable: %d %%\nuse of capacity: %d %%\nin flight at most %d\n",
+		threshold.Class(), 300*started[outcome.Critical]/offered, 300*started[outcome.Sheddable]/offered,
+		100*total/int(float64(r.gate.Limit())*length.Seconds()/service.Seconds()), highest)
+}
+
+// finish ends what is due and starts what waits.
+func (r *traceRunner) finish(now time.Time, service time.Duration, started map[outcome.Class]int, reasons map[string]int, levels map[uint64]outcome.Level) {
+	for len(r.ends) > 0 && !r.ends[0].end.After(now) {
+		done := r.ends[0]
+		r.ends = r.ends[1:]
+		r.gate.Done(done.end, done.id, Sample{Latency: done.end.Sub(done.start)})
+		for _, e := range r.gate.Poll(done.end) {
+			if e.Kind == Refuse {
+				reasons[e.Reason.String()]++
+				continue
+			}
+			started[levels[e.ID].Class()]++
+			r.ends = append(r.ends, runningRequest{e.ID, done.end, done.end.Add(service)})
+		}
+	}
+}
+
+func formatDecision(d Decision) string {
+	if d.Kind != Refuse {
+		return d.Kind.String()
+	}
+	if d.RetryAfter > 0 {
+		return fmt.Sprintf("refuse %s, retry after %s", d.Reason, d.RetryAfter)
+	}
+	return fmt.Sprintf("refuse %s", d.Reason)
+}
+
+func formatEvents(events []Event) string {
+	var out []string
+	for _, e := range events {
+		out = append(out, fmt.Sprintf("%d %s", e.ID, formatDecision(e.Decision)))
+	}
+	if len(out) == 0 {
+		return "none"
+	}
+	return strings.Join(out, "; ")
+}
+
+func number(word string) uint64 {
+	n, err := strconv.ParseUint(word, 10, 64)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func intArg(d *datadriven.TestData, name string) int {
+	return int(number(arg(d, name)))
+}
+
+func durationArg(d *datadriven.TestData, name string) time.Duration {
+	v, err := time.ParseDuration(arg(d, name))
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func arg(d *datadriven.TestData, name string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == name {
+			return a.Vals[0]
+		}
+	}
+	panic("missing argument " + name)
+}
--- /dev/null
+++ b/core/limit/limit.go
@@ -0,0 +1,478 @@
+// Package limit adapts the number of requests that one target may process at
+// the same time.
+//
+// Model. A target does own work for a request and may wait for calls to other
+// services meanwhile. Up to some concurrency, the knee, own work takes the same
+// time at any concurrency; above it, own time grows in proportion and
+// throughput stays flat. The best limit is at the knee or a little above it.
+//
+// Signal. The own time of each finished request, which is its latency less its
+// time in downstream calls, divided by the time expected for its operation.
+// The sum over a window is divided, not the single values, so a shift between
+// cheap and expensive operations does not move the ratio. Expected times are
+// learned only from requests that started while the target was at most half
+// full, so they do not drift upward under sustained load. Refusals by the
+// target are the second signal.
+//
+// Reaction. A ratio above Config.Tolerance may have two causes. Either the
+// target is past its knee, or its own work became slower at any concurrency,
+// for example because of a disk. The limiter finds out by a trial: it cuts the
+// limit and compares the ratio before and after. If the ratio falls with the
+// concurrency, the cut stays. If it does not, the earlier limit is restored and
+// the slower time becomes the expected one, until a faster one is seen. While
+// the ratio is low and the limit is in use, the limit grows by a quarter each
+// window, so a limit that is ten times too low recovers within a second.
+//
+// Slow downstream services. A request that waits for a deep service holds a
+// slot but does not load the target. By Little's law the target needs more
+// concurrency to keep its throughput, so the right limit is as many as its slots
+// allow. A lower limit would shed work that the target can do, and a higher one
+// would make the target refuse. Downstream time is therefore subtracted, and
+// the overload is left to the gate of the slow service and the thresholds that
+// it reports. If downstream time is not known (zero), the trial comes to the
+// same result a little later, because the ratio does not follow concurrency.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults and constants of the control law.
+const (
+	// DefaultMax is the cap while no slots are known.
+	DefaultMax = 64
+	// DefaultWindow is the shortest time between two decisions. It is several
+	// service times of the usual targets.
+	DefaultWindow = 50 * time.Millisecond
+	// DefaultTolerance is the ratio of own time to expected time above which
+	// the limit is questioned. At 1.5 a target past its knee keeps full
+	// throughput and half a service time of extra delay.
+	DefaultTolerance = 1.5
+	// DefaultRampUp is the time over which a cold target reaches its slots.
+	// It leaves 2 s of the 5 s recovery goal to the rest of the system.
+	DefaultRampUp = 3 * time.Second
+	// DefaultRampStart is the share of the cap at the start of a ramp-up.
+	DefaultRampStart = 0.1
+
+	// operations is the size of the table of expected times. Operations whose
+	// numbers are equal modulo this size share an expected time.
+	operations = 64
+	// growSamples is the least number of samples for a raise. A raise that
+	// was wrong is corrected by the next windows.
+	growSamples = 10
+	// cutSamples is the least number of samples for a cut or the verdict of a
+	// trial. The mean of 64 exponential times has a deviation of 12 %.
+	cutSamples = 64
+	// patience is the number of windows after which a window closes with
+	// fewer than cutSamples. It then needs a higher ratio for a cut, and a trial
+	// ends without a verdict.
+	patience = 20
+	// growth is the factor of a raise below the knee.
+	growth = 1.25
+	// slowGrowth is the factor of a raise while the ratio is between quickBelow
+	// and the tolerance, or above the concurrency at which the target refused.
+	slowGrowth = 1.03
+	quickBelow = 1.2
+	// refusalMemory is the time for which a refusal slows down raises.
+	refusalMemory = 2 * time.Second
+	// deepestCut and shallowestCut bound the factor of a trial. A smaller
+	// change of concurrency could not be told from noise.
+	deepestCut    = 0.5
+	shallowestCut = 0.7
+	// refusalCut is the factor after a refusal by the target.
+	refusalCut = 0.9
+	// recheck is the time after which a raised expectation is put to trial
+	// again, because a verdict on noisy samples may be wrong.
+	recheck = 5 * time.Second
+	// settleTimes is the number of mean latencies after a change of the limit
+	// before samples count. Earlier ones ran at the old limit, or are the
+	// shortest of those that started since.
+	settleTimes = 2
+	// relaxBelow is the ratio below which an accepted slowdown shrinks. Noise
+	// of cutSamples rarely goes below it.
+	relaxBelow = 0.8
+	// recheckSlowdown is the slowdown above which a recheck is worth its cost.
+	recheckSlowdown = 1.3
+	// learned is the number of samples after which an expected time needs no
+	// samples of a full target, and memory the number over which it averages.
+	// With 256 exponential times its deviation is 4 %.
+	learned = 64
+	memory  = 256
+	// inUse is the share of the limit that must be reached to call it in use.
+	inUse = 0.9
+)
+
+// Config sets the bounds and the speed of a Limiter. Zero values select the
+// defaults.
+type Config struct {
+	// Max is the cap, the slots of the target; default DefaultMax.
+	Max int
+	// Min is the lowest limit; default 1.
+	Min int
+	// Window is the shortest time between two decisions; default DefaultWindow.
+	Window time.Duration
+	// Tolerance is the ratio of own to expected time that is accepted;
+	// default DefaultTolerance.
+	Tolerance float64
+	// RampUp is the time from a cold start to the cap; default DefaultRampUp.
+	RampUp time.Duration
+	// RampStart is the share of the cap at a cold start, 0 to 1; default
+	// DefaultRampStart.
+	RampStart float64
+	// Fixed keeps the limit at the cap. It is for comparisons.
+	Fixed bool
+}
+
+// Sample is what the gate observed about one finished request.
+type Sample struct {
+	// Operation is a number of the operation within its service.
+	Operation uint32
+	// Latency is the time from the start at the target to its end.
+	Latency time.Duration
+	// Downstream is the part of Latency during which the request waited for
+	// calls to other services; 0 if not known.
+	Downstream time.Duration
+	// InFlight is the number of requests at the target when this one started,
+	// with itself. The gate fills it in.
+	InFlight int
+	// Refused tells that the target refused the request.
+	Refused bool
+	// Failed tells that no whole answer arrived: lost, timed out or cancelled.
+	Failed bool
+}
+
+// expected is the own time of one operation at a target that is not loaded.
+type expected struct {
+	mean  float64 // nanoseconds
+	count int
+}
+
+// window collects the samples of one decision.
+type window struct {
+	start    time.Time
+	own      float64 // nanoseconds
+	expect   float64 // nanoseconds
+	latency  float64 // nanoseconds
+	inFlight float64 // sum over samples
+	highest  int
+	count    int
+	refused  int
+}
+
+// trial is a cut whose effect is not yet known.
+type trial struct {
+	active   bool
+	limit    float64
+	ratio    float64
+	inFlight float64
+}
+
+// Limiter holds the limit of one target. It is not safe for concurrent use.
+type Limiter struct {
+	config Config
+	limit  float64
+	max    float64
+	// slowdown is the factor on expected times that trials accepted.
+	slowdown  float64
+	table     [operations]expected
+	window    window
+	trial     trial
+	lastTrial time.Time
+	// settled is the time from which samples show the effect of the last cut
+	// or restore.
+	settled time.Time
+	// refusedAt is the time of the last cut after a refusal, and refusedLimit
+	// the limit after it.
+	refusedAt    time.Time
+	refusedLimit float64
+	// rampStart is the start of the ramp-up in progress; zero if none.
+	rampStart time.Time
+	rampCap   float64
+}
+
+// New returns a Limiter whose limit is the cap.
+func New(config Config) *Limiter {
+	config = config.withDefaults()
+	l := &Limiter{config: config, slowdown: 1}
+	l.max = float64(config.Max)
+	l.limit = l.max
+	l.rampCap = math.Inf(1)
+	return l
+}
+
+func (c Config) withDefaults() Config {
+	if c.Max <= 0 {
+		c.Max = DefaultMax
+	}
+	if c.Min <= 0 {
+		c.Min = 1
+	}
+	if c.Window <= 0 {
+		c.Window = DefaultWindow
+	}
+	if c.Tolerance <= 1 {
+		c.Tolerance = DefaultTolerance
+	}
+	if c.RampUp <= 0 {
+		c.RampUp = DefaultRampUp
+	}
+	if c.RampStart <= 0 || c.RampStart > 1 {
+		c.RampStart = DefaultRampStart
+	}
+	return c
+}
+
+// Limit returns the number of requests that may be at the target now.
+func (l *Limiter) Limit() int {
+	limit := math.Min(l.limit, l.rampCap)
+	limit = math.Min(limit, l.max)
+	return max(l.config.Min, int(limit))
+}
+
+// SetMax sets the cap. A limit that was at the old cap moves to the new one.
+func (l *Limiter) SetMax(slots int) {
+	if slots <= 0 {
+		slots = DefaultMax
+	}
+	atCap := l.limit >= l.max
+	l.max = float64(slots)
+	l.limit = math.Min(l.limit, l.max)
+	if atCap {
+		l.limit = l.max
+	}
+}
+
+// StartRampUp begins a ramp-up from a share of the cap. Times that were learned
+// earlier stay, because a warm target has them again.
+func (l *Limiter) StartRampUp(now time.Time) {
+	l.rampStart = now
+	l.limit = l.max
+	l.trial = trial{}
+	l.window = window{start: now}
+	l.Advance(now)
+}
+
+// Advance moves a ramp-up on. Observe calls it; a gate without finished
+// requests calls it from its timer.
+func (l *Limiter) Advance(now time.Time) {
+	if l.rampStart.IsZero() {
+		return
+	}
+	done := float64(now.Sub(l.rampStart)) / float64(l.config.RampUp)
+	if done >= 1 || l.config.Fixed {
+		l.rampStart = time.Time{}
+		l.rampCap = math.Inf(1)
+		return
+	}
+	share := l.config.RampStart + (1-l.config.RampStart)*math.Max(0, done)
+	l.rampCap = math.Max(float64(l.config.Min), share*l.max)
+}
+
+// Observe takes one finished request into account.
+func (l *Limiter) Observe(now time.Time, s Sample) {
+	l.Advance(now)
+	if l.config.Fixed {
+		return
+	}
+	if l.window.start.IsZero() {
+		l.window.start = now
+	}
+	l.add(now, s)
+	if l.due(now) {
+		l.decide(now)
+		l.window = window{start: now}
+	}
+}
+
+// add puts a sample into the window and the table of expected times.
+func (l *Limiter) add(now time.Time, s Sample) {
+	if now.Before(l.settled) {
+		l.window.start = now
+		return
+	}
+	if s.Refused {
+		l.window.refused++
+		l.window.inFlight += float64(s.InFlight)
+		l.window.count++
+		return
+	}
+	own := float64(max(s.Latency-s.Downstream, 0))
+	e := &l.table[s.Operation%operations]
+	if s.Failed && (e.count == 0 || own < e.mean) {
+		return
+	}
+	if !s.Failed {
+		l.learn(e, own, s.InFlight)
+	}
+	l.window.own += own
+	l.window.expect += e.mean
+	l.window.latency += float64(s.Latency)
+	l.window.inFlight += float64(s.InFlight)
+	l.window.highest = max(l.window.highest, s.InFlight)
+	l.window.count++
+}
+
+// learn updates the expected time of one operation from samples of a target
+// that is at most half full. Samples of a fuller target count only while too
+// few others are known.
+func (l *Limiter) learn(e *expected, own float64, inFlight int) {
+	quiet := 2*inFlight <= l.Limit()
+	if !quiet && e.count >= learned {
+		return
+	}
+	e.count++
+	weight := 1 / float64(min(e.count, memory))
+	e.mean += weight * (own/l.slowdown - e.mean)
+}
+
+// ratio returns own time divided by expected time, before the slowdown.
+func (w *window) ratio() float64 {
+	if w.expect == 0 {
+		return 1
+	}
+	return w.own / w.expect
+}
+
+// due reports whether the window holds enough for a decision.
+func (l *Limiter) due(now time.Time) bool {
+	age := now.Sub(l.window.start)
+	if age < l.config.Window || l.window.count < growSamples {
+		return false
+	}
+	if l.window.refused > 0 || age >= patience*l.config.Window {
+		return true
+	}
+	suspicious := l.trial.active || l.tooSlow()
+	return !suspicious || l.window.count >= cutSamples
+}
+
+// tooSlow reports whether the ratio is above the tolerance by more than noise.
+// With fewer samples the tolerance widens like the deviation of their mean.
+func (l *Limiter) tooSlow() bool {
+	return l.ratio() > 1+(l.config.Tolerance-1)*l.window.noise()
+}
+
+// noise returns the deviation of the mean of the samples, relative to that of
+// cutSamples; at least 1.
+func (w *window) noise() float64 {
+	return math.Sqrt(cutSamples / math.Min(cutSamples, float64(w.count)))
+}
+
+// ratio returns own time divided by the time that is expected now.
+func (l *Limiter) ratio() float64 {
+	return l.window.ratio() / l.slowdown
+}
+
+// decide applies the control law to a full window.
+func (l *Limiter) decide(now time.Time) {
+	switch {
+	case l.window.refused > 0:
+		l.cutAfterRefusal(now)
+	case l.trial.active:
+		l.judge(now)
+	case l.tooSlow() || l.recheckDue(now):
+		l.startTrial(now)
+	default:
+		l.relax()
+		l.raise(now)
+	}
+}
+
+// cutAfterRefusal goes below the concurrency at which the target refused.
+func (l *Limiter) cutAfterRefusal(now time.Time) {
+	seen := l.window.inFlight / float64(l.window.count)
+	l.trial = trial{}
+	l.cutTo(now, refusalCut*math.Min(l.limit, seen))
+	l.refusedAt = now
+	l.refusedLimit = l.limit
+}
+
+// startTrial cuts the limit to learn whether concurrency causes the delay.
+func (l *Limiter) startTrial(now time.Time) {
+	inFlight := l.window.inFlight / float64(l.window.count)
+	l.trial = trial{active: true, limit: l.limit, ratio: l.ratio(), inFlight: inFlight}
+	l.lastTrial = now
+	factor := l.config.Tolerance / l.ratio()
+	factor = math.Min(math.Max(factor, deepestCut), shallowestCut)
+	l.cutTo(now, factor*math.Min(l.limit, inFlight))
+}
+
+// judge ends a trial. The cut stays if the ratio fell at least half as far as
+// it falls when own time is proportional to concurrency.
+func (l *Limiter) judge(now time.Time) {
+	t := l.trial
+	l.trial = trial{}
+	if l.window.count < cutSamples/2 {
+		l.restore(now, t.limit)
+		return
+	}
+	inFlight := l.window.inFlight / float64(l.window.count)
+	proportional := t.ratio * math.Min(1, inFlight/t.inFlight)
+	if l.ratio() <= (t.ratio+proportional)/2 {
+		l.slowdown = math.Max(1, l.slowdown*math.Min(1, l.ratio()))
+		return
+	}
+	l.slowdown = math.Max(1, l.slowdown*l.ratio())
+	l.restore(now, t.limit)
+}
+
+func (l *Limiter) restore(now time.Time, limit float64) {
+	l.limit = limit
+	l.settle(now)
+}
+
+// settle lets samples count again after some latencies.
+func (l *Limiter) settle(now time.Time) {
+	latency := l.window.latency / float64(max(1, l.window.count))
+	l.settled = now.Add(time.Duration(settleTimes * latency))
+}
+
+// recheckDue tells that an accepted slowdown must be put to trial again.
+func (l *Limiter) recheckDue(now time.Time) bool {
+	return l.slowdown > recheckSlowdown && l.limitInUse() && now.Sub(l.lastTrial) >= recheck
+}
+
+// relax follows own times that became faster than expected: first the accepted
+// slowdown shrinks, then the expected times do. A window with few samples has
+// less weight.
+func (l *Limiter) relax() {
+	ratio := l.ratio()
+	if ratio >= 1-(1-relaxBelow)*l.window.noise() {
+		return
+	}
+	ratio = math.Pow(ratio, math.Min(1, float64(l.window.count)/cutSamples))
+	if l.slowdown > 1 {
+		l.slowdown = math.Max(1, l.slowdown*ratio)
+		return
+	}
+	for i := range l.table {
+		l.table[i].mean *= ratio
+	}
+}
+
+// raise probes upward while the limit is in use.
+func (l *Limiter) raise(now time.Time) {
+	if !l.limitInUse() {
+		return
+	}
+	factor := growth
+	if l.ratio() > quickBelow || l.nearRefusal(now) {
+		factor = slowGrowth
+	}
+	l.limit = math.Min(l.max, math.Max(l.limit+1, l.limit*factor))
+}
+
+// nearRefusal reports whether the target refused at this limit recently.
+func (l *Limiter) nearRefusal(now time.Time) bool {
+	return l.limit >= l.refusedLimit && now.Sub(l.refusedAt) < refusalMemory
+}
+
+func (l *Limiter) limitInUse() bool {
+	return float64(l.window.highest) >= inUse*float64(l.Limit())
+}
+
+func (l *Limiter) cutTo(now time.Time, limit float64) {
+	l.limit = math.Max(float64(l.config.Min), limit)
+	l.settle(now)
+}
