Add routing, retry allowance and learned thresholds

Cause: the design needs a choice of target, a strict bound on retries across a call tree and refusal of doomed requests at the entry; none of them existed.

Change: - core/route: subset by weighted rendezvous hashing, two random choices, zone preference with spill-over, ejection with trial and ramp, panic mode, early refusal, and three baseline policies. - core/retry: Allowance and Grant, EdgeBudget, Backoff, CallerResends. - core/threshold: operation thresholds learned from answers and refusals, with trials chosen by root id.

--- /dev/null
+++ b/core/route/bench_test.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+// fullRouter knows the fleet of section 1.4 of the design: 9,600 targets, of
+// which 400 are in the service "big" and the others in 769 services.
+func fullRouter(policy Policy) *Router {
+	r := New(Config{Self: 7, Zone: "z0", Region: "r0", Start: start, Policy: policy})
+	id := uint64(1)
+	add := func(name string, n int) {
+		var targets []Target
+		for range n {
+			zone := id % 6
+			targets = append(targets, Target{
+				Incarnation: id,
+				Zone:        fmt.Sprintf("z%d", zone),
+				Region:      fmt.Sprintf("r%d", zone/2),
+				Slots:       100,
+			})
+			id++
+		}
+		r.Update(start, name, targets)
+	}
+	add("big", 400)
+	for i := range 769 {
+		add(fmt.Sprintf("s%d", i), 11+(i*741/769)%2)
+	}
+	return r
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, policy := range []Policy{TwoChoices, RoundRobin, Random, LeastConnections} {
+		b.Run(policy.String(), func(b *testing.B) {
+			r := fullRouter(policy)
+			b.ReportAllocs()
+			for b.Loop() {
+				pickOnce(b, r, "big", start.Add(time.Second))
+			}
+		})
+	}
+}
+
+func pickOnce(b *testing.B, r *Router, service string, now time.Time) *Endpoint {
+	e, err := r.Pick(now, service, outcome.LevelOf(outcome.Normal, 9))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return e
+}
+
+func BenchmarkPickParallel(b *testing.B) {
+	r := fullRouter(TwoChoices)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			pickOnce(b, r, "big", start.Add(time.Second))
+		}
+	})
+}
+
+// The time advances, so that comparisons of targets are included.
+func BenchmarkCall(b *testing.B) {
+	r := fullRouter(TwoChoices)
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		e := pickOnce(b, r, "big", now)
+		e.Begin()
+		e.Report(now, Report{Threshold: outcome.MaxLevel, InFlight: 5, Limit: 100})
+		e.End(now, Result{Latency: time.Millisecond, Outcome: outcome.Completed})
+	}
+}
+
+func BenchmarkPickExcluding(b *testing.B) {
+	r := fullRouter(TwoChoices)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := r.Pick(start, "big", 0, 6, 12); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkUpdateFleet(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		fullRouter(TwoChoices)
+	}
+}
+
+func BenchmarkFind(b *testing.B) {
+	r := fullRouter(TwoChoices)
+	b.ReportAllocs()
+	for b.Loop() {
+		if r.Find(9000) == nil {
+			b.Fatal("not found")
+		}
+	}
+}
--- /dev/null
+++ b/core/route/random.go
@@ -0,0 +1,41 @@
+package route
+
+import (
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// random is a seeded generator (SplitMix64) that may be used concurrently.
+type random struct{ state atomic.Uint64 }
+
+// golden is the increment of SplitMix64.
+const golden = 0x9e3779b97f4a7c15
+
+func (r *random) seed(seed uint64, name string) {
+	r.state.Store(mix(seed ^ xxhash.Sum64String(name)))
+}
+
+func (r *random) next() uint64 { return mix(r.state.Add(golden)) }
+
+// mix is the output function of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// draw yields several numbers from one random value.
+type draw uint64
+
+// below returns a number below n and advances.
+func (d *draw) below(n int) int {
+	*d = draw(mix(uint64(*d) + golden))
+	return int((uint64(*d) >> 32) * uint64(n) >> 32)
+}
+
+// share returns a number in [0, 1) and advances.
+func (d *draw) share() float64 {
+	*d = draw(mix(uint64(*d) + golden))
+	return float64(*d>>11) / (1 << 53)
+}
--- /dev/null
+++ b/core/threshold/operations.go
@@ -0,0 +1,157 @@
+package threshold
+
+import (
+	"sync"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+const (
+	// essentialShare is the share of requests that fail when a call is refused
+	// from which on the call counts as needed. It is below 1 because requests
+	// also succeed by chance, for example from a cache of the target.
+	essentialShare = 0.8
+	// essentialEvidence is the number of failed requests needed before a call
+	// counts; one alone may be a coincidence.
+	essentialEvidence = 2
+	// evidenceDecay multiplies the evidence with each new request, so that about
+	// the latest 20 requests count.
+	evidenceDecay = 0.95
+	// evidenceLife is the time after which evidence without new requests is
+	// dropped, since a new version of the target may behave differently.
+	evidenceLife = 10 * time.Minute
+	// maxDependencies bounds the calls that are kept per operation.
+	maxDependencies = 256
+)
+
+// Operations learns on which calls the operations of the own target depend.
+type Operations struct {
+	downstream *Downstream
+	mu         sync.Mutex
+	operations map[string]map[Dependency]*evidence
+}
+
+// evidence counts requests during which a call was refused.
+type evidence struct {
+	failed   float64
+	survived float64
+	latest   time.Time
+}
+
+// NewOperations returns an empty table over the learned thresholds of the calls.
+func NewOperations(downstream *Downstream) *Operations {
+	return &Operations{
+		downstream: downstream,
+		operations: make(map[string]map[Dependency]*evidence),
+	}
+}
+
+// Threshold returns the operation threshold to report: the lowest of own, the
+// threshold of the own gate, and the learned thresholds of the calls that the
+// operation needs. An own threshold of zero means that none is known.
+func (o *Operations) Threshold(now time.Time, operation string, own outcome.Level) outcome.Level {
+	lowest := own
+	if lowest == 0 {
+		lowest = outcome.MaxLevel
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for called, e := range o.operations[operation] {
+		if e.essential(now) {
+			lowest = min(lowest, o.downstream.Threshold(now, called))
+		}
+	}
+	return lowest
+}
+
+// Essential tells whether requests of the operation are known to fail when the
+// call is refused.
+func (o *Operations) Essential(now time.Time, operation string, called Dependency) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.operations[operation][called]
+	return e != nil && e.essential(now)
+}
+
+func (e *evidence) essential(now time.Time) bool {
+	if now.Sub(e.latest) > evidenceLife || e.failed < essentialEvidence*evidenceDecay {
+		return false
+	}
+	return e.failed >= essentialShare*(e.failed+e.survived)
+}
+
+// Run is one request of an operation of the own target.
+type Run struct {
+	operations *Operations
+	operation  string
+	// refused holds the calls that were refused because of their level, in the
+	// order of the refusals. It is guarded by the lock of operations.
+	refused []Dependency
+}
+
+// Start begins a request. Requests that are not finished leave nothing behind.
+func (o *Operations) Start(operation string) *Run {
+	return &Run{operations: o, operation: operation}
+}
+
+// Refused notes that a call of this request finally failed because of its level:
+// the sender refused it, or Answer.Doomed is true.
+func (r *Run) Refused(called Dependency) {
+	r.operations.mu.Lock()
+	defer r.operations.mu.Unlock()
+	r.refused = append(r.refused, called)
+}
+
+// Finish ends the request. It failed if its answer has an error status or is
+// missing. After a failure only the latest refusal is blamed, because the request
+// went on after the earlier ones; with several refusals it counts for less, since
+// concurrent calls may be refused in any order.
+func (r *Run) Finish(now time.Time, failed bool) {
+	r.operations.mu.Lock()
+	defer r.operations.mu.Unlock()
+	refused := r.refused
+	r.refused = nil
+	if len(refused) == 0 {
+		return
+	}
+	if failed {
+		latest := refused[len(refused)-1]
+		r.operations.note(now, r.operation, latest, 1/float64(len(refused)), 0)
+		return
+	}
+	for _, called := range refused {
+		r.operations.note(now, r.operation, called, 0, 1)
+	}
+}
+
+// note adds evidence about a call.
+func (o *Operations) note(now time.Time, operation string, called Dependency, failed, survived float64) {
+	e := o.evidence(now, operation, called)
+	if e == nil {
+		return
+	}
+	e.failed = e.failed*evidenceDecay + failed
+	e.survived = e.survived*evidenceDecay + survived
+	e.latest = now
+}
+
+// evidence returns the evidence about a call, empty if it is new or old; nil if
+// the operation has too many calls.
+func (o *Operations) evidence(now time.Time, operation string, called Dependency) *evidence {
+	calls := o.operations[operation]
+	if calls == nil {
+		calls = make(map[Dependency]*evidence)
+		o.operations[operation] = calls
+	}
+	e := calls[called]
+	if e != nil && now.Sub(e.latest) <= evidenceLife {
+		return e
+	}
+	if e == nil && len(calls) >= maxDependencies {
+		return nil
+	}
+	e = &evidence{latest: now}
+	calls[called] = e
+	return e
+}
