Add the catalogue, member table, spreading and control task

Cause: nodes have no disk and no list of each other, and the platform gives only an append-only log.

--- /dev/null
+++ b/core/membership/batch.go
@@ -0,0 +1,87 @@
+package membership
+
+import (
+	"time"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+const (
+	// BatchWait is the shortest time between two appends of one reader. With 3
+	// readers in each of 6 zones this bounds the fleet to 36 appends a second.
+	BatchWait = 500 * time.Millisecond
+	// MaxQueued bounds the registrations that wait at one reader; the nodes
+	// keep and repeat those that are refused.
+	MaxQueued = 4096
+)
+
+// Batcher collects registrations for one append. A later registration of the
+// same kind and incarnation replaces the earlier one.
+type Batcher struct {
+	queue []*pb.MembersRecord
+	index map[batchKey]int
+	last  time.Time
+}
+
+type batchKey struct {
+	kind        byte
+	incarnation uint64
+}
+
+// NewBatcher returns an empty Batcher.
+func NewBatcher() *Batcher {
+	return &Batcher{index: map[batchKey]int{}}
+}
+
+// Add queues a registration; it returns false when the queue is full or the
+// record is no registration.
+func (b *Batcher) Add(record *pb.MembersRecord) bool {
+	key, ok := keyOf(record)
+	if !ok {
+		return false
+	}
+	if at, queued := b.index[key]; queued {
+		b.queue[at] = record
+		return true
+	}
+	if len(b.queue) >= MaxQueued {
+		return false
+	}
+	b.index[key] = len(b.queue)
+	b.queue = append(b.queue, record)
+	return true
+}
+
+// Len returns the number of queued registrations.
+func (b *Batcher) Len() int { return len(b.queue) }
+
+// Take returns the next batch, or nil while the queue is empty or the last
+// batch is less than BatchWait ago.
+func (b *Batcher) Take(now time.Time) []*pb.MembersRecord {
+	if len(b.queue) == 0 || now.Sub(b.last) < BatchWait {
+		return nil
+	}
+	b.last = now
+	n := min(len(b.queue), MaxBatch)
+	batch := b.queue[:n:n]
+	b.queue = b.queue[n:]
+	clear(b.index)
+	for i, record := range b.queue {
+		key, _ := keyOf(record)
+		b.index[key] = i
+	}
+	return batch
+}
+
+func keyOf(record *pb.MembersRecord) (batchKey, bool) {
+	switch r := record.GetRecord().(type) {
+	case *pb.MembersRecord_Join:
+		return batchKey{'j', r.Join.GetMember().GetIncarnation()}, r.Join.GetMember().GetIncarnation() != 0
+	case *pb.MembersRecord_Leave:
+		return batchKey{'l', r.Leave.GetIncarnation()}, r.Leave.GetIncarnation() != 0
+	case *pb.MembersRecord_Evict:
+		return batchKey{'e', r.Evict.GetIncarnation()}, r.Evict.GetIncarnation() != 0
+	default:
+		return batchKey{}, false
+	}
+}
--- /dev/null
+++ b/core/membership/checkpoint.go
@@ -0,0 +1,104 @@
+package membership
+
+import (
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+var deterministic = proto.MarshalOptions{Deterministic: true}
+
+// Encode returns the whole state as an encoded MembersState. Equal states have
+// equal encodings.
+func (s *State) Encode() []byte {
+	return mustMarshal(s.proto())
+}
+
+// CheckpointRecord returns the whole state as a record for the stream.
+func (s *State) CheckpointRecord() []byte {
+	return checkpointRecord(s.proto())
+}
+
+// BatchRecord returns joins, leaves and evictions as a record for the stream.
+func BatchRecord(records []*pb.MembersRecord) []byte {
+	return mustMarshal(&pb.MembersBatch{Records: records})
+}
+
+func checkpointRecord(state *pb.MembersState) []byte {
+	return BatchRecord([]*pb.MembersRecord{{Record: &pb.MembersRecord_Checkpoint{Checkpoint: state}}})
+}
+
+// Covered returns the offset that a checkpoint record covers; ok is false for
+// other records.
+func Covered(data []byte) (covered uint64, ok bool) {
+	checkpoint := decode(data)
+	return checkpoint.GetNextOffset(), checkpoint != nil
+}
+
+// CheckpointState returns the encoded state in a checkpoint record, or nil.
+func CheckpointState(data []byte) []byte {
+	checkpoint := decode(data)
+	if checkpoint == nil {
+		return nil
+	}
+	return mustMarshal(checkpoint)
+}
+
+// Strip returns the record without the content of a checkpoint. The fold does
+// not use the content, so peers pass on the short form.
+func Strip(data []byte) []byte {
+	checkpoint := decode(data)
+	if checkpoint == nil {
+		return data
+	}
+	return checkpointRecord(&pb.MembersState{NextOffset: checkpoint.GetNextOffset()})
+}
+
+// decode returns the checkpoint of a record that holds nothing else.
+func decode(data []byte) *pb.MembersState {
+	batch := &pb.MembersBatch{}
+	if proto.Unmarshal(data, batch) != nil || len(batch.GetRecords()) != 1 {
+		return nil
+	}
+	return batch.GetRecords()[0].GetCheckpoint()
+}
+
+// Restore decodes a whole state. The error matches ErrBadState.
+func Restore(data []byte) (*State, error) {
+	p := &pb.MembersState{}
+	if err := proto.Unmarshal(data, p); err != nil {
+		return nil, errors.Wrapf(ErrBadState, "decoding: %v", err)
+	}
+	s := NewState()
+	s.next = p.GetNextOffset()
+	for _, l := range p.GetSuccessors() {
+		s.bury(l.GetIncarnation(), l.GetSuccessor())
+	}
+	effect := &Effect{}
+	for _, m := range p.GetMembers() {
+		if err := ValidateMember(m); err != nil {
+			return nil, errors.Wrapf(ErrBadState, "%v", err)
+		}
+		s.add(m, effect)
+	}
+	return s, nil
+}
+
+func (s *State) proto() *pb.MembersState {
+	p := &pb.MembersState{NextOffset: s.next, Successors: s.gone}
+	for _, m := range s.table.all() {
+		p.Members = append(p.Members, m.Proto())
+	}
+	return p
+}
+
+// mustMarshal panics only for strings that are not valid UTF-8; all strings of
+// the state come from decoded messages.
+func mustMarshal(m proto.Message) []byte {
+	data, err := deterministic.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/node/control/control_test.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// fleet runs control tasks in one synctest bubble.
+type fleet struct {
+	t     *testing.T
+	log   *fakeLog
+	net   *fakeNet
+	rng   *rand.Rand
+	zones int
+	ids   uint64
+	// evicted collects the incarnations that were told of their eviction.
+	evicted chan uint64
+}
+
+func newFleet(t *testing.T, zones int) *fleet {
+	return &fleet{t: t, log: newFakeLog(1), net: newFakeNet(), rng: rand.New(rand.NewPCG(2, 2)), zones: zones, evicted: make(chan uint64, 1024)}
+}
+
+// start runs and registers node i with a new incarnation.
+func (f *fleet) start(i int, seeds ...string) *Control {
+	f.ids++
+	member := fakeMember(i, f.zones, f.rng.Uint64()|1)
+	control, err := New(Config{
+		Self: member, Log: f.log, Peers: fakePeers{f.net, member.GetNodeAddress()}, Seeds: seeds, Seed: f.ids,
+		OnEvicted: func(id uint64) { f.evicted <- id },
+	})
+	require.NoError(f.t, err)
+	ctx, stop := context.WithCancel(f.t.Context())
+	f.net.mu.Lock()
+	f.net.nodes[member.GetNodeAddress()] = &fakeNode{control: control, incarnation: member.GetIncarnation(), stop: stop}
+	f.net.mu.Unlock()
+	go func() { _ = control.Run(ctx) }()
+	require.NoError(f.t, control.Register(ctx, member))
+	return control
+}
+
+// stop ends node i without a leave.
+func (f *fleet) stop(i int) uint64 {
+	address := fakeMember(i, f.zones, 1).GetNodeAddress()
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	node := f.net.nodes[address]
+	delete(f.net.nodes, address)
+	node.stop()
+	return node.incarnation
+}
+
+func (f *fleet) stopAll() {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	for _, node := range f.net.nodes {
+		node.stop()
+	}
+}
+
+func changeID(n uint64) []byte {
+	id := make([]byte, 16)
+	binary.LittleEndian.PutUint64(id, n)
+	return id
+}
+
+func entryChange(id uint64, service, owner string, base uint64, slots uint32) *pb.Change {
+	return &pb.Change{
+		Id: changeID(id), Operator: owner, Service: service, BaseRevision: base,
+		Entry: &pb.Entry{
+			Service: service, Owner: owner, Limits: &pb.Limits{SlotsPerTarget: slots},
+			Operations: []*pb.Operation{{Name: "read", Idempotent: true}},
+		},
+	}
+}
+
+// Guards against a change that does not take effect everywhere within seconds.
+func TestChangeTakesEffectEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.log.delay = 20 * time.Millisecond
+		defer f.stopAll()
+		var controls []*Control
+		for i := range 30 {
+			controls = append(controls, f.start(i))
+		}
+		time.Sleep(15 * time.Second)
+		for _, c := range controls {
+			require.Equal(t, 30, c.Snapshot().Members.Len())
+			require.True(t, c.Snapshot().CatalogueKnown)
+		}
+		start := time.Now()
+		result, err := controls[7].Submit(t.Context(), entryChange(1, "stock", "ops", 0, 10))
+		require.NoError(t, err)
+		require.True(t, result.GetAccepted(), result.GetDetail())
+		for _, c := range controls {
+			for c.Snapshot().Catalogue.Len() == 0 {
+				<-c.Changes()
+			}
+		}
+		require.Less(t, time.Since(start), 3*time.Second)
+		t.Logf("in effect at 30 nodes after %s", time.Since(start))
+	})
+}
+
+// Guards against a node that cannot start, or claims a catalogue that it does
+// not have, while the log is down.
+func TestStartsFromSeedsWhileLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer f.stopAll()
+		first := f.start(0)
+		f.start(1)
+		time.Sleep(5 * time.Second)
+		_, err := first.Submit(t.Context(), entryChange(1, "stock", "ops", 0, 10))
+		require.NoError(t, err)
+		f.log.set(func() { f.log.down = true })
+
+		alone := f.start(2)
+		seeded := f.start(3, "10.0.0.1:7000")
+		time.Sleep(5 * time.Second)
+		require.False(t, alone.Snapshot().CatalogueKnown)
+		require.True(t, alone.Snapshot().LogDown)
+		require.True(t, seeded.Snapshot().CatalogueKnown)
+		require.Equal(t, 1, seeded.Snapshot().Catalogue.Len())
+		_, err = seeded.Submit(t.Context(), entryChange(2, "stock", "ops", 1, 20))
+		require.ErrorIs(t, err, ErrLogDown)
+
+		f.log.set(func() { f.log.down = false })
+		time.Sleep(10 * time.Second)
+		require.True(t, alone.Snapshot().CatalogueKnown)
+		require.Equal(t, 4, alone.Snapshot().Members.Len())
+	})
+}
+
+// Guards against a dead node that stays in the table, and against an eviction
+// that hits more than this node.
+func TestDeadNodeIsEvictedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.stopAll()
+		for i := range 12 {
+			f.start(i)
+		}
+		time.Sleep(10 * time.Second)
+		dead := f.stop(4)
+		time.Sleep(2 * time.Minute)
+		for _, node := range f.net.nodes {
+			_, present := node.control.Snapshot().Members.Member(dead)
+			require.False(t, present)
+			require.Equal(t, 11, node.control.Snapshot().Members.Len())
+		}
+		require.Empty(t, f.evicted)
+	})
+}
--- /dev/null
+++ b/node/control/fake_test.go
@@ -0,0 +1,205 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/platform"
+)
+
+// fakeLog is a log in memory with the faults of section 1.6 of the design.
+type fakeLog struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	streams map[string]*fakeStream
+	// delay is the time of one request, split before and after its effect.
+	delay time.Duration
+	// down refuses every request; slowDown lets appends time out instead.
+	down bool
+	// loseAnswers is the share of appends whose answer is lost, half of them
+	// before the effect.
+	loseAnswers float64
+	// retain is the number of records kept; 0 keeps all.
+	retain int
+	// rate bounds the appends in a second; 0 means no bound.
+	rate    int
+	second  int64
+	inRate  int
+	appends int
+	peak    int
+}
+
+type fakeStream struct {
+	earliest uint64
+	records  [][]byte
+}
+
+func newFakeLog(seed uint64) *fakeLog {
+	return &fakeLog{rng: rand.New(rand.NewPCG(seed, 1)), streams: map[string]*fakeStream{}}
+}
+
+func (l *fakeLog) stream(name string) *fakeStream {
+	if l.streams[name] == nil {
+		l.streams[name] = &fakeStream{}
+	}
+	return l.streams[name]
+}
+
+func (s *fakeStream) next() uint64 { return s.earliest + uint64(len(s.records)) }
+
+func (l *fakeLog) set(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
+func (l *fakeLog) wait(ctx context.Context) error {
+	l.mu.Lock()
+	delay := l.delay
+	if delay > 0 {
+		delay = time.Duration(l.rng.Int64N(int64(delay)))
+	}
+	l.mu.Unlock()
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *fakeLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if l.wait(ctx) != nil {
+		return 0, platform.ErrAppendUnknown
+	}
+	offset, err := l.append(stream, data)
+	if err != nil {
+		return 0, err
+	}
+	if l.wait(ctx) != nil {
+		return 0, platform.ErrAppendUnknown
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) append(stream string, data []byte) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, errors.Wrap(platform.ErrRefused, "the log is down")
+	}
+	if now := time.Now().Unix(); now != l.second {
+		l.second, l.inRate = now, 0
+	}
+	l.inRate++
+	if l.rate > 0 && l.inRate > l.rate {
+		return 0, errors.Wrap(platform.ErrRefused, "too many appends")
+	}
+	lost := l.rng.Float64() < l.loseAnswers
+	if lost && l.rng.IntN(2) == 0 {
+		return 0, platform.ErrAppendUnknown
+	}
+	l.appends++
+	l.peak = max(l.peak, l.inRate)
+	s := l.stream(stream)
+	s.records = append(s.records, data)
+	if l.retain > 0 && len(s.records) > l.retain {
+		s.records = s.records[1:]
+		s.earliest++
+	}
+	if lost {
+		return 0, platform.ErrAppendUnknown
+	}
+	return s.next() - 1, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, stream string, from uint64, limit int) (platform.Batch, error) {
+	if err := l.wait(ctx); err != nil {
+		return platform.Batch{}, errors.Wrapf(platform.ErrUnavailable, "%v", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	s := l.stream(stream)
+	batch := platform.Batch{Earliest: s.earliest, Next: s.next()}
+	for at := max(from, s.earliest); at < s.next() && len(batch.Records) < limit; at++ {
+		batch.Records = append(batch.Records, platform.Record{Offset: at, Data: s.records[at-s.earliest]})
+	}
+	return batch, nil
+}
+
+// fakeNet connects the control tasks of one test.
+type fakeNet struct {
+	mu    sync.Mutex
+	nodes map[string]*fakeNode
+	// cut tells whether messages between two addresses are lost.
+	cut func(from, to string) bool
+}
+
+type fakeNode struct {
+	control     *Control
+	incarnation uint64
+	stop        context.CancelFunc
+	paused      bool
+}
+
+func newFakeNet() *fakeNet { return &fakeNet{nodes: map[string]*fakeNode{}} }
+
+func (n *fakeNet) find(ctx context.Context, from, to string) (*fakeNode, error) {
+	n.mu.Lock()
+	node := n.nodes[to]
+	cut := n.cut != nil && n.cut(from, to)
+	paused := node != nil && node.paused
+	n.mu.Unlock()
+	if node == nil {
+		return nil, errors.New("connection refused")
+	}
+	if cut || paused {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return node, nil
+}
+
+// fakePeers is the view of the network from one address.
+type fakePeers struct {
+	net  *fakeNet
+	from string
+}
+
+func (p fakePeers) Exchange(ctx context.Context, address string, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	node, err := p.net.find(ctx, p.from, address)
+	if err != nil {
+		return nil, err
+	}
+	return node.control.HandleExchange(ctx, request)
+}
+
+func (p fakePeers) Probe(ctx context.Context, address string, _ *pb.ProbeRequest) (*pb.ProbeResponse, error) {
+	node, err := p.net.find(ctx, p.from, address)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.ProbeResponse{Gate: &pb.GateReport{Incarnation: node.incarnation}}, nil
+}
+
+func fakeMember(i, zones int, incarnation uint64) *pb.Member {
+	return &pb.Member{
+		Incarnation:      incarnation,
+		Vm:               fmt.Sprintf("vm-%04d", i),
+		Service:          fmt.Sprintf("service-%d", i%7),
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%zones),
+		Region:           "region-1",
+		NodeAddress:      fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1),
+		Slots:            100,
+		JoinedUnixNanos:  1,
+	}
+}
--- /dev/null
+++ b/node/control/submit.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/primrosemount/primrosemount/core/catalogue"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/platform"
+)
+
+const (
+	// refusedAttempts is the number of appends that the log may refuse because
+	// of its rate before a change is refused.
+	refusedAttempts = 4
+	// refusedWait is the wait before the next of them.
+	refusedWait = 250 * time.Millisecond
+)
+
+// Submit appends a change and returns what the fold decided about it. The same
+// change may be submitted again with the same id. The error matches
+// ErrInvalidChange, ErrLogDown or ErrLogRefused if the change has and will have
+// no effect, and ErrUnsettled if it may have one.
+func (c *Control) Submit(ctx context.Context, change *pb.Change) (*pb.ChangeResult, error) {
+	if err := catalogue.ValidateChange(change); err != nil {
+		return nil, ofKind(ErrInvalidChange, err)
+	}
+	s := &submission{c: c, id: change.GetId(), record: catalogue.ChangeRecord(change)}
+	return s.run(ctx)
+}
+
+// submission is one change on its way to the log.
+type submission struct {
+	c      *Control
+	id     []byte
+	record []byte
+	// sent tells that an append may have taken effect.
+	sent    bool
+	refused int
+}
+
+func (s *submission) run(ctx context.Context) (*pb.ChangeResult, error) {
+	result, err := s.earlier(ctx)
+	for err == nil && result == nil {
+		result, err = s.attempt(ctx)
+	}
+	if err == nil {
+		return result, nil
+	}
+	if s.sent {
+		return nil, ofKind(ErrUnsettled, err)
+	}
+	return nil, err
+}
+
+// earlier returns the result of an earlier submission with the same id. It
+// needs the log to answer, so a change is refused at once while the log is down.
+func (s *submission) earlier(ctx context.Context) (*pb.ChangeResult, error) {
+	end, err := s.end(ctx)
+	if err != nil {
+		return nil, ofKind(ErrLogDown, err)
+	}
+	result, err := s.await(ctx, end)
+	if err != nil {
+		return nil, ofKind(ErrLogDown, err)
+	}
+	return result, nil
+}
+
+// attempt appends the change once and waits for its result. No result and no
+// error mean that the change is to be appended again: the fold ignores the id
+// if an earlier append takes effect later.
+func (s *submission) attempt(ctx context.Context) (*pb.ChangeResult, error) {
+	offset, err := s.append(ctx)
+	if err == nil {
+		s.sent = true
+		return s.await(ctx, offset+1)
+	}
+	if errors.Is(err, platform.ErrRefused) {
+		return nil, s.wait(ctx, err)
+	}
+	s.sent = true
+	end, err := s.settledEnd(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return s.await(ctx, end)
+}
+
+func (s *submission) append(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.c.cfg.Intervals.LogTimeout)
+	defer cancel()
+	offset, err := s.c.cfg.Log.Append(ctx, platform.CatalogueStream, s.record)
+	s.c.stats.message(KindLogAppend, 0, len(s.record), err)
+	return offset, err
+}
+
+// wait waits before an append that the log refused is repeated.
+func (s *submission) wait(ctx context.Context, cause error) error {
+	s.refused++
+	if s.refused >= refusedAttempts {
+		return ofKind(ErrLogRefused, cause)
+	}
+	select {
+	case <-time.After(refusedWait << s.refused):
+		return nil
+	case <-ctx.Done():
+		return ofKind(ErrLogRefused, cause)
+	}
+}
+
+// end reads the end of the stream, which shows as well that the log answers.
+func (s *submission) end(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.c.cfg.Intervals.LogTimeout)
+	defer cancel()
+	from := s.c.Snapshot().CataloguePosition
+	batch, err := s.c.cfg.Log.Read(ctx, platform.CatalogueStream, from, 1)
+	s.c.stats.message(KindLogRead, 0, 0, err)
+	return batch.Next, err
+}
+
+// settledEnd repeats end until the log answers or ctx ends.
+func (s *submission) settledEnd(ctx context.Context) (uint64, error) {
+	for {
+		end, err := s.end(ctx)
+		if err == nil {
+			return end, nil
+		}
+		select {
+		case <-time.After(refusedWait):
+		case <-ctx.Done():
+			return 0, err
+		}
+	}
+}
+
+// await waits until the fold has the result or has passed the offset until;
+// the result is nil in the second case.
+func (s *submission) await(ctx context.Context, until uint64) (*pb.ChangeResult, error) {
+	reply := make(chan *pb.ChangeResult, 1)
+	return ask(ctx, s.c, &awaitResult{ctx: ctx, id: s.id, until: until, reply: reply}, reply)
+}
+
+type awaitResult struct {
+	ctx   context.Context
+	id    []byte
+	until uint64
+	reply chan<- *pb.ChangeResult
+}
+
+func (*awaitResult) kind() Kind { return KindSubmit }
+
+func (m *awaitResult) handle(t *task) {
+	if t.answer(m) {
+		return
+	}
+	t.waiters = append(t.waiters, m)
+	s := t.stream(platform.CatalogueStream)
+	s.readAt = time.Now()
+	t.pollLog(s.readAt)
+}
+
+// answer replies to a waiter whose result is known or whose offset is reached.
+func (t *task) answer(m *awaitResult) bool {
+	if result, ok := t.cat.state.Result(m.id); ok {
+		m.reply <- result
+		return true
+	}
+	s := t.stream(platform.CatalogueStream)
+	if s.replica.Known() && s.replica.Next() >= m.until {
+		m.reply <- nil
+		return true
+	}
+	return m.ctx.Err() != nil
+}
+
+func (t *task) settleWaiters() {
+	kept := t.waiters[:0]
+	for _, m := range t.waiters {
+		if !t.answer(m) {
+			kept = append(kept, m)
+		}
+	}
+	clear(t.waiters[len(kept):])
+	t.waiters = kept
+}
+
+type lookUp struct {
+	id    []byte
+	reply chan<- *pb.ChangeResult
+}
+
+func (lookUp) kind() Kind { return KindSubmit }
+
+func (m lookUp) handle(t *task) {
+	result, _ := t.cat.state.Result(bytes.Clone(m.id))
+	m.reply <- result
+}
