--- a/cmd/primrosemount/main.go
+++ b/cmd/primrosemount/main.go
@@ -1,8 +1,50 @@
-// Command primrosemount runs a node and the operators' tools.
+// Command primrosemount runs a node, the demo and the operators' tools.
 package main
 
-import "fmt"
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// arguments are the subcommands; exactly one is set.
+type arguments struct {
+	Node    *nodeCommand    `arg:"subcommand:node" help:"run the node beside a target"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a small fleet with an overload, a drain and a crash"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "primrosemount is an overload control layer for service call graphs."
+}
+
+// command is one subcommand; run returns an exit code.
+type command interface {
+	run() int
+}
 
 func main() {
-	fmt.Println("primrosemount")
+	var args arguments
+	parser := arg.MustParse(&args)
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(exitUsage)
+	}
+	os.Exit(chosen.run())
+}
+
+// fail prints an error and returns the exit code.
+func fail(code int, err error) int {
+	fmt.Fprintln(os.Stderr, "primrosemount:", err)
+	return code
 }
--- /dev/null
+++ b/cmd/primrosemount/node.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/node"
+	"github.com/primrosemount/primrosemount/settings"
+)
+
+type nodeCommand struct {
+	Config string `arg:"--config,required" help:"settings file (YAML)"`
+}
+
+// run serves until SIGTERM or SIGINT, then leaves gracefully. A second signal
+// ends the wait and cuts what still runs.
+func (c *nodeCommand) run() int {
+	parsed, err := settings.LoadNode(c.Config)
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	logger, err := newLogger(parsed.GetLogLevel())
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	running, err := node.Start(node.Options{Settings: parsed, Logger: logger})
+	if err != nil {
+		return fail(exitFailed, err)
+	}
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		logger.Warn("node: second signal, the drain is cut")
+		cancel()
+	}()
+	if err := running.Shutdown(ctx); err != nil {
+		return fail(exitFailed, err)
+	}
+	return exitOK
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	config.Level = parsed
+	config.DisableStacktrace = true
+	return config.Build()
+}
--- /dev/null
+++ b/internal/demo/caller.go
@@ -0,0 +1,231 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/primrosemount/primrosemount/internal/standin/target"
+	"github.com/primrosemount/primrosemount/wire"
+)
+
+// operation is one kind of request that callers make.
+type operation struct {
+	service    string
+	name       string
+	class      string
+	idempotent bool
+	// deadline is how long the caller waits for one send.
+	deadline time.Duration
+}
+
+// verdict is what a caller was told about one send.
+type verdict string
+
+const (
+	verdictCompleted verdict = "completed"
+	verdictNotRun    verdict = "not_run"
+	verdictUnknown   verdict = "unknown"
+	// verdictWrong is an answer that is not whole or belongs to another request.
+	verdictWrong verdict = "wrong"
+)
+
+// send is what a caller recorded about one send of a request.
+type send struct {
+	// id is the id in the body. Sends with the same id carry the same key.
+	id      string
+	verdict verdict
+	reason  string
+}
+
+// record is what a caller recorded about one request, over all its sends.
+type record struct {
+	operation *operation
+	id        string
+	begun     time.Time
+	ended     time.Time
+	sends     []send
+}
+
+// good tells that the caller got its whole answer in time.
+func (r *record) good() bool {
+	return r.sends[len(r.sends)-1].verdict == verdictCompleted
+}
+
+// recorder collects the records of all callers. It is safe for concurrent use.
+type recorder struct {
+	mutex   sync.Mutex
+	records []*record
+}
+
+func (r *recorder) add(record *record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.records = append(r.records, record)
+}
+
+// caller sends requests as members do: it keeps the key while the outcome is
+// unknown, takes a new key after a refusal, and sends again at most resends
+// times.
+type caller struct {
+	client    *http.Client
+	addresses func() []string
+	recorder  *recorder
+	resends   int
+	// pause is the wait before a resend; impatient callers use a short one.
+	pause time.Duration
+}
+
+// request makes one request with its resends. pick chooses the first entry.
+func (c *caller) request(ctx context.Context, op *operation, id string, pick int) {
+	r := &record{operation: op, id: id, begun: time.Now()}
+	state := &sendState{id: id + "#0"}
+	for attempt := 0; attempt <= c.resends; attempt++ {
+		addresses := c.addresses()
+		outcome := c.send(ctx, op, addresses[(pick+attempt)%len(addresses)], state, attempt)
+		r.sends = append(r.sends, outcome)
+		if outcome.verdict != verdictNotRun && outcome.verdict != verdictUnknown || !c.mayResend(op, outcome, state) {
+			break
+		}
+		if outcome.verdict == verdictNotRun {
+			state.newID(id, attempt+1)
+		}
+		time.Sleep(c.pause)
+	}
+	r.ended = time.Now()
+	c.recorder.add(r)
+}
+
+// mayResend tells whether a resend is of use: never after an unknown outcome
+// of a request without a key.
+func (c *caller) mayResend(op *operation, last send, state *sendState) bool {
+	if last.reason == "retry_bound" {
+		return false
+	}
+	return op.idempotent || last.verdict == verdictNotRun || state.key != ""
+}
+
+// sendState is what a caller remembers between the sends of one request.
+type sendState struct {
+	id        string
+	key       string
+	nextKey   string
+	root      string
+	remaining string
+}
+
+// newID gives the next send an id of its own, so that the targets' ledger
+// shows whether the refused one was run.
+func (s *sendState) newID(id string, attempt int) {
+	s.id = fmt.Sprintf("%s#%d", id, attempt)
+	s.key = s.nextKey
+	s.nextKey = ""
+}
+
+func (c *caller) send(ctx context.Context, op *operation, address string, state *sendState, attempt int) send {
+	result := send{id: state.id}
+	ctx, cancel := context.WithTimeout(ctx, op.deadline+time.Second)
+	defer cancel()
+	if !op.idempotent && state.key == "" {
+		state.key = c.fetchKey(ctx, address, op.service)
+		if state.key == "" {
+			// Nothing was sent: there is no key and hence no request.
+			return send{id: state.id, verdict: verdictNotRun, reason: "no_key"}
+		}
+	}
+	response, err := c.client.Do(newHTTPRequest(ctx, op, address, state, attempt))
+	if err != nil {
+		result.verdict = verdictUnknown
+		result.reason = "connection"
+		return result
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		result.verdict = verdictUnknown
+		result.reason = "cut"
+		return result
+	}
+	state.remember(response.Header)
+	result.verdict, result.reason = judge(response, body, op, state.id)
+	return result
+}
+
+func (s *sendState) remember(header http.Header) {
+	s.root = header.Get(wire.RootHeader)
+	s.remaining = header.Get(wire.AllowanceHeader)
+	s.nextKey = header.Get(wire.NextKeyHeader)
+}
+
+func newHTTPRequest(ctx context.Context, op *operation, address string, state *sendState, attempt int) *http.Request {
+	body, err := json.Marshal(target.Request{ID: state.id})
+	if err != nil {
+		panic(err) // A struct with one string always has a JSON form.
+	}
+	url := "http://" + address + wire.ServicesPath + op.service + "/" + op.name
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		panic(err) // The address comes from a listener.
+	}
+	request.ContentLength = int64(len(body))
+	request.Header.Set(wire.DeadlineHeader, op.deadline.String())
+	request.Header.Set(wire.AttemptHeader, strconv.Itoa(attempt))
+	setIfKnown(request.Header, wire.KeyHeader, state.key)
+	setIfKnown(request.Header, wire.RootHeader, state.root)
+	setIfKnown(request.Header, wire.AllowanceHeader, state.remaining)
+	return request
+}
+
+func setIfKnown(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+// judge decides what the answer tells the caller.
+func judge(response *http.Response, body []byte, op *operation, id string) (verdict, string) {
+	if response.Header.Get("Content-Type") == wire.ProblemType {
+		var problem wire.Problem
+		if json.Unmarshal(body, &problem) != nil {
+			return verdictWrong, "problem"
+		}
+		return verdict(problem.Outcome), problem.Reason
+	}
+	if response.StatusCode != http.StatusOK {
+		// The target answered that it failed; the caller cannot know how far it got.
+		return verdictUnknown, "status"
+	}
+	var answer target.Answer
+	if json.Unmarshal(body, &answer) != nil {
+		return verdictWrong, "json"
+	}
+	if answer.ID != id || answer.Service != op.service || answer.Operation != op.name {
+		return verdictWrong, "foreign"
+	}
+	return verdictCompleted, ""
+}
+
+func (c *caller) fetchKey(ctx context.Context, address, service string) string {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+wire.ServicesPath+service+"/keys?count=1", nil)
+	if err != nil {
+		return ""
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Keys []string `json:"keys"`
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil || len(answer.Keys) == 0 {
+		return ""
+	}
+	return answer.Keys[0]
+}
--- /dev/null
+++ b/internal/demo/scenario.go
@@ -0,0 +1,339 @@
+// Package demo runs a small fleet in the shape of the users' deployments over
+// real loopback sockets, with an overload, a drain, a crash, a log outage and a
+// catalogue change, and checks the promises from what callers and targets
+// recorded.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/internal/fleet"
+	"github.com/primrosemount/primrosemount/internal/standin/logservice"
+	"github.com/primrosemount/primrosemount/internal/standin/target"
+)
+
+// Options configure a run.
+type Options struct {
+	Seed uint64
+	// Duration of the load; at least MinDuration.
+	Duration time.Duration
+	Logger   *zap.Logger
+}
+
+// MinDuration is the shortest load that leaves room for all events.
+const MinDuration = 10 * time.Second
+
+const (
+	// allowance is the retry bound of the demo's catalogue.
+	allowance = 3
+	startTime = 20 * time.Second
+	// settleTime lets late work of targets end before the books are closed.
+	settleTime = 2 * time.Second
+	// viewsPerSecond and bookingsPerSecond are the ordinary load.
+	viewsPerSecond    = 200
+	bookingsPerSecond = 40
+	// surge multiplies the load during the overload.
+	surge = 3
+	// slowdown is the factor for the lawn service during the overload.
+	slowdown = 4
+	// leaveBound is the time after which a leaving target gets no new work.
+	leaveBound = 2 * time.Second
+)
+
+// Phases of the run as shares of its duration.
+const (
+	overloadFrom = 0.25
+	overloadTo   = 0.50
+	drainAt      = 0.65
+	changeAt     = 0.70
+	crashAt      = 0.80
+	logDownFrom  = 0.55
+	logDownTo    = 0.68
+)
+
+var (
+	view = &operation{service: "season-calendar", name: "view", class: "sheddable", idempotent: true, deadline: time.Second}
+	book = &operation{service: "season-calendar", name: "book", class: "critical", deadline: 2 * time.Second}
+)
+
+// services describes the call graph: the calendar asks the lawn service for a
+// view and charges dues for a booking.
+func services() []fleet.Service {
+	return []fleet.Service{
+		{
+			Entry: entry("season-calendar", []string{"*"},
+				&pb.Operation{Name: "view", Idempotent: true, Class: pb.Class_CLASS_SHEDDABLE, Deadline: durationpb.New(view.deadline)},
+				&pb.Operation{Name: "book", Class: pb.Class_CLASS_CRITICAL, Deadline: durationpb.New(book.deadline)}),
+			Zones: []string{"a", "b", "c", "d"},
+			Slots: 24,
+			Operations: []target.Operation{
+				{Name: "view", Work: 2 * time.Millisecond, AnswerBytes: 2000, Calls: []target.Downstream{
+					{Service: "lawn-availability", Operation: "check"},
+				}},
+				{Name: "book", Work: 4 * time.Millisecond, Calls: []target.Downstream{
+					{Service: "lawn-availability", Operation: "check"},
+					{Service: "dues", Operation: "charge"},
+				}},
+			},
+		},
+		{
+			Entry: entry("lawn-availability", []string{"season-calendar"},
+				&pb.Operation{Name: "check", Idempotent: true, Class: pb.Class_CLASS_SHEDDABLE}),
+			Zones:      []string{"a", "b", "c"},
+			Slots:      3,
+			Operations: []target.Operation{{Name: "check", Work: 15 * time.Millisecond}},
+		},
+		{
+			Entry: entry("dues", []string{"season-calendar"},
+				&pb.Operation{Name: "charge", Class: pb.Class_CLASS_CRITICAL}),
+			Zones:      []string{"a", "b"},
+			Slots:      12,
+			Operations: []target.Operation{{Name: "charge", Work: 8 * time.Millisecond}},
+			ColdStart:  time.Second,
+			ColdFactor: 3,
+		},
+	}
+}
+
+func entry(service string, callers []string, operations ...*pb.Operation) *pb.Entry {
+	return &pb.Entry{
+		Service:        service,
+		Owner:          fleet.Operator,
+		Class:          pb.Class_CLASS_NORMAL,
+		Operations:     operations,
+		AllowedCallers: callers,
+		Deadline:       durationpb.New(2 * time.Second),
+		Limits:         &pb.Limits{Drain: durationpb.New(15 * time.Second)},
+		Retry:          &pb.RetryPolicy{Allowance: allowance, EdgeRatio: 0.1},
+	}
+}
+
+// scenario is one run.
+type scenario struct {
+	options  Options
+	fleet    *fleet.Fleet
+	recorder *recorder
+	begin    time.Time
+	random   *rand.Rand
+	events   eventRecord
+	failures errorList
+}
+
+// eventRecord is what the run itself noted about its events.
+type eventRecord struct {
+	mutex           sync.Mutex
+	lateWork        int
+	changeSeconds   float64
+	refusedWhenDown bool
+}
+
+// errorList collects errors of concurrent events.
+type errorList struct {
+	mutex  sync.Mutex
+	errors []error
+}
+
+func (l *errorList) add(err error) {
+	if err == nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.errors = append(l.errors, err)
+}
+
+// Run runs the demo and returns its summary. The error tells that the run
+// itself could not be carried out; broken promises are in the summary.
+func Run(ctx context.Context, options Options) (*Summary, error) {
+	if options.Duration < MinDuration {
+		return nil, errors.Newf("demo: the duration is %s; give at least %s", options.Duration, MinDuration)
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	running, err := fleet.Start(startCtx, fleet.Config{
+		Services: services(),
+		Seed:     options.Seed,
+		Logger:   options.Logger,
+		Log:      logservice.Config{AppendsPerSecond: 300},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer running.Close()
+	s := &scenario{
+		options:  options,
+		fleet:    running,
+		recorder: &recorder{},
+		random:   rand.New(rand.NewPCG(options.Seed, 1)),
+		begin:    time.Now(),
+	}
+	s.load(ctx)
+	time.Sleep(settleTime)
+	if len(s.failures.errors) > 0 {
+		return nil, s.failures.errors[0]
+	}
+	return s.summarize(), nil
+}
+
+// at returns the time of a share of the duration.
+func (s *scenario) at(share float64) time.Time {
+	return s.begin.Add(time.Duration(share * float64(s.options.Duration)))
+}
+
+// load runs arrivals and events until the end and waits for the last answers.
+func (s *scenario) load(ctx context.Context) {
+	var wait sync.WaitGroup
+	for _, event := range []struct {
+		share float64
+		run   func(context.Context)
+	}{
+		{overloadFrom, s.startSlowdown},
+		{overloadTo, s.endSlowdown},
+		{logDownFrom, s.logDown},
+		{logDownTo, s.logUp},
+		{drainAt, s.drainOne},
+		{changeAt, s.changeCatalogue},
+		{crashAt, s.crashOne},
+	} {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			time.Sleep(time.Until(s.at(event.share)))
+			event.run(ctx)
+		}()
+	}
+	s.arrivals(ctx, &wait)
+	wait.Wait()
+}
+
+// arrivals starts requests at exponentially distributed intervals, whatever
+// becomes of earlier ones.
+func (s *scenario) arrivals(ctx context.Context, wait *sync.WaitGroup) {
+	patient := s.newCaller(1, 50*time.Millisecond)
+	impatient := s.newCaller(6, 5*time.Millisecond)
+	end := s.at(1)
+	next := s.begin
+	for sequence := 0; next.Before(end); sequence++ {
+		time.Sleep(time.Until(next))
+		rate := float64(viewsPerSecond + bookingsPerSecond)
+		overloaded := next.After(s.at(overloadFrom)) && next.Before(s.at(overloadTo))
+		chosen := patient
+		if overloaded {
+			rate *= surge
+			if s.random.IntN(2) == 0 {
+				chosen = impatient
+			}
+		}
+		op := view
+		if s.random.Float64() < float64(bookingsPerSecond)/(viewsPerSecond+bookingsPerSecond) {
+			op = book
+		}
+		pick := s.random.IntN(1 << 20)
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			chosen.request(ctx, op, fmt.Sprintf("%s-%d", op.name, sequence), pick)
+		}()
+		next = next.Add(time.Duration(s.random.ExpFloat64() / rate * float64(time.Second)))
+	}
+}
+
+func (s *scenario) newCaller(resends int, pause time.Duration) *caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	return &caller{
+		client:    &http.Client{Transport: transport},
+		addresses: s.entryAddresses,
+		recorder:  s.recorder,
+		resends:   resends,
+		pause:     pause,
+	}
+}
+
+func (s *scenario) entryAddresses() []string {
+	var addresses []string
+	for _, instance := range s.fleet.Instances() {
+		addresses = append(addresses, instance.Node.CallersAddress())
+	}
+	return addresses
+}
+
+func (s *scenario) startSlowdown(context.Context) { s.setSlowdown(slowdown) }
+func (s *scenario) endSlowdown(context.Context)   { s.setSlowdown(1) }
+
+func (s *scenario) setSlowdown(factor float64) {
+	for _, instance := range s.fleet.Of("lawn-availability") {
+		instance.Target.SetSlowdown(factor)
+	}
+}
+
+func (s *scenario) logDown(context.Context) { s.fleet.Log.SetFaults(logservice.Faults{Down: true}) }
+func (s *scenario) logUp(context.Context)   { s.fleet.Log.SetFaults(logservice.Faults{}) }
+
+// drainOne retires a calendar target while the log is down.
+func (s *scenario) drainOne(ctx context.Context) {
+	leaving := s.fleet.Of("season-calendar")[0]
+	ctx, cancel := context.WithTimeout(ctx, s.options.Duration)
+	defer cancel()
+	done := make(chan struct{})
+	go s.watchLateWork(leaving, done)
+	s.failures.add(s.fleet.Retire(ctx, leaving))
+	close(done)
+}
+
+// watchLateWork counts requests that begin at a leaving target after the bound.
+func (s *scenario) watchLateWork(leaving *fleet.Instance, done chan struct{}) {
+	select {
+	case <-done:
+		return
+	case <-time.After(leaveBound):
+	}
+	before := leaving.Target.Received()
+	<-done
+	s.events.mutex.Lock()
+	defer s.events.mutex.Unlock()
+	s.events.lateWork = leaving.Target.Received() - before
+}
+
+// changeCatalogue changes an entry and measures when it is in force everywhere.
+func (s *scenario) changeCatalogue(ctx context.Context) {
+	through := s.fleet.Of("dues")[0].Node
+	changed := proto.CloneOf(services()[2].Entry)
+	changed.Limits.SlotsPerTarget = 11
+	begun := time.Now()
+	if err := s.fleet.Apply(ctx, through, changed, through.Revision("dues")); err != nil {
+		s.failures.add(err)
+		return
+	}
+	position := through.Status().CataloguePosition
+	for !s.allReached(position) {
+		time.Sleep(time.Millisecond)
+	}
+	s.events.mutex.Lock()
+	defer s.events.mutex.Unlock()
+	s.events.changeSeconds = time.Since(begun).Seconds()
+}
+
+func (s *scenario) allReached(position uint64) bool {
+	for _, instance := range s.fleet.Instances() {
+		if instance.Node.Status().CataloguePosition < position {
+			return false
+		}
+	}
+	return true
+}
+
+// crashOne ends a lawn target and its node at once.
+func (s *scenario) crashOne(context.Context) {
+	s.fleet.Crash(s.fleet.Of("lawn-availability")[0])
+}
--- /dev/null
+++ b/internal/demo/summary.go
@@ -0,0 +1,212 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/primrosemount/primrosemount/internal/standin/target"
+)
+
+// Goals that the summary is checked against.
+const (
+	recoveryGoalSeconds = 5.0
+	changeGoalSeconds   = 3.0
+	// recoveredShare is the share of the earlier goodput that counts as
+	// recovered.
+	recoveredShare = 0.95
+	bucket         = 500 * time.Millisecond
+)
+
+// Summary is the result of a run, from what callers and targets recorded.
+type Summary struct {
+	Seed            uint64  `json:"seed"`
+	DurationSeconds float64 `json:"duration_seconds"`
+	// Offered and Goodput count whole requests of callers.
+	Offered int `json:"offered"`
+	Goodput int `json:"goodput"`
+	// GoodputShare is Goodput over Offered.
+	GoodputShare float64 `json:"goodput_share"`
+	// Shed counts, by class, requests whose last verdict was a refusal.
+	Shed           map[string]int `json:"shed"`
+	OfferedByClass map[string]int `json:"offered_by_class"`
+	Unknown        int            `json:"unknown"`
+	// AttemptsPerRootMax is the highest number of times that one operation was
+	// begun at targets on behalf of one request.
+	AttemptsPerRootMax int `json:"attempts_per_root_max"`
+	// SendsPerRootMax is the highest number of sends of one caller.
+	SendsPerRootMax int `json:"sends_per_root_max"`
+	ExecutedTwice   int `json:"executed_twice"`
+	WrongAnswers    int `json:"wrong_answers"`
+	NotRunButRun    int `json:"not_run_but_run"`
+	CutByDrain      int `json:"cut_by_drain"`
+	// WorkAfterLeaving counts requests that began at the leaving target more
+	// than 2 s after its announcement.
+	WorkAfterLeaving int     `json:"work_after_leaving"`
+	RecoverySeconds  float64 `json:"recovery_seconds"`
+	// CatalogueSeconds is the time until a change was in force everywhere.
+	CatalogueSeconds float64 `json:"catalogue_seconds"`
+	// Broken lists the promises that were not kept.
+	Broken []string `json:"broken"`
+}
+
+func (s *scenario) summarize() *Summary {
+	s.events.mutex.Lock()
+	defer s.events.mutex.Unlock()
+	summary := &Summary{
+		Seed:             s.options.Seed,
+		DurationSeconds:  s.options.Duration.Seconds(),
+		Shed:             make(map[string]int),
+		OfferedByClass:   make(map[string]int),
+		CutByDrain:       len(s.fleet.Ledger.Cut()),
+		WorkAfterLeaving: s.events.lateWork,
+		CatalogueSeconds: s.events.changeSeconds,
+		RecoverySeconds:  s.recoverySeconds(),
+	}
+	for _, record := range s.recorder.records {
+		summary.count(record)
+		s.audit(summary, record)
+	}
+	summary.GoodputShare = float64(summary.Goodput) / float64(max(summary.Offered, 1))
+	summary.check()
+	return summary
+}
+
+// count adds what the caller saw.
+func (s *Summary) count(r *record) {
+	s.Offered++
+	s.OfferedByClass[r.operation.class]++
+	s.SendsPerRootMax = max(s.SendsPerRootMax, len(r.sends))
+	switch r.sends[len(r.sends)-1].verdict {
+	case verdictCompleted:
+		s.Goodput++
+	case verdictNotRun:
+		s.Shed[r.operation.class]++
+	case verdictUnknown:
+		s.Unknown++
+	}
+	for _, sent := range r.sends {
+		if sent.verdict == verdictWrong {
+			s.WrongAnswers++
+		}
+	}
+}
+
+// audit compares what the caller was told with what the targets executed.
+func (s *scenario) audit(summary *Summary, r *record) {
+	ledger := s.fleet.Ledger
+	begun := 0
+	seen := make(map[string]bool)
+	for _, sent := range r.sends {
+		execution := target.Execution{Service: r.operation.service, Operation: r.operation.name, ID: sent.id}
+		if !seen[sent.id] {
+			seen[sent.id] = true
+			begun += ledger.Begun(execution)
+		}
+		if sent.verdict == verdictNotRun && ledger.Begun(execution) > 0 && !r.operation.idempotent {
+			summary.NotRunButRun++
+		}
+	}
+	summary.AttemptsPerRootMax = max(summary.AttemptsPerRootMax, begun, s.nestedBegun(seen))
+	if !r.operation.idempotent && (begun > 1 || s.chargedTwice(seen)) {
+		summary.ExecutedTwice++
+	}
+}
+
+// nestedBegun returns the most often that one nested operation was begun for
+// a request.
+func (s *scenario) nestedBegun(ids map[string]bool) int {
+	checks, charges := 0, 0
+	for id := range ids {
+		checks += s.fleet.Ledger.Begun(target.Execution{Service: "lawn-availability", Operation: "check", ID: id})
+		charges += s.fleet.Ledger.Begun(target.Execution{Service: "dues", Operation: "charge", ID: id})
+	}
+	return max(checks, charges)
+}
+
+func (s *scenario) chargedTwice(ids map[string]bool) bool {
+	charges := 0
+	for id := range ids {
+		charges += s.fleet.Ledger.Begun(target.Execution{Service: "dues", Operation: "charge", ID: id})
+	}
+	return charges > 1
+}
+
+// recoverySeconds is the time from the end of the overload until the share of
+// good requests that begin in a bucket is back at 95 % of the earlier one.
+func (s *scenario) recoverySeconds() float64 {
+	before := s.goodShare(s.begin.Add(bucket), s.at(overloadFrom))
+	from := s.at(overloadTo)
+	for at := from; at.Before(s.at(1)); at = at.Add(bucket) {
+		if s.goodShare(at, at.Add(bucket)) >= recoveredShare*before {
+			return at.Sub(from).Seconds()
+		}
+	}
+	return s.at(1).Sub(from).Seconds()
+}
+
+// goodShare is the share of good requests among those begun in the interval.
+func (s *scenario) goodShare(from, to time.Time) float64 {
+	offered, good := 0, 0
+	for _, r := range s.recorder.records {
+		if r.begun.Before(from) || !r.begun.Before(to) {
+			continue
+		}
+		offered++
+		if r.good() {
+			good++
+		}
+	}
+	return float64(good) / float64(max(offered, 1))
+}
+
+// shedShare is the share of a class that was shed.
+func (s *Summary) shedShare(class string) float64 {
+	return float64(s.Shed[class]) / float64(max(s.OfferedByClass[class], 1))
+}
+
+// check lists the broken promises.
+func (s *Summary) check() {
+	s.Broken = []string{}
+	s.expect(s.Goodput > 0, "no request got its answer")
+	s.expect(s.AttemptsPerRootMax <= 1+allowance, "retries left their bound")
+	s.expect(s.shedShare(book.class) <= s.shedShare(view.class), "bookings were shed before views")
+	s.expect(s.WrongAnswers == 0, "a caller got a wrong or foreign answer")
+	s.expect(s.NotRunButRun == 0, "a request was reported as not run and was run")
+	s.expect(s.ExecutedTwice == 0, "a booking or charge ran twice")
+	s.expect(s.WorkAfterLeaving == 0, "a leaving target got new work after 2 s")
+	s.expect(s.CutByDrain == 0, "a planned stop cut a request")
+	s.expect(s.CatalogueSeconds <= changeGoalSeconds, "a catalogue change took longer than 3 s")
+	s.expect(s.RecoverySeconds <= recoveryGoalSeconds, "recovery took longer than 5 s")
+}
+
+func (s *Summary) expect(kept bool, broken string) {
+	if !kept {
+		s.Broken = append(s.Broken, broken)
+	}
+}
+
+// Write prints the summary for people.
+func (s *Summary) Write(w io.Writer) {
+	fmt.Fprintf(w, "primrosemount demo, seed %d, %.0f s of load\n\n", s.Seed, s.DurationSeconds)
+	fmt.Fprintf(w, "  offered                %6d whole requests\n", s.Offered)
+	fmt.Fprintf(w, "  goodput                %6d (%.1f %%)\n", s.Goodput, 100*s.GoodputShare)
+	for _, class := range []string{view.class, book.class} {
+		fmt.Fprintf(w, "  shed, %-16s %6d of %d\n", class, s.Shed[class], s.OfferedByClass[class])
+	}
+	fmt.Fprintf(w, "  unknown                %6d\n", s.Unknown)
+	fmt.Fprintf(w, "  recovery               %6.1f s after the overload\n", s.RecoverySeconds)
+	fmt.Fprintf(w, "  catalogue change       %6.2f s until in force everywhere\n", s.CatalogueSeconds)
+	fmt.Fprintf(w, "  attempts per root      %6d at most (bound %d)\n", s.AttemptsPerRootMax, 1+allowance)
+	fmt.Fprintf(w, "  executed twice         %6d\n", s.ExecutedTwice)
+	fmt.Fprintf(w, "  wrong answers          %6d\n", s.WrongAnswers)
+	fmt.Fprintf(w, "  not run, but run       %6d\n", s.NotRunButRun)
+	fmt.Fprintf(w, "  cut by a planned stop  %6d\n", s.CutByDrain)
+	fmt.Fprintf(w, "  work after leaving     %6d\n\n", s.WorkAfterLeaving)
+	if len(s.Broken) == 0 {
+		fmt.Fprintln(w, "All promises were kept.")
+		return
+	}
+	fmt.Fprintln(w, "Broken:", strings.Join(s.Broken, "; "))
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,264 @@
+// Package fleet starts nodes, stand-in targets and a stand-in log service in
+// one process over real loopback sockets, for the demo and for failure tests.
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/internal/standin/logservice"
+	"github.com/primrosemount/primrosemount/internal/standin/target"
+	"github.com/primrosemount/primrosemount/node"
+	"github.com/primrosemount/primrosemount/node/control"
+	"github.com/primrosemount/primrosemount/settings"
+)
+
+// Service describes the targets of one service and its catalogue entry.
+type Service struct {
+	Entry *pb.Entry
+	// Zones has one element per target, its availability zone.
+	Zones      []string
+	Slots      int
+	Operations []target.Operation
+	ColdStart  time.Duration
+	ColdFactor float64
+}
+
+// Config configures a Fleet.
+type Config struct {
+	Services []Service
+	Seed     uint64
+	Logger   *zap.Logger
+	Log      logservice.Config
+	// Intervals of the control tasks; zero fields get the defaults.
+	Intervals control.Intervals
+}
+
+// Instance is one target VM: a node and the target beside it.
+type Instance struct {
+	VM      string
+	Zone    string
+	Service *Service
+	Node    *node.Node
+	Target  *target.Target
+}
+
+// Fleet is a running fleet. Instances are added and removed by one goroutine;
+// Instances is safe for concurrent use.
+type Fleet struct {
+	config    Config
+	Log       *logservice.Service
+	Ledger    *target.Ledger
+	logServer *httptest.Server
+	mutex     sync.Mutex
+	instances []*Instance
+	sequence  int
+}
+
+// Operator is the name under which the fleet changes the catalogue.
+const Operator = "operators"
+
+// Start starts the log, all nodes and targets and applies the catalogue. It
+// returns when every node knows the catalogue and all members.
+func Start(ctx context.Context, config Config) (*Fleet, error) {
+	f := &Fleet{config: config, Log: logservice.New(config.Log), Ledger: target.NewLedger()}
+	f.logServer = httptest.NewServer(f.Log.Handler())
+	for i := range config.Services {
+		for _, zone := range config.Services[i].Zones {
+			if _, err := f.Add(&config.Services[i], zone); err != nil {
+				f.Close()
+				return nil, err
+			}
+		}
+	}
+	if err := f.applyAll(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := f.AwaitMembers(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) applyAll(ctx context.Context) error {
+	for _, service := range f.config.Services {
+		if err := f.Apply(ctx, f.instances[0].Node, service.Entry, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Apply submits a change of one entry through a node.
+func (f *Fleet) Apply(ctx context.Context, through *node.Node, entry *pb.Entry, base uint64) error {
+	id := make([]byte, 16)
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(id)
+	result, err := through.Submit(ctx, &pb.Change{
+		Id:               id,
+		Operator:         Operator,
+		Service:          entry.GetService(),
+		BaseRevision:     base,
+		Entry:            entry,
+		CreatedUnixNanos: time.Now().UnixNano(),
+	})
+	if err != nil {
+		return err
+	}
+	if !result.GetAccepted() {
+		return errors.Newf("fleet: the change of %s was rejected: %s", entry.GetService(), result.GetDetail())
+	}
+	return nil
+}
+
+// Add starts one more target VM of a service.
+func (f *Fleet) Add(service *Service, zone string) (*Instance, error) {
+	f.sequence++
+	name := service.Entry.GetService()
+	instance := &Instance{VM: fmt.Sprintf("%s-%s-%d", name, zone, f.sequence), Zone: zone, Service: service}
+	parsed, err := settings.ParseNode([]byte(f.nodeYAML(instance)))
+	if err != nil {
+		return nil, err
+	}
+	instance.Node, err = node.Start(node.Options{
+		Settings:  parsed,
+		Logger:    f.config.Logger.With(zap.String("vm", instance.VM)),
+		Intervals: f.config.Intervals,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := f.StartTarget(instance); err != nil {
+		instance.Node.Close()
+		return nil, err
+	}
+	f.mutex.Lock()
+	f.instances = append(f.instances, instance)
+	f.mutex.Unlock()
+	return instance, nil
+}
+
+// StartTarget starts a target beside the node of the instance.
+func (f *Fleet) StartTarget(instance *Instance) error {
+	service := instance.Service
+	f.sequence++
+	started, err := target.Start(target.Config{
+		Service:     service.Entry.GetService(),
+		Slots:       service.Slots,
+		Connections: service.Slots * 4,
+		NodeURL:     "http://" + instance.Node.TargetAddress(),
+		Operations:  service.Operations,
+		ColdStart:   service.ColdStart,
+		ColdFactor:  service.ColdFactor,
+		Seed:        f.config.Seed + uint64(f.sequence),
+		Ledger:      f.Ledger,
+	})
+	instance.Target = started
+	return err
+}
+
+func (f *Fleet) nodeYAML(instance *Instance) string {
+	return fmt.Sprintf(`
+vm: %s
+availability_zone: %s
+region: north
+service: %s
+listen: {callers: "127.0.0.1:0", target: "127.0.0.1:0", nodes: "127.0.0.1:0", operators: "127.0.0.1:0"}
+log: {url: "%s", timeout: 1s, poll_interval: 100ms}
+`, instance.VM, instance.Zone, instance.Service.Entry.GetService(), f.logServer.URL)
+}
+
+// Instances returns the running instances.
+func (f *Fleet) Instances() []*Instance {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]*Instance(nil), f.instances...)
+}
+
+// Of returns the running instances of a service.
+func (f *Fleet) Of(service string) []*Instance {
+	var found []*Instance
+	for _, instance := range f.Instances() {
+		if instance.Service.Entry.GetService() == service {
+			found = append(found, instance)
+		}
+	}
+	return found
+}
+
+// readyInterval is the time between two looks at the state of the fleet.
+const readyInterval = 10 * time.Millisecond
+
+// AwaitMembers waits until every node knows the catalogue and every member.
+func (f *Fleet) AwaitMembers(ctx context.Context) error {
+	for {
+		if f.ready() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "fleet: the nodes did not find each other in time")
+		case <-time.After(readyInterval):
+		}
+	}
+}
+
+func (f *Fleet) ready() bool {
+	instances := f.Instances()
+	for _, instance := range instances {
+		status := instance.Node.Status()
+		if status.Services < len(f.config.Services) || status.Members < len(instances) {
+			return false
+		}
+	}
+	return true
+}
+
+// Crash ends node and target of the instance at once.
+func (f *Fleet) Crash(instance *Instance) {
+	f.remove(instance)
+	instance.Target.Crash()
+	instance.Node.Close()
+}
+
+// Retire lets the target of the instance leave gracefully, then the node.
+func (f *Fleet) Retire(ctx context.Context, instance *Instance) error {
+	err := instance.Target.Drain(ctx)
+	f.remove(instance)
+	return errors.CombineErrors(err, instance.Node.Shutdown(ctx))
+}
+
+func (f *Fleet) remove(instance *Instance) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for i, present := range f.instances {
+		if present == instance {
+			f.instances = append(f.instances[:i], f.instances[i+1:]...)
+			return
+		}
+	}
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	var wait sync.WaitGroup
+	for _, instance := range f.Instances() {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			f.Crash(instance)
+		}()
+	}
+	wait.Wait()
+	f.logServer.Close()
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -82,6 +82,7 @@
 	slots      chan struct{}
 	waiting    atomic.Int64
 	running    atomic.Int64
+	received   atomic.Int64
 	slowdown   atomic.Int64 // factor in thousandths
 	reported   atomic.Int64 // reported load in thousandths; negative: true load
 	state      atomic.Int32
@@ -147,6 +148,9 @@
 // Running returns the number of requests that hold a slot or wait for one.
 func (t *Target) Running() int { return int(t.running.Load()) }
 
+// Received returns the number of requests that were taken for execution.
+func (t *Target) Received() int { return int(t.received.Load()) }
+
 // Drain announces that the target leaves and waits until the node reports that
 // no work is left. It then stops the target; what still runs is recorded as cut.
 func (t *Target) Drain(ctx context.Context) error {
@@ -273,6 +277,7 @@
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
+	t.received.Add(1)
 	t.running.Add(1)
 	defer t.running.Add(-1)
 	t.execute(w, r, operation, request)
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -51,7 +51,8 @@
 	return outcome.LevelOf(outcome.ClassFromProto(r.Context.GetClass()), r.Context.GetCohort())
 }
 
-func (r *Request) dependency() threshold.Dependency {
+// Dependency names the called operation.
+func (r *Request) Dependency() threshold.Dependency {
 	return threshold.Dependency{Service: r.Service, Operation: r.Operation}
 }
 
@@ -112,9 +113,9 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	trial := threshold.IsTrial(request.Context.GetRootId())
-	refused := d.config.Downstream.Admit(time.Now(), request.dependency(), request.level(), trial)
+	refused := d.config.Downstream.Admit(time.Now(), request.Dependency(), request.level(), trial)
 	if refused != nil {
-		return Result{Response: errorResponse(refused), Key: request.Key}
+		return d.Refuse(ctx, request, refused)
 	}
 	edge := d.edge(request)
 	edge.First(time.Now())
@@ -124,6 +125,26 @@
 	return result
 }
 
+// Refuse ends a call that this node does not send. If the call came with a key,
+// an earlier attempt may have run, so only the executor can tell: it returns
+// the outcome of the key, or makes the refusal final for it. If the executor
+// cannot be asked, the outcome is unknown.
+func (d *Dispatcher) Refuse(ctx context.Context, request *Request, refusal *outcome.Error) Result {
+	if request.Key == "" {
+		return Result{Response: errorResponse(refusal)}
+	}
+	query := &series{dispatcher: d, request: request, key: request.Key, query: true}
+	response, settled := query.settle(ctx)
+	if settled && response.GetOutcome() != pb.Outcome_OUTCOME_NOT_RUN {
+		return Result{Response: response, Key: request.Key}
+	}
+	answer := errorResponse(refusal)
+	if !settled {
+		answer.Outcome = pb.Outcome_OUTCOME_UNKNOWN
+	}
+	return Result{Response: answer, Key: request.Key}
+}
+
 // IssueKey returns a key of an executor of the service.
 func (d *Dispatcher) IssueKey(service string) (string, *outcome.Error) {
 	endpoint, err := d.config.Router.Pick(time.Now(), service, 0)
@@ -146,7 +167,7 @@
 
 // observe teaches the thresholds of the services behind this node.
 func (d *Dispatcher) observe(request *Request, response *pb.CallResponse) {
-	d.config.Downstream.Observe(time.Now(), request.dependency(), ThresholdAnswer(request, response))
+	d.config.Downstream.Observe(time.Now(), request.Dependency(), ThresholdAnswer(request, response))
 }
 
 // ThresholdAnswer returns what a response tells about thresholds.
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -21,6 +21,8 @@
 	dispatcher *Dispatcher
 	request    *Request
 	trial      bool
+	// query asks for the outcome of the key and starts nothing.
+	query bool
 	// key is the key of the present attempt and issued tells that the dispatcher
 	// issued it.
 	key    string
@@ -64,6 +66,17 @@
 	return Result{Response: response, Key: s.key, Attempts: s.attempts}
 }
 
+// settle asks the executor of the key for its final outcome. It returns false
+// if the executor did not answer.
+func (s *series) settle(ctx context.Context) (*pb.CallResponse, bool) {
+	if s.prepareExecutor() != nil {
+		return nil, false
+	}
+	grant := retry.NewAllowance(0).Grant(1)
+	response := s.attempt(ctx, grant)
+	return response, response.GetGate() != nil && response.GetReason() != pb.Reason_REASON_EXECUTOR_GONE
+}
+
 // prepare chooses the endpoint of the next attempt and its key.
 func (s *series) prepare() *outcome.Error {
 	if s.key != "" {
@@ -146,6 +159,7 @@
 		Headers:   s.request.Headers,
 		Body:      s.request.Body,
 		Executor:  s.endpoint.Target().Incarnation,
+		QueryOnly: s.query,
 	}
 }
 
--- a/node/executor/target.go
+++ b/node/executor/target.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
--- /dev/null
+++ b/node/http.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/node/httpapi"
+	"github.com/primrosemount/primrosemount/wire"
+)
+
+const (
+	// headerTimeout and bodyTimeout end connections of slow and half-open
+	// callers, so that they cannot hold resources.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// announcementInterval is the time between two announcements of a target.
+	announcementInterval = time.Second
+	maxAnnouncementBytes = 16 << 10
+)
+
+// httpServers are the servers of the HTTP listeners.
+type httpServers struct {
+	callers *http.Server
+	target  *http.Server
+}
+
+// serveHTTP starts the servers for callers and for the target.
+func (n *Node) serveHTTP() {
+	callers := iris.New()
+	callers.Logger().SetLevel("disable")
+	callers.Post(wire.ServicesPath+"{service:string}/keys", n.serveKeys)
+	callers.Post(wire.ServicesPath+"{service:string}/{operation:string}", n.serveCall)
+	callers.OnAnyErrorCode(serveNoRoute)
+	// Build cannot fail for the fixed routes above.
+	_ = callers.Build()
+	n.servers.callers = n.newServer(n.politeClose(callers))
+	n.servers.target = n.newServer(n.targetHandler())
+	n.spawn(func() { n.logEnd("callers", ignoreClosed(n.servers.callers.Serve(n.listeners.callers))) })
+	n.spawn(func() { n.logEnd("target", ignoreClosed(n.servers.target.Serve(n.listeners.target))) })
+}
+
+func (n *Node) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(n.settings.GetBounds().GetHeaderBytes()),
+	}
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// politeClose asks callers of a leaving node to open their next connection
+// elsewhere.
+func (n *Node) politeClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) serveCall(ctx iris.Context) {
+	w, r := ctx.ResponseWriter(), ctx.Request()
+	n.api.Call(w, r, callerOf(r), ctx.Params().Get("service"), ctx.Params().Get("operation"))
+}
+
+func (n *Node) serveKeys(ctx iris.Context) {
+	w, r := ctx.ResponseWriter(), ctx.Request()
+	n.api.Keys(w, r, callerOf(r), ctx.Params().Get("service"))
+}
+
+func serveNoRoute(ctx iris.Context) {
+	detail := "no such path; calls go to POST " + wire.ServicesPath + "SERVICE/OPERATION"
+	httpapi.WriteProblem(ctx.ResponseWriter(), outcome.New(outcome.NotRun, outcome.BadRequest, detail))
+}
+
+// callerOf names the caller by its address; a certificate name takes its place
+// with TLS.
+func callerOf(r *http.Request) httpapi.Caller {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	return httpapi.Caller{Address: host}
+}
+
+// targetHandler serves the target beside the node: announcements and calls.
+func (n *Node) targetHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+wire.TargetPath, n.serveAnnouncement)
+	mux.HandleFunc("POST "+wire.ServicesPath+"{service}/{operation}", func(w http.ResponseWriter, r *http.Request) {
+		n.api.CallFromTarget(w, r, r.PathValue("service"), r.PathValue("operation"))
+	})
+	mux.HandleFunc("POST "+wire.ServicesPath+"{service}/keys", func(w http.ResponseWriter, r *http.Request) {
+		n.api.Keys(w, r, httpapi.Caller{Name: n.settings.GetService()}, r.PathValue("service"))
+	})
+	return mux
+}
+
+func (n *Node) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
+	message, err := n.readAnnouncement(r)
+	if err != nil {
+		httpapi.WriteProblem(w, err)
+		return
+	}
+	answer := n.announce(r.Context(), message)
+	answer.Interval = durationpb.New(announcementInterval)
+	body, marshalErr := protojson.Marshal(answer)
+	if marshalErr != nil {
+		httpapi.WriteProblem(w, outcome.New(outcome.Unknown, outcome.Internal, marshalErr.Error()))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+func (n *Node) readAnnouncement(r *http.Request) (*pb.Announcement, *outcome.Error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnnouncementBytes))
+	if err != nil {
+		return nil, outcome.New(outcome.NotRun, outcome.BadRequest, "the announcement could not be read; send it again")
+	}
+	message := &pb.Announcement{}
+	if err := protojson.Unmarshal(body, message); err != nil {
+		return nil, outcome.New(outcome.NotRun, outcome.BadRequest, "the announcement is not valid: "+err.Error())
+	}
+	return message, n.checkAnnouncement(message)
+}
+
+func (n *Node) checkAnnouncement(message *pb.Announcement) *outcome.Error {
+	if message.GetService() != n.settings.GetService() {
+		detail := "the target announces service " + message.GetService() + " but the settings of its node say " + n.settings.GetService()
+		return outcome.New(outcome.NotRun, outcome.BadRequest, detail)
+	}
+	if _, _, err := net.SplitHostPort(message.GetAddress()); err != nil {
+		return outcome.New(outcome.NotRun, outcome.BadRequest, "address must be IP:port: "+err.Error())
+	}
+	if message.GetSlots() == 0 {
+		return outcome.New(outcome.NotRun, outcome.BadRequest, "slots is 0; announce the number of requests that the target processes at a time")
+	}
+	return nil
+}
+
+// shutdownHTTP waits for the answers in progress.
+func (n *Node) shutdownHTTP(ctx context.Context) {
+	_ = n.servers.callers.Shutdown(ctx)
+	_ = n.servers.target.Shutdown(ctx)
+}
+
+func (n *Node) closeHTTP() {
+	_ = n.servers.callers.Close()
+	_ = n.servers.target.Close()
+}
--- /dev/null
+++ b/node/httpapi/policy.go
@@ -0,0 +1,93 @@
+package httpapi
+
+import (
+	"sync"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+// policy is what the catalogue says about one operation.
+type policy struct {
+	service   *catalogue.Service
+	operation *catalogue.Operation
+}
+
+// deadline returns the time that a call may take: what the caller asks for,
+// bounded by the catalogue.
+func (p policy) deadline(asked time.Duration) time.Duration {
+	if asked > 0 && asked < p.operation.Deadline {
+		return asked
+	}
+	return p.operation.Deadline
+}
+
+// resolve finds the policy of an operation and checks that the caller may call.
+func (a *API) resolve(caller, service, operation string) (policy, *outcome.Error) {
+	found, err := a.resolveService(caller, service)
+	if err != nil {
+		return policy{}, err
+	}
+	op, ok := found.Operation(operation)
+	if !ok {
+		return policy{}, outcome.New(outcome.NotRun, outcome.UnknownOperation, "service "+service+" has no operation "+operation)
+	}
+	return policy{service: found, operation: op}, nil
+}
+
+func (a *API) resolveService(caller, service string) (*catalogue.Service, *outcome.Error) {
+	snapshot := a.config.Catalogue()
+	if snapshot == nil {
+		return nil, outcome.New(outcome.NotRun, outcome.CatalogueUnknown, "the node has no catalogue yet")
+	}
+	found, ok := snapshot.Service(service)
+	if !ok {
+		return nil, outcome.New(outcome.NotRun, outcome.UnknownService, "the catalogue has no service "+service)
+	}
+	if !snapshot.Allowed(found, caller) {
+		return nil, outcome.New(outcome.NotRun, outcome.NotAllowed, "the caller may not call service "+service)
+	}
+	return found, nil
+}
+
+// callerLimits counts the requests in progress of each caller. It is safe for
+// concurrent use and holds only callers with requests in progress.
+type callerLimits struct {
+	mutex  sync.Mutex
+	counts map[callerKey]int
+}
+
+type callerKey struct {
+	caller  string
+	service string
+}
+
+func newCallerLimits() *callerLimits {
+	return &callerLimits{counts: make(map[callerKey]int)}
+}
+
+// enter counts a request; the caller of enter calls release at its end. A
+// limit of 0 means none.
+func (l *callerLimits) enter(caller, service string, limit int) (release func(), err *outcome.Error) {
+	if limit == 0 {
+		return func() {}, nil
+	}
+	key := callerKey{caller: caller, service: service}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.counts[key] >= limit {
+		return nil, outcome.New(outcome.NotRun, outcome.CallerLimit, "the caller has too many requests in progress")
+	}
+	l.counts[key]++
+	return func() { l.leave(key) }, nil
+}
+
+func (l *callerLimits) leave(key callerKey) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.counts[key]--
+	if l.counts[key] == 0 {
+		delete(l.counts, key)
+	}
+}
--- /dev/null
+++ b/node/httpapi/respond.go
@@ -0,0 +1,103 @@
+// Package httpapi serves the HTTP interface for callers and for the calls of
+// the target beside the node: it parses requests, makes the call through the
+// dispatcher and writes whole answers or problem details (RFC 9457).
+package httpapi
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/wire"
+)
+
+// problemTypePrefix precedes the reason in the type of a problem.
+const problemTypePrefix = "urn:primrosemount:reason:"
+
+// statusOf maps reasons to HTTP statuses.
+func statusOf(err *outcome.Error) int {
+	switch err.Reason {
+	case outcome.BadRequest, outcome.KeyMalformed:
+		return http.StatusBadRequest
+	case outcome.NotAllowed:
+		return http.StatusForbidden
+	case outcome.UnknownService, outcome.UnknownOperation:
+		return http.StatusNotFound
+	case outcome.InProgress:
+		return http.StatusConflict
+	case outcome.KeyConflict:
+		return http.StatusUnprocessableEntity
+	case outcome.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.CallerLimit, outcome.RetryBound:
+		return http.StatusTooManyRequests
+	case outcome.DepthExceeded:
+		return http.StatusLoopDetected
+	case outcome.Internal:
+		return http.StatusInternalServerError
+	}
+	return statusOfOutcome(err)
+}
+
+// statusOfOutcome tells refusals, which are safe to repeat, from lost answers.
+func statusOfOutcome(err *outcome.Error) int {
+	switch {
+	case err.Outcome == outcome.NotRun:
+		return http.StatusServiceUnavailable
+	case err.Reason == outcome.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// WriteProblem answers with the problem details of an error.
+func WriteProblem(w http.ResponseWriter, err *outcome.Error) {
+	status := statusOf(err)
+	body, marshalErr := json.Marshal(wire.Problem{
+		Type:      problemTypePrefix + err.Reason.String(),
+		Title:     http.StatusText(status),
+		Status:    status,
+		Detail:    err.Detail,
+		Outcome:   err.Outcome.String(),
+		Reason:    err.Reason.String(),
+		RequestID: err.RequestID,
+		Remedy:    err.Reason.Remedy(),
+	})
+	if marshalErr != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	header := w.Header()
+	header.Set("Content-Type", wire.ProblemType)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if err.RetryAfter > 0 {
+		header.Set("Retry-After", retryAfterSeconds(err.RetryAfter))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// retryAfterSeconds rounds up, because the header has whole seconds.
+func retryAfterSeconds(wait time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
+}
+
+// writeAnswer passes a completed answer of a target on.
+func writeAnswer(w http.ResponseWriter, response *pb.CallResponse) {
+	header := w.Header()
+	for _, h := range response.GetHeaders() {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	if response.GetReplayed() {
+		header.Set(wire.ReplayedHeader, "true")
+	}
+	// The length lets the caller tell a whole answer from a truncated one.
+	header.Set("Content-Length", strconv.Itoa(len(response.GetBody())))
+	w.WriteHeader(int(response.GetStatus()))
+	_, _ = w.Write(response.GetBody())
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,437 @@
+// Package node is the node daemon as a library: the entry for callers, the
+// sender for the calls of the target, the gate in front of the target, and the
+// control work. One node runs beside each target VM.
+//
+// Four listeners serve callers, the target beside the node, other nodes and
+// operators. The executor's task owns gate and at-most-once table, the control
+// task owns catalogue and member table, and the router holds counters of
+// targets; see the packages below.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/route"
+	"github.com/primrosemount/primrosemount/core/threshold"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/node/control"
+	"github.com/primrosemount/primrosemount/node/dispatch"
+	"github.com/primrosemount/primrosemount/node/executor"
+	"github.com/primrosemount/primrosemount/node/httpapi"
+	"github.com/primrosemount/primrosemount/platform"
+	"github.com/primrosemount/primrosemount/transport"
+)
+
+const (
+	// peerIdleTimeout closes connections to nodes that are no longer called. It
+	// is longer than the longest usual deadline.
+	peerIdleTimeout = 5 * time.Minute
+	// housekeepingInterval is the time between two rounds of closing idle
+	// connections.
+	housekeepingInterval = 30 * time.Second
+)
+
+// Options configure a Node.
+type Options struct {
+	Settings *pb.NodeSettings
+	// Log is the platform's log; nil means the HTTP client for settings.log.
+	Log    platform.Log
+	Logger *zap.Logger
+	// Intervals of the control task; zero fields get the defaults.
+	Intervals control.Intervals
+}
+
+// Node is one running node. It is safe for concurrent use.
+type Node struct {
+	settings   *pb.NodeSettings
+	logger     *zap.Logger
+	log        platform.Log
+	control    *control.Control
+	router     *route.Router
+	pool       *transport.Pool
+	server     *transport.Server
+	dispatcher *dispatch.Dispatcher
+	downstream *threshold.Downstream
+	operations *threshold.Operations
+	api        *httpapi.API
+	cancels    *cancels
+	senders    *senders
+	numbers    *numbers
+	listeners  *listeners
+	servers    httpServers
+
+	// executors[0] is the present executor; the others belong to earlier
+	// incarnations whose keys this node still answers for.
+	executorsMutex sync.Mutex
+	executors      []*executor.Executor
+
+	target     atomic.Pointer[pb.Announcement]
+	draining   atomic.Bool
+	drained    atomic.Bool
+	successor  atomic.Uint64
+	joined     atomic.Bool
+	background sync.WaitGroup
+	stop       context.CancelFunc
+	ctx        context.Context
+}
+
+// Start opens the listeners of the settings and starts the node's tasks.
+// Shutdown or Close ends it.
+func Start(options Options) (*Node, error) {
+	n := &Node{
+		settings: options.Settings,
+		logger:   options.Logger,
+		log:      options.Log,
+		cancels:  newCancels(),
+		senders:  newSenders(),
+		numbers:  newNumbers(),
+	}
+	if n.log == nil {
+		settings := options.Settings.GetLog()
+		n.log = platform.NewHTTPLog(settings.GetUrl(), settings.GetTimeout().AsDuration())
+	}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	opened, err := openListeners(options.Settings.GetListen())
+	if err != nil {
+		return nil, err
+	}
+	n.listeners = opened
+	if err := n.build(options); err != nil {
+		opened.close()
+		return nil, err
+	}
+	n.runAll()
+	n.logger.Info("node: started", zap.String("vm", n.settings.GetVm()), zap.Uint64("incarnation", n.current().Incarnation()))
+	return n, nil
+}
+
+// build creates the parts of the node; nothing runs yet except the executor.
+func (n *Node) build(options Options) error {
+	start := time.Now()
+	incarnation := newIncarnation()
+	bodyBytes := int64(n.settings.GetBounds().GetBodyBytes())
+	n.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: bodyBytes, IdleTimeout: peerIdleTimeout})
+	n.router = route.New(route.Config{
+		Self:   incarnation,
+		Zone:   n.settings.GetAvailabilityZone(),
+		Region: n.settings.GetRegion(),
+		Seed:   incarnation,
+		Start:  start,
+	})
+	n.downstream = threshold.NewDownstream(start)
+	n.operations = threshold.NewOperations(n.downstream)
+	var err error
+	n.control, err = control.New(control.Config{
+		Self:      n.member(incarnation),
+		Log:       n.log,
+		Peers:     n.pool,
+		Seeds:     n.settings.GetSeeds(),
+		Seed:      incarnation,
+		Logger:    n.logger,
+		OnEvicted: n.evicted,
+		Intervals: intervals(options),
+	})
+	if err != nil {
+		return errors.Wrap(err, "node: the control task could not be set up")
+	}
+	n.executors = []*executor.Executor{n.newExecutor(incarnation)}
+	n.dispatcher = dispatch.New(dispatch.Config{
+		Self:       func() uint64 { return n.current().Incarnation() },
+		Router:     n.router,
+		Downstream: n.downstream,
+		Local:      n,
+		Remote:     n.pool,
+		Successor:  n.holder,
+		Dead:       n.control.ReportDead,
+		Seed:       incarnation,
+	})
+	n.api = httpapi.New(httpapi.Config{
+		Catalogue:    n.catalogue,
+		Dispatcher:   n.dispatcher,
+		FindRunning:  n.findRunning,
+		OwnService:   n.settings.GetService(),
+		Observe:      n.observe,
+		MaxBodyBytes: bodyBytes,
+	})
+	n.server = transport.NewServer(transport.ServerConfig{
+		Handler:        n,
+		MaxBodyBytes:   bodyBytes,
+		MaxConnections: int(n.settings.GetBounds().GetNodeConnections()),
+	})
+	return nil
+}
+
+// intervals takes the interval and timeout of the log from the settings unless
+// the options give them.
+func intervals(options Options) control.Intervals {
+	result := options.Intervals
+	if result.Poll == 0 {
+		result.Poll = options.Settings.GetLog().GetPollInterval().AsDuration()
+	}
+	if result.LogTimeout == 0 {
+		result.LogTimeout = options.Settings.GetLog().GetTimeout().AsDuration()
+	}
+	return result
+}
+
+func (n *Node) newExecutor(incarnation uint64) *executor.Executor {
+	return executor.New(executor.Config{
+		Service:       n.settings.GetService(),
+		Incarnation:   incarnation,
+		KeyTableBytes: int64(n.settings.GetBounds().GetKeyTableBytes()),
+		Operations:    n.operations,
+		Logger:        n.logger,
+	})
+}
+
+// newIncarnation returns a random incarnation other than 0.
+func newIncarnation() uint64 {
+	for {
+		var random [8]byte
+		// crypto/rand.Read never fails; the program ends if the system has no
+		// randomness.
+		_, _ = rand.Read(random[:])
+		if incarnation := binary.BigEndian.Uint64(random[:]); incarnation != 0 {
+			return incarnation
+		}
+	}
+}
+
+// member describes this node as it registers.
+func (n *Node) member(incarnation uint64) *pb.Member {
+	target := n.target.Load()
+	return &pb.Member{
+		Incarnation:      incarnation,
+		Vm:               n.settings.GetVm(),
+		Service:          n.settings.GetService(),
+		AvailabilityZone: n.settings.GetAvailabilityZone(),
+		Region:           n.settings.GetRegion(),
+		NodeAddress:      n.address(),
+		Slots:            target.GetSlots(),
+		Connections:      target.GetConnections(),
+		JoinedUnixNanos:  time.Now().UnixNano(),
+	}
+}
+
+// address returns the address that other nodes use. With port 0 the system
+// chose the port of the listener.
+func (n *Node) address() string {
+	advertise := n.settings.GetAdvertise()
+	if advertise == "" || strings.HasSuffix(advertise, ":0") {
+		return n.listeners.nodes.Addr().String()
+	}
+	return advertise
+}
+
+// runAll starts the tasks and servers.
+func (n *Node) runAll() {
+	n.spawn(func() { n.logEnd("control", n.control.Run(n.ctx)) })
+	n.spawn(n.followMembers)
+	n.spawn(n.keepHouse)
+	n.spawn(func() { n.logEnd("transport", n.server.Serve(n.listeners.nodes)) })
+	n.serveHTTP()
+}
+
+func (n *Node) spawn(task func()) {
+	n.background.Add(1)
+	go func() {
+		defer n.background.Done()
+		task()
+	}()
+}
+
+// errorField holds the message of an error without the stack traces that
+// zap.Error would add.
+func errorField(err error) zap.Field { return zap.String("error", err.Error()) }
+
+func (n *Node) logEnd(part string, err error) {
+	if err != nil && n.ctx.Err() == nil {
+		n.logger.Error("node: a part ended", zap.String("part", part), errorField(err))
+	}
+}
+
+// followMembers passes changes of the member table to the router.
+func (n *Node) followMembers() {
+	known := make(map[string]bool)
+	for {
+		changed := n.control.Changes()
+		n.updateRoutes(known)
+		select {
+		case <-changed:
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+// updateRoutes gives the router the targets of each service. known holds the
+// services that the router has, so that vanished ones are removed.
+func (n *Node) updateRoutes(known map[string]bool) {
+	snapshot := n.control.Snapshot()
+	now := time.Now()
+	present := make(map[string]bool)
+	for _, service := range snapshot.Members.Services() {
+		present[service] = true
+		known[service] = true
+		n.router.Update(now, service, targetsOf(snapshot, service))
+	}
+	for service := range known {
+		if !present[service] {
+			n.router.Update(now, service, nil)
+			delete(known, service)
+		}
+	}
+}
+
+// targetsOf lists the targets of a service without those that the catalogue
+// wants to leave.
+func targetsOf(snapshot control.Snapshot, service string) []route.Target {
+	members := snapshot.Members.Service(service)
+	entry, _ := snapshot.Catalogue.Service(service)
+	targets := make([]route.Target, 0, len(members))
+	for _, member := range members {
+		if entry != nil && entry.Draining(member.VM) {
+			continue
+		}
+		targets = append(targets, route.Target{
+			Incarnation: member.Incarnation,
+			VM:          member.VM,
+			Zone:        member.Zone,
+			Region:      member.Region,
+			Address:     member.Address,
+			Slots:       int(member.Slots),
+		})
+	}
+	return targets
+}
+
+func (n *Node) keepHouse() {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			n.pool.CloseIdle(now)
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+// catalogue returns the catalogue in force, or nil while it is not known.
+func (n *Node) catalogue() *catalogue.Snapshot {
+	snapshot := n.control.Snapshot()
+	if !snapshot.CatalogueKnown {
+		return nil
+	}
+	return snapshot.Catalogue
+}
+
+// holder returns the incarnation that holds the keys of one that has left.
+func (n *Node) holder(incarnation uint64) (uint64, bool) {
+	member, ok := n.control.Snapshot().Members.Holder(incarnation)
+	if !ok {
+		return 0, false
+	}
+	return member.Incarnation, true
+}
+
+// takeReport uses what a peer says about its own gate.
+func (n *Node) takeReport(incarnation uint64, report *pb.GateReport) {
+	if endpoint := n.router.Find(incarnation); endpoint != nil {
+		endpoint.Report(time.Now(), route.ReportFromProto(report))
+	}
+}
+
+func (n *Node) current() *executor.Executor {
+	n.executorsMutex.Lock()
+	defer n.executorsMutex.Unlock()
+	return n.executors[0]
+}
+
+// earlier returns the executor of the incarnation if this node still has it.
+func (n *Node) earlier(incarnation uint64) *executor.Executor {
+	n.executorsMutex.Lock()
+	defer n.executorsMutex.Unlock()
+	for _, e := range n.executors {
+		if e.Incarnation() == incarnation {
+			return e
+		}
+	}
+	return nil
+}
+
+// findRunning returns the running call of a token of any executor.
+func (n *Node) findRunning(token string) *executor.Running {
+	n.executorsMutex.Lock()
+	executors := append([]*executor.Executor(nil), n.executors...)
+	n.executorsMutex.Unlock()
+	for _, e := range executors {
+		if running := e.Find(token); running != nil {
+			return running
+		}
+	}
+	return nil
+}
+
+// Addresses of the four listeners.
+
+// CallersAddress returns the address of the listener for callers.
+func (n *Node) CallersAddress() string { return n.listeners.callers.Addr().String() }
+
+// TargetAddress returns the address of the listener for the own target.
+func (n *Node) TargetAddress() string { return n.listeners.target.Addr().String() }
+
+// NodesAddress returns the address of the listener for other nodes.
+func (n *Node) NodesAddress() string { return n.listeners.nodes.Addr().String() }
+
+// OperatorsAddress returns the address of the listener for operators.
+func (n *Node) OperatorsAddress() string { return n.listeners.operators.Addr().String() }
+
+// listeners are the sockets that the node owns.
+type listeners struct {
+	callers   net.Listener
+	target    net.Listener
+	nodes     net.Listener
+	operators net.Listener
+}
+
+func openListeners(settings *pb.ListenSettings) (*listeners, error) {
+	opened := &listeners{}
+	for _, wanted := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{settings.GetCallers(), &opened.callers},
+		{settings.GetTarget(), &opened.target},
+		{settings.GetNodes(), &opened.nodes},
+		{settings.GetOperators(), &opened.operators},
+	} {
+		listener, err := net.Listen("tcp", wanted.address)
+		if err != nil {
+			opened.close()
+			return nil, errors.Wrapf(err, "node: cannot listen on %s; correct listen in the settings", wanted.address)
+		}
+		*wanted.into = listener
+	}
+	return opened, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.target, l.nodes, l.operators} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/once"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/node/executor"
+)
+
+// Serve implements dispatch.Local: it runs a call that another node, or this
+// one, sent to the target beside this node.
+func (n *Node) Serve(ctx context.Context, request *pb.CallRequest, response *pb.CallResponse) {
+	runner, err := n.executorOf(request)
+	if err != nil {
+		n.refuse(request, response, err)
+		return
+	}
+	call, err := n.newCall(request)
+	if err != nil {
+		n.refuse(request, response, err)
+		return
+	}
+	fill(response, runner.Execute(ctx, call))
+	response.Gate = n.gateReport(runner, request.GetOperation())
+	n.journalServed(request, response)
+}
+
+// fill copies the fields of a response into the one that net/rpc owns.
+func fill(into, from *pb.CallResponse) {
+	into.Id = from.GetId()
+	into.Outcome = from.GetOutcome()
+	into.Reason = from.GetReason()
+	into.Detail = from.GetDetail()
+	into.Status = from.GetStatus()
+	into.Headers = from.GetHeaders()
+	into.Body = from.GetBody()
+	into.BodyLength = from.GetBodyLength()
+	into.UnspentAllowance = from.GetUnspentAllowance()
+	into.RetryAfterNanos = from.GetRetryAfterNanos()
+	into.Replayed = from.GetReplayed()
+}
+
+// refuse answers a call that did not reach an executor; its allowance is
+// unspent.
+func (n *Node) refuse(request *pb.CallRequest, response *pb.CallResponse, err *outcome.Error) {
+	response.Id = request.GetId()
+	response.Outcome = err.Outcome.Proto()
+	response.Reason = err.Reason.Proto()
+	response.Detail = err.Detail
+	response.UnspentAllowance = request.GetContext().GetRetryAllowance()
+	response.Gate = n.gateReport(n.current(), request.GetOperation())
+	n.journalServed(request, response)
+}
+
+// executorOf finds the executor that a call is meant for. An incarnation that
+// this node handed over, or never was, is answered with executor_gone.
+func (n *Node) executorOf(request *pb.CallRequest) (*executor.Executor, *outcome.Error) {
+	current := n.current()
+	if request.GetKey() == "" {
+		if request.GetExecutor() != current.Incarnation() {
+			return nil, outcome.New(outcome.NotRun, outcome.ExecutorGone, "the node has a new incarnation")
+		}
+		return current, nil
+	}
+	key, err := once.ParseKey(request.GetKey())
+	if err != nil {
+		return nil, err
+	}
+	if earlier := n.earlier(key.Executor); earlier != nil {
+		return earlier, nil
+	}
+	// The table of the current executor knows whether it adopted the keys of
+	// another incarnation.
+	return current, nil
+}
+
+// newCall checks a call against the catalogue and the bounds.
+func (n *Node) newCall(request *pb.CallRequest) (*executor.Call, *outcome.Error) {
+	if request.GetService() != n.settings.GetService() {
+		detail := fmt.Sprintf("this node serves %s, not %s", n.settings.GetService(), request.GetService())
+		return nil, outcome.New(outcome.NotRun, outcome.UnknownService, detail)
+	}
+	service, err := n.ownService()
+	if err != nil {
+		return nil, err
+	}
+	operation, ok := service.Operation(request.GetOperation())
+	if !ok {
+		return nil, outcome.New(outcome.NotRun, outcome.UnknownOperation, "the service has no operation "+request.GetOperation())
+	}
+	if len(request.GetContext().GetRootId()) != outcome.RootIDBytes {
+		return nil, outcome.New(outcome.NotRun, outcome.BadRequest, "the context has no root id of 16 bytes")
+	}
+	if !operation.Idempotent && request.GetKey() == "" {
+		return nil, outcome.New(outcome.NotRun, outcome.KeyMalformed, "a non-idempotent operation needs a key")
+	}
+	return &executor.Call{
+		Request:     request,
+		Number:      n.numbers.of(operation.Name),
+		Idempotent:  operation.Idempotent,
+		Deadline:    time.Now().Add(min(time.Duration(request.GetContext().GetRemainingNanos()), operation.Deadline)),
+		RunTime:     operation.Deadline,
+		Retention:   service.KeyRetention,
+		AnswerBytes: min(service.Limits.AnswerBytes, int64(n.settings.GetBounds().GetBodyBytes())),
+	}, nil
+}
+
+// ownService returns the catalogue entry of the target beside this node.
+func (n *Node) ownService() (*catalogue.Service, *outcome.Error) {
+	snapshot := n.catalogue()
+	if snapshot == nil {
+		return nil, outcome.New(outcome.NotRun, outcome.CatalogueUnknown, "the node has no catalogue yet")
+	}
+	service, ok := snapshot.Service(n.settings.GetService())
+	if !ok {
+		return nil, outcome.New(outcome.NotRun, outcome.UnknownService, "the catalogue has no entry for the target's service")
+	}
+	return service, nil
+}
+
+// gateReport describes the state of the gate for the node that called.
+func (n *Node) gateReport(runner *executor.Executor, operation string) *pb.GateReport {
+	state := runner.State()
+	return &pb.GateReport{
+		Incarnation:        runner.Incarnation(),
+		Threshold:          uint32(state.Threshold),
+		OperationThreshold: uint32(n.operations.Threshold(time.Now(), operation, state.Threshold)),
+		Draining:           state.Closed || n.draining.Load(),
+		TargetDown:         state.Down,
+		InFlight:           uint32(state.InFlight),
+		Limit:              uint32(state.Limit),
+		Successor:          n.successor.Load(),
+	}
+}
+
+// Call implements transport.Handler.
+func (n *Node) Call(ctx context.Context, request *pb.CallRequest, response *pb.CallResponse) {
+	n.senders.note(time.Now(), request.GetId().GetSender())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	forget := n.cancels.add(request.GetId(), cancel)
+	defer forget()
+	n.Serve(ctx, request, response)
+}
+
+// Cancel implements transport.Handler.
+func (n *Node) Cancel(request *pb.CancelRequest, response *pb.CancelResponse) {
+	response.Found = n.cancels.cancel(request.GetId())
+}
+
+// Probe implements transport.Handler. A probe may carry the sender's own state,
+// so that a leaving node tells its peers without the log.
+func (n *Node) Probe(request *pb.ProbeRequest, response *pb.ProbeResponse) {
+	if report := request.GetSenderGate(); report != nil {
+		n.takeReport(request.GetSender(), report)
+	}
+	response.Gate = n.gateReport(n.current(), "")
+	response.Service = n.settings.GetService()
+}
+
+// Exchange implements transport.Handler.
+func (n *Node) Exchange(ctx context.Context, request *pb.ExchangeRequest, response *pb.ExchangeResponse) error {
+	answer, err := n.control.HandleExchange(ctx, request)
+	if err != nil {
+		return err
+	}
+	response.Responder = answer.GetResponder()
+	response.Positions = answer.GetPositions()
+	response.Records = answer.GetRecords()
+	response.States = answer.GetStates()
+	response.RegistrationsAccepted = answer.GetRegistrationsAccepted()
+	return nil
+}
+
+// Handover implements transport.Handler.
+func (n *Node) Handover(request *pb.HandoverRequest, response *pb.HandoverResponse) {
+	if n.draining.Load() {
+		response.Detail = "this node leaves too; send the table to another node"
+		return
+	}
+	answer := n.current().Adopt(request)
+	response.Accepted = answer.GetAccepted()
+	response.Detail = answer.GetDetail()
+}
