Bound the nesting of settings files before they are parsed

Cause: the time of the YAML parser grows with the square of the nesting; a line of 1,000,000 list marks had not ended after 100 s. Change: more than 100 nested brackets or list marks are refused before the parser runs. Conclusion: settings are read in bounded time.

--- a/settings/decode.go
+++ b/settings/decode.go
@@ -67,7 +67,7 @@
 // parse returns the root node, nil for an empty file, or false with a problem.
 func (d *decoder) parse(data []byte) (ast.Node, bool) {
 	if at, deep := tooDeep(data); deep {
-		d.add(at, "", fmt.Sprintf("more than %d nested brackets", maxNesting), "remove the nesting; the schema needs none")
+		d.add(at, "", fmt.Sprintf("more than %d nested brackets or list marks", maxNesting), "remove the nesting; the schema needs none")
 		return nil, false
 	}
 	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
@@ -111,22 +111,30 @@
 	d.add(at, "", "not YAML: "+message, "correct the syntax at this place")
 }
 
-// tooDeep finds the place where brackets are nested deeper than maxNesting.
-// The parser is recursive, so such a file could exhaust its stack.
+// tooDeep finds the place where brackets, or list marks of one line, are nested
+// deeper than maxNesting. The parser is recursive and its time grows with the
+// square of the depth: a line of a million "- " took more than 100 s.
 func tooDeep(data []byte) (place, bool) {
 	at := place{line: 1, column: 1}
 	depth := 0
+	marks := 0
 	for _, b := range data {
 		switch b {
 		case '[', '{':
 			depth++
 		case ']', '}':
 			depth = max(depth-1, 0)
+		case '-', '?':
+			marks++
+		case ' ', '\t':
 		case '\n':
 			at.line++
 			at.column = 0
+			marks = 0
+		default:
+			marks = 0
 		}
-		if depth > maxNesting {
+		if depth > maxNesting || marks > maxNesting {
 			return at, true
 		}
 		at.column++
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -95,7 +95,8 @@
 		{"log level", "log_level: loud", `5:1: log_level: unknown level "loud"; write one of debug, info, warn, error`},
 		{"two documents", "---\nvm: v2", "6:1: the file holds several documents; keep one document a file"},
 		{"syntax", "a: [", "5:"},
-		{"nesting", "seeds: " + strings.Repeat("[", 200), "5:108: more than 100 nested brackets; "},
+		{"nesting", "seeds: " + strings.Repeat("[", 200), "5:108: more than 100 nested brackets or list marks; "},
+		{"nested list marks", strings.Repeat("- ", 1_000_000), "5:201: more than 100 nested brackets or list marks; "},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
