Validate catalogue files by core/catalogue at the line of each field

Change: settings calls catalogue.Validate for each entry and places its problems at their fields; fields that could not be read are reported once. The default intervals for the log follow the defaults of the control task. Conclusion: one set of rules for files and for the stream.

--- a/settings/catalogue.go
+++ b/settings/catalogue.go
@@ -5,59 +5,50 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosemount/primrosemount/core/catalogue"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
-// checkRemedy is the remedy of problems whose message already names one.
-const checkRemedy = "correct the entry and validate the file again"
+// wholeEntry is the field by which catalogue.Validate names the entry itself.
+const wholeEntry = "entry"
 
-// checkCatalogue reports entries without a service, services that occur twice,
-// and what the checks find.
-func checkCatalogue(d *decoder, catalogue *pb.CatalogueFile, checks []Check) {
+// checkCatalogue reports what catalogue.Validate finds in each entry, and
+// services that occur twice.
+func checkCatalogue(d *decoder, file *pb.CatalogueFile) {
 	first := map[string]string{}
-	for i, entry := range catalogue.Entries {
+	for i, entry := range file.Entries {
 		path := fmt.Sprintf("entries[%d]", i)
-		checkService(d, path, entry, first)
-		for _, check := range checks {
-			d.addCheck(path, check(entry))
-		}
+		checkUnique(d, path+".service", entry.Service, first)
+		d.addInvalid(path, catalogue.Validate(entry))
 	}
 }
 
-func checkService(d *decoder, path string, entry *pb.Entry, first map[string]string) {
-	field := path + ".service"
-	if entry.Service == "" {
-		if !d.reported(field) {
-			d.addField(field, "the service is missing", "add `service: NAME`")
-		}
+func checkUnique(d *decoder, field, service string, first map[string]string) {
+	if service == "" {
 		return
 	}
-	if earlier, ok := first[entry.Service]; ok {
+	if earlier, ok := first[service]; ok {
 		line := d.find(earlier).line
-		d.addField(field, fmt.Sprintf("service %q already has an entry at line %d", entry.Service, line), "keep one of the two")
+		d.addField(field, fmt.Sprintf("service %q already has an entry at line %d", service, line), "keep one of the two")
 		return
 	}
-	first[entry.Service] = field
+	first[service] = field
 }
 
-// addCheck records the error of a check, each of several joined ones by itself.
-func (d *decoder) addCheck(path string, err error) {
-	if err == nil {
+// addInvalid records the problems of one entry at the lines of their fields.
+// Fields that could not be read are left out, as their fault is known.
+func (d *decoder) addInvalid(path string, err error) {
+	var invalid *catalogue.ValidationError
+	if !errors.As(err, &invalid) {
 		return
 	}
-	var several interface{ Unwrap() []error }
-	if errors.As(err, &several) {
-		for _, one := range several.Unwrap() {
-			d.addCheck(path, one)
+	for _, problem := range invalid.Problems {
+		field := path
+		if problem.Field != wholeEntry {
+			field = join(path, problem.Field)
+		}
+		if !d.reported(field) {
+			d.addField(field, problem.Detail, problem.Remedy)
 		}
-		return
-	}
-	field := path
-	var located interface{ FieldPath() string }
-	if errors.As(err, &located) && located.FieldPath() != "" {
-		field = join(path, located.FieldPath())
-	}
-	if !d.reported(field) {
-		d.addField(field, err.Error(), checkRemedy)
 	}
 }
--- a/settings/node.go
+++ b/settings/node.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/primrosemount/primrosemount/core/catalogue"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
@@ -21,8 +22,8 @@
 	DefaultNodes             = "127.0.0.1:7402"
 	DefaultOperators         = "127.0.0.1:7403"
 	DefaultRegion            = "default"
-	DefaultLogTimeout        = 2 * time.Second
-	DefaultPollInterval      = 250 * time.Millisecond
+	DefaultLogTimeout        = 3 * time.Second
+	DefaultPollInterval      = 500 * time.Millisecond
 	DefaultHeaderBytes       = 32 << 10
 	DefaultBodyBytes         = 4 << 20
 	DefaultCallerConnections = 4096
@@ -39,7 +40,7 @@
 	MinHeaderBytes    = 1 << 10
 	MaxHeaderBytes    = 1 << 20
 	MinBodyBytes      = 1 << 10
-	MaxBodyBytes      = 1 << 30
+	MaxBodyBytes      = catalogue.MaxBodyBytes
 	MinKeyTableBytes  = 64 << 10
 	MaxKeyTableBytes  = 16 << 30
 	MinJournalEntries = 16
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,12 +24,6 @@
 // MaxFileBytes is the size of the largest file that is read.
 const MaxFileBytes = 4 << 20
 
-// Check validates the values of one catalogue entry beyond the form of the
-// file. An error that has a method `FieldPath() string`, relative to the entry
-// (for example "operations[1].deadline"), is reported at the line of that
-// field; several errors may be joined by `Unwrap() []error`.
-type Check func(*pb.Entry) error
-
 // LoadNode reads the settings of a node from a file, checks them and fills in
 // the defaults. The error is *Error, or wraps the error of the file system.
 func LoadNode(path string) (*pb.NodeSettings, error) {
@@ -45,20 +39,19 @@
 	return parseNode("", data)
 }
 
-// LoadCatalogue reads a catalogue file and applies checks to each entry. The
-// error is *Error, or wraps the error of the file system.
-func LoadCatalogue(path string, checks ...Check) (*pb.CatalogueFile, error) {
+// LoadCatalogue reads a catalogue file and validates each entry by
+// catalogue.Validate. The error is *Error, or wraps the error of the file system.
+func LoadCatalogue(path string) (*pb.CatalogueFile, error) {
 	data, err := readFile(path)
 	if err != nil {
 		return nil, err
 	}
-	return parseCatalogue(path, data, checks)
+	return parseCatalogue(path, data)
 }
 
-// ParseCatalogue reads a catalogue from the content of a file and applies
-// checks to each entry.
-func ParseCatalogue(data []byte, checks ...Check) (*pb.CatalogueFile, error) {
-	return parseCatalogue("", data, checks)
+// ParseCatalogue reads a catalogue from the content of a file.
+func ParseCatalogue(data []byte) (*pb.CatalogueFile, error) {
+	return parseCatalogue("", data)
 }
 
 func parseNode(file string, data []byte) (*pb.NodeSettings, error) {
@@ -76,14 +69,14 @@
 	return settings, nil
 }
 
-func parseCatalogue(file string, data []byte, checks []Check) (*pb.CatalogueFile, error) {
+func parseCatalogue(file string, data []byte) (*pb.CatalogueFile, error) {
 	catalogue := &pb.CatalogueFile{}
 	d := newDecoder(file)
 	d.decode(data, catalogue)
 	if d.unreadable {
 		return nil, d.err()
 	}
-	checkCatalogue(d, catalogue, checks)
+	checkCatalogue(d, catalogue)
 	if err := d.err(); err != nil {
 		return nil, err
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -135,27 +135,17 @@
 	require.ElementsMatch(t, fields, []string{"", "vm", "availability_zone", "service", "log.url", "log.timeout", "log_level"})
 }
 
-type fieldFault struct{ path string }
-
-func (f fieldFault) Error() string     { return "fault; remedy" }
-func (f fieldFault) FieldPath() string { return f.path }
-
-// Guards against catalogue faults without a line, and against a lost check.
+// Guards against catalogue faults without the line of their field.
 func TestCatalogueProblems(t *testing.T) {
-	text := "entries:\n- service: a\n  class: kritical\n- service: a\n  operations:\n  - name: x\n    deadline: 1s\n- owner: o\n"
-	check := func(e *pb.Entry) error {
-		if len(e.Operations) == 0 {
-			return nil
-		}
-		return errors.Join(fieldFault{"operations[0].deadline"}, fieldFault{"retry.allowance"})
-	}
-	_, err := ParseCatalogue([]byte(text), check)
+	text := "entries:\n- service: a\n  class: kritical\n- service: a\n  operations:\n  - name: x\n    deadline: 100h\n- owner: o\n  limits: 3\n"
+	_, err := ParseCatalogue([]byte(text))
 	got := err.Error()
 	require.Contains(t, got, `3:10: entries[0].class: unknown name "kritical"; did you mean "critical"?`)
 	require.Contains(t, got, `4:3: entries[1].service: service "a" already has an entry at line 2; keep one`)
-	require.Contains(t, got, "7:5: entries[1].operations[0].deadline: fault; remedy")
-	require.Contains(t, got, "4:3: entries[1].retry.allowance: fault; remedy")
-	require.Contains(t, got, "8:3: entries[2].service: the service is missing; add")
+	require.Contains(t, got, "7:5: entries[1].operations[0].deadline: ")
+	require.Contains(t, got, "2:3: entries[0].owner: is empty; name the operator")
+	require.Contains(t, got, "8:3: entries[2].service: is empty; ")
+	require.Contains(t, got, "9:11: entries[2].limits: this must be a mapping")
 }
 
 // Guards against an unreadable file without the name of the file.
