Add metrics and the logger

Cause: operators need bounded metrics in a common format and short log lines. Change: telemetry holds OpenTelemetry instruments behind a Prometheus exporter; services beyond 1,024 share one label. Log lines start with the name of their part; of equal lines within 10 s, ten are written and then one in a thousand, and the rest are counted.

--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,102 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+func scrape(t *testing.T, m *Metrics) string {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	require.Equal(t, 200, recorder.Code)
+	return recorder.Body.String()
+}
+
+func newMetrics(t *testing.T) *Metrics {
+	t.Helper()
+	m, err := NewMetrics()
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, m.Close()) })
+	return m
+}
+
+// Guards against renamed metrics and labels, which break the users' dashboards.
+func TestNames(t *testing.T) {
+	m := newMetrics(t)
+	m.Request("orders", outcome.Critical, outcome.NotRun, outcome.Overloaded, 3*time.Millisecond)
+	m.Retry("orders")
+	m.LogAppend(LogUnknown)
+	m.SuppressedLine()
+	require.NoError(t, m.ObserveGate(func() GateSample { return GateSample{InFlight: 7, Limit: 9} }))
+	require.NoError(t, m.ObserveCertificate(func() time.Time { return time.Unix(12, 0) }))
+	require.NoError(t, m.ObserveJournal(func() uint64 { return 5 }))
+	require.NoError(t, m.ObserveStreams(func() []StreamSample { return []StreamSample{{"members", 4}} }))
+	got := scrape(t, m)
+	for _, want := range []string{
+		`primrosemount_requests_total{class="critical",outcome="not_run",reason="overloaded",service="orders"} 1`,
+		`primrosemount_request_duration_seconds_bucket{class="critical",service="orders",le="0.005"} 1`,
+		`primrosemount_retries_total{service="orders"} 1`,
+		`primrosemount_log_calls_total{operation="append",result="unknown"} 1`,
+		`primrosemount_log_lines_suppressed_total 1`,
+		`primrosemount_gate_in_flight 7`,
+		`primrosemount_gate_limit 9`,
+		`primrosemount_certificate_expiry_seconds 12`,
+		`primrosemount_journal_dropped_total 5`,
+		`primrosemount_stream_next_offset{stream="members"} 4`,
+		`go_goroutines`,
+	} {
+		require.Contains(t, got, want)
+	}
+}
+
+// Guards against labels that grow with the names of services.
+func TestServiceLabelsAreBounded(t *testing.T) {
+	m := newMetrics(t)
+	for i := range MaxServices + 50 {
+		m.Request(fmt.Sprintf("s%d", i), outcome.Normal, outcome.Completed, 0, 0)
+	}
+	got := scrape(t, m)
+	require.Equal(t, MaxServices+1, strings.Count(got, "primrosemount_requests_total{"))
+	require.Contains(t, got, `primrosemount_requests_total{class="normal",outcome="completed",reason="none",service="other"} 50`)
+}
+
+// Guards against lines without the prefix of their part, and against a flood of
+// equal lines.
+func TestLogger(t *testing.T) {
+	var output bytes.Buffer
+	suppressed := 0
+	logger, err := NewLogger("info", WithOutput(zapcore.AddSync(&output)), WithSuppressed(func() { suppressed++ }))
+	require.NoError(t, err)
+	gate := Named(logger, PartGate)
+	gate.Debug("not written")
+	for range 100 {
+		gate.Warn("the limit fell", zap.Int("to", 4))
+	}
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	require.Len(t, lines, lineBurst)
+	require.Regexp(t, `^\S+ warn gate: the limit fell {"to": 4}$`, lines[0])
+	require.Equal(t, 100-lineBurst, suppressed)
+
+	_, err = NewLogger("loud")
+	require.ErrorContains(t, err, "use debug, info, warn or error")
+}
+
+func BenchmarkRequest(b *testing.B) {
+	m, err := NewMetrics()
+	require.NoError(b, err)
+	b.ReportAllocs()
+	for range b.N {
+		m.Request("orders", outcome.Critical, outcome.Completed, 0, time.Millisecond)
+	}
+}
