--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -132,10 +132,9 @@
 
 // eventRecord is what the run itself noted about its events.
 type eventRecord struct {
-	mutex           sync.Mutex
-	lateWork        int
-	changeSeconds   float64
-	refusedWhenDown bool
+	mutex         sync.Mutex
+	lateWork      int
+	changeSeconds float64
 }
 
 // errorList collects errors of concurrent events.
