Wait for the end of the connection in the oversized frame test

Cause: the test sent its second call while the server was closing the connection, and got the honest answer that the first answer was lost; it failed in one of about ten runs. After: the test first requires that the connection ends, then that the next call dials again; 30 runs pass.

--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -125,6 +125,8 @@
 	body := make([]byte, testBodyBytes+frameOverheadBytes+1)
 	_, err := pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(1), Body: body})
 	require.ErrorIs(t, err, ErrAnswerLost)
+	require.Eventually(t, func() bool { return pool.Connections() == 0 }, time.Second, time.Millisecond,
+		"the server must end the connection, because the position in the stream is lost")
 	_, err = pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(2)})
 	require.NoError(t, err, "the pool must dial again after a lost connection")
 }
