--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -91,7 +91,18 @@
 	Successor func(incarnation uint64) (uint64, bool)
 	// Dead is told of an endpoint to which no connection could be opened.
 	Dead func(incarnation uint64)
-	Seed uint64
+	// Observe is told of each attempt after its end; it must not block.
+	Observe func(Attempt)
+	Seed    uint64
+}
+
+// Attempt is one attempt of a call, after its end.
+type Attempt struct {
+	Request  *Request
+	Target   route.Target
+	Response *pb.CallResponse
+	// Number counts the attempts of the call from 1.
+	Number int
 }
 
 // Dispatcher makes calls on behalf of callers and of the own target.
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -139,6 +139,12 @@
 	if response.GetGate() != nil {
 		s.endpoint.Report(now, route.ReportFromProto(response.GetGate()))
 	}
+	s.dispatcher.config.Observe(Attempt{
+		Request:  s.request,
+		Target:   s.endpoint.Target(),
+		Response: response,
+		Number:   s.attempts,
+	})
 	return response
 }
 
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -97,6 +97,7 @@
 // in progress, hands the at-most-once table over and leaves.
 func (n *Node) drain(ctx context.Context) error {
 	n.logger.Info("node: drain started")
+	n.observeOwn("drain started", "")
 	ctx, cancel := context.WithTimeout(ctx, n.drainLimit())
 	defer cancel()
 	leaving := n.current()
@@ -108,6 +109,7 @@
 	n.leave()
 	n.drained.Store(true)
 	n.logger.Info("node: drain ended", zap.Bool("cut", !idle))
+	n.observeOwn("drain ended", "")
 	if !idle {
 		return ErrDrainCut
 	}
@@ -273,6 +275,7 @@
 	n.draining.Store(false)
 	n.drained.Store(false)
 	n.successor.Store(0)
+	n.observeOwn("new incarnation", reason)
 	n.logger.Info("node: new incarnation", zap.String("reason", reason), zap.Uint64("incarnation", fresh.Incarnation()))
 }
 
@@ -315,6 +318,7 @@
 		e.Stop()
 	}
 	n.background.Wait()
+	_ = n.metrics.Close()
 	if closer, ok := n.log.(interface{ Close() }); ok {
 		closer.Close()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -29,7 +29,9 @@
 	"github.com/primrosemount/primrosemount/node/dispatch"
 	"github.com/primrosemount/primrosemount/node/executor"
 	"github.com/primrosemount/primrosemount/node/httpapi"
+	"github.com/primrosemount/primrosemount/node/observation"
 	"github.com/primrosemount/primrosemount/platform"
+	"github.com/primrosemount/primrosemount/telemetry"
 	"github.com/primrosemount/primrosemount/transport"
 )
 
@@ -65,6 +67,8 @@
 	downstream *threshold.Downstream
 	operations *threshold.Operations
 	api        *httpapi.API
+	observer   *observation.Observer
+	metrics    *telemetry.Metrics
 	cancels    *cancels
 	senders    *senders
 	numbers    *numbers
@@ -123,15 +127,24 @@
 	bodyBytes := int64(n.settings.GetBounds().GetBodyBytes())
 	n.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: bodyBytes, IdleTimeout: peerIdleTimeout})
 	n.router = route.New(route.Config{
-		Self:   incarnation,
-		Zone:   n.settings.GetAvailabilityZone(),
-		Region: n.settings.GetRegion(),
-		Seed:   incarnation,
-		Start:  start,
+		Self:     incarnation,
+		Zone:     n.settings.GetAvailabilityZone(),
+		Region:   n.settings.GetRegion(),
+		Seed:     incarnation,
+		Start:    start,
+		Observer: n.observeRouting,
 	})
 	n.downstream = threshold.NewDownstream(start)
 	n.operations = threshold.NewOperations(n.downstream)
+	n.observer = observation.New(observation.Config{
+		Node:      n.settings.GetVm(),
+		Entries:   int(n.settings.GetBounds().GetJournalEntries()),
+		Objective: n.objective,
+	})
 	var err error
+	if n.metrics, err = telemetry.NewMetrics(); err != nil {
+		return errors.Wrap(err, "node: the metrics could not be set up")
+	}
 	n.control, err = control.New(control.Config{
 		Self:      n.member(incarnation),
 		Log:       n.log,
@@ -154,6 +167,7 @@
 		Remote:     n.pool,
 		Successor:  n.holder,
 		Dead:       n.control.ReportDead,
+		Observe:    n.observeAttempt,
 		Seed:       incarnation,
 	})
 	n.api = httpapi.New(httpapi.Config{
@@ -161,7 +175,7 @@
 		Dispatcher:   n.dispatcher,
 		FindRunning:  n.findRunning,
 		OwnService:   n.settings.GetService(),
-		Observe:      n.observe,
+		Observe:      n.observeRoot,
 		MaxBodyBytes: bodyBytes,
 	})
 	n.server = transport.NewServer(transport.ServerConfig{
@@ -169,7 +183,7 @@
 		MaxBodyBytes:   bodyBytes,
 		MaxConnections: int(n.settings.GetBounds().GetNodeConnections()),
 	})
-	return nil
+	return n.exportMetrics()
 }
 
 // intervals takes the interval and timeout of the log from the settings unless
@@ -237,6 +251,7 @@
 // runAll starts the tasks and servers.
 func (n *Node) runAll() {
 	n.spawn(func() { n.logEnd("control", n.control.Run(n.ctx)) })
+	n.spawn(func() { n.observer.Run(n.ctx) })
 	n.spawn(n.followMembers)
 	n.spawn(n.keepHouse)
 	n.spawn(func() { n.logEnd("transport", n.server.Serve(n.listeners.nodes)) })
--- a/node/serve.go
+++ b/node/serve.go
@@ -27,7 +27,7 @@
 	}
 	fill(response, runner.Execute(ctx, call))
 	response.Gate = n.gateReport(runner, request.GetOperation())
-	n.journalServed(request, response)
+	n.observeServed(request, response)
 }
 
 // fill copies the fields of a response into the one that net/rpc owns.
@@ -54,7 +54,7 @@
 	response.Detail = err.Detail
 	response.UnspentAllowance = request.GetContext().GetRetryAllowance()
 	response.Gate = n.gateReport(n.current(), request.GetOperation())
-	n.journalServed(request, response)
+	n.observeServed(request, response)
 }
 
 // executorOf finds the executor that a call is meant for. An incarnation that
