--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -18,6 +18,7 @@
 	_ "go.opentelemetry.io/otel/sdk/metric"
 	_ "go.uber.org/goleak"
 	_ "go.uber.org/zap"
+	_ "golang.org/x/net/netutil"
 	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/time/rate"
 	_ "pgregory.net/rapid"
--- a/node/http.go
+++ b/node/http.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"github.com/kataras/iris/v12"
+	"golang.org/x/net/netutil"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/node/httpapi"
+	"github.com/primrosemount/primrosemount/transport/tlsconfig"
 	"github.com/primrosemount/primrosemount/wire"
 )
 
@@ -45,10 +47,17 @@
 	_ = callers.Build()
 	n.servers.callers = n.newServer(n.politeClose(callers))
 	n.servers.target = n.newServer(n.targetHandler())
-	n.spawn(func() { n.logEnd("callers", ignoreClosed(n.servers.callers.Serve(n.listeners.callers))) })
+	n.spawn(func() { n.logEnd("callers", ignoreClosed(n.servers.callers.Serve(n.callerListener()))) })
 	n.spawn(func() { n.logEnd("target", ignoreClosed(n.servers.target.Serve(n.listeners.target))) })
 }
 
+// callerListener bounds the connections of callers and demands certificates
+// where the node has keys.
+func (n *Node) callerListener() net.Listener {
+	bounded := netutil.LimitListener(n.listeners.callers, int(n.settings.GetBounds().GetCallerConnections()))
+	return n.trust.listen(bounded, tlsconfig.RoleService)
+}
+
 func (n *Node) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
@@ -92,16 +101,6 @@
 	httpapi.WriteProblem(ctx.ResponseWriter(), outcome.New(outcome.NotRun, outcome.BadRequest, detail))
 }
 
-// callerOf names the caller by its address; a certificate name takes its place
-// with TLS.
-func callerOf(r *http.Request) httpapi.Caller {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		host = r.RemoteAddr
-	}
-	return httpapi.Caller{Address: host}
-}
-
 // targetHandler serves the target beside the node: announcements and calls.
 func (n *Node) targetHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -318,6 +318,7 @@
 		e.Stop()
 	}
 	n.background.Wait()
+	// The error only tells that the metrics were closed before.
 	_ = n.metrics.Close()
 	if closer, ok := n.log.(interface{ Close() }); ok {
 		closer.Close()
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/primrosemount/primrosemount/platform"
 	"github.com/primrosemount/primrosemount/telemetry"
 	"github.com/primrosemount/primrosemount/transport"
+	"github.com/primrosemount/primrosemount/transport/tlsconfig"
 )
 
 const (
@@ -67,6 +68,7 @@
 	downstream *threshold.Downstream
 	operations *threshold.Operations
 	api        *httpapi.API
+	trust      trust
 	observer   *observation.Observer
 	metrics    *telemetry.Metrics
 	cancels    *cancels
@@ -125,7 +127,14 @@
 	start := time.Now()
 	incarnation := newIncarnation()
 	bodyBytes := int64(n.settings.GetBounds().GetBodyBytes())
-	n.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: bodyBytes, IdleTimeout: peerIdleTimeout})
+	if err := n.loadTrust(); err != nil {
+		return err
+	}
+	n.pool = transport.NewPool(transport.ClientConfig{
+		TLS:          n.trust.client(),
+		MaxBodyBytes: bodyBytes,
+		IdleTimeout:  peerIdleTimeout,
+	})
 	n.router = route.New(route.Config{
 		Self:     incarnation,
 		Zone:     n.settings.GetAvailabilityZone(),
@@ -180,6 +189,7 @@
 	})
 	n.server = transport.NewServer(transport.ServerConfig{
 		Handler:        n,
+		TLS:            n.trust.server(tlsconfig.RoleNode),
 		MaxBodyBytes:   bodyBytes,
 		MaxConnections: int(n.settings.GetBounds().GetNodeConnections()),
 	})
@@ -254,6 +264,9 @@
 	n.spawn(func() { n.observer.Run(n.ctx) })
 	n.spawn(n.followMembers)
 	n.spawn(n.keepHouse)
+	if n.trust.source != nil {
+		n.spawn(func() { n.trust.source.Watch(n.ctx, tlsconfig.ReloadInterval, n.logger) })
+	}
 	n.spawn(func() { n.logEnd("transport", n.server.Serve(n.listeners.nodes)) })
 	n.serveHTTP()
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !n.control.Snapshot().Catalogue.Allowed(service, request.GetContext().GetCallingService()) {
+		return nil, outcome.New(outcome.NotRun, outcome.NotAllowed, "the caller may not call service "+service.Name)
+	}
 	operation, ok := service.Operation(request.GetOperation())
 	if !ok {
 		return nil, outcome.New(outcome.NotRun, outcome.UnknownOperation, "the service has no operation "+request.GetOperation())
