--- /dev/null
+++ b/internal/processes/processes_test.go
@@ -0,0 +1,391 @@
+// Package processes runs nodes, targets and the log service as processes of
+// their own and kills, freezes and stops them.
+package processes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/internal/standin/target"
+	"github.com/primrosemount/primrosemount/wire"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	callTimeout  = 4 * time.Second
+	pause        = 10 * time.Millisecond
+)
+
+// process is one child with its output.
+type process struct {
+	command *exec.Cmd
+	output  *bytes.Buffer
+	done    chan struct{}
+}
+
+func start(t *testing.T, binary string, args ...string) *process {
+	p := &process{command: exec.Command(binary, args...), output: &bytes.Buffer{}, done: make(chan struct{})}
+	p.command.Stdout = p.output
+	p.command.Stderr = p.output
+	require.NoError(t, p.command.Start())
+	go func() {
+		_ = p.command.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() { p.kill() })
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// instance is one VM: a node and a target, each a process.
+type instance struct {
+	node      *process
+	target    *process
+	callers   string
+	operators string
+	address   string
+}
+
+// cluster is the processes of one test.
+type cluster struct {
+	t         *testing.T
+	node      string
+	standin   string
+	directory string
+	log       string
+	instances []*instance
+}
+
+func build(t *testing.T, directory, name string) string {
+	binary := filepath.Join(directory, name)
+	command := exec.Command("go", "build", "-o", binary, "github.com/primrosemount/primrosemount/cmd/"+name)
+	output, err := command.CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
+func newCluster(t *testing.T) *cluster {
+	directory := t.TempDir()
+	c := &cluster{
+		t:         t,
+		node:      build(t, directory, "primrosemount"),
+		standin:   build(t, directory, "standin"),
+		directory: directory,
+		log:       freeAddress(t),
+	}
+	start(t, c.standin, "log", "--listen", c.log)
+	return c
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (c *cluster) add(vm, zone, service string, operations ...string) *instance {
+	i := &instance{callers: freeAddress(c.t), operators: freeAddress(c.t), address: freeAddress(c.t)}
+	targetListener := freeAddress(c.t)
+	settings := fmt.Sprintf(`
+vm: %s
+availability_zone: %s
+region: north
+service: %s
+listen: {callers: "%s", target: "%s", nodes: "%s", operators: "%s"}
+log: {url: "http://%s", timeout: 1s, poll_interval: 100ms}
+`, vm, zone, service, i.callers, targetListener, freeAddress(c.t), i.operators, c.log)
+	path := filepath.Join(c.directory, vm+".yaml")
+	require.NoError(c.t, os.WriteFile(path, []byte(settings), 0o600))
+	i.node = start(c.t, c.node, "node", "--config", path)
+	args := []string{"target", "--listen", i.address, "--service", service, "--node", "http://" + targetListener}
+	for _, operation := range operations {
+		args = append(args, "--operation", operation)
+	}
+	i.target = start(c.t, c.standin, args...)
+	c.instances = append(c.instances, i)
+	return i
+}
+
+const catalogueFile = `
+entries:
+  - service: orders
+    owner: orders-team
+    class: normal
+    operations:
+      - {name: book, idempotent: false, class: critical, deadline: 2s}
+      - {name: list, idempotent: true, class: sheddable, deadline: 2s}
+    allowed_callers: ["*"]
+    deadline: 2s
+    limits: {drain: 10s}
+    retry: {allowance: 3, edge_ratio: 0.1}
+  - service: ledger
+    owner: orders-team
+    class: normal
+    operations:
+      - {name: debit, idempotent: false, class: critical, deadline: 2s}
+    allowed_callers: [orders]
+    deadline: 2s
+    limits: {drain: 10s}
+    retry: {allowance: 3, edge_ratio: 0.1}
+`
+
+// apply applies the catalogue by the command line, as an operator does.
+func (c *cluster) apply() {
+	path := filepath.Join(c.directory, "catalogue.yaml")
+	require.NoError(c.t, os.WriteFile(path, []byte(catalogueFile), 0o600))
+	args := []string{"catalogue", "apply", "--node", "http://" + c.instances[0].operators, "--operator", "orders-team", path}
+	var output []byte
+	require.Eventually(c.t, func() bool {
+		var err error
+		output, err = exec.Command(c.node, args...).CombinedOutput()
+		return err == nil
+	}, startTimeout, 100*time.Millisecond, "apply: %s", output)
+}
+
+// awaitReady waits until a booking through every entry succeeds.
+func (c *cluster) awaitReady() {
+	for n, i := range c.instances {
+		require.Eventually(c.t, func() bool {
+			return post(i.callers, "book", fmt.Sprintf("ready-%d-%d", n, time.Now().UnixNano()), nil).verdict == "completed"
+		}, startTimeout, 50*time.Millisecond)
+	}
+}
+
+// result is what a caller was told.
+type result struct {
+	verdict string
+	reason  string
+	key     string
+}
+
+func post(address, operation, id string, header map[string]string) result {
+	body, err := json.Marshal(target.Request{ID: id})
+	if err != nil {
+		return result{verdict: "wrong", reason: err.Error()}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	url := "http://" + address + wire.ServicesPath + "orders/" + operation
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return result{verdict: "wrong", reason: err.Error()}
+	}
+	request.ContentLength = int64(len(body))
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return result{verdict: "unknown", reason: "connection"}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return result{verdict: "unknown", reason: "cut"}
+	}
+	told := judge(response, data, id)
+	told.key = response.Header.Get(wire.KeyHeader)
+	return told
+}
+
+func judge(response *http.Response, data []byte, id string) result {
+	if response.Header.Get("Content-Type") == wire.ProblemType {
+		var problem wire.Problem
+		if err := json.Unmarshal(data, &problem); err != nil {
+			return result{verdict: "wrong", reason: err.Error()}
+		}
+		return result{verdict: problem.Outcome, reason: problem.Reason}
+	}
+	if response.StatusCode != http.StatusOK {
+		return result{verdict: "unknown", reason: response.Status}
+	}
+	var answer target.Answer
+	if err := json.Unmarshal(data, &answer); err != nil || answer.ID != id {
+		return result{verdict: "wrong", reason: string(data)}
+	}
+	return result{verdict: "completed"}
+}
+
+// ledger adds up what all targets began.
+func (c *cluster) ledger() map[target.Execution]int {
+	total := make(map[target.Execution]int)
+	for _, i := range c.instances {
+		response, err := http.Get("http://" + i.address + target.LedgerPath)
+		require.NoError(c.t, err)
+		var counts []target.Count
+		require.NoError(c.t, json.NewDecoder(response.Body).Decode(&counts))
+		require.NoError(c.t, response.Body.Close())
+		for _, count := range counts {
+			total[count.Execution] += count.Begun
+		}
+	}
+	return total
+}
+
+// load books continuously through the entries until stopped, and retries an
+// unknown outcome through the next entry with the same key.
+type load struct {
+	entries []string
+	stop    chan struct{}
+	wait    sync.WaitGroup
+	mutex   sync.Mutex
+	told    map[string][]result
+}
+
+const loadCallers = 8
+
+func startLoad(entries []string) *load {
+	l := &load{entries: entries, stop: make(chan struct{}), told: make(map[string][]result)}
+	for caller := range loadCallers {
+		l.wait.Add(1)
+		go func() {
+			defer l.wait.Done()
+			l.run(caller)
+		}()
+	}
+	return l
+}
+
+func (l *load) run(caller int) {
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(pause):
+		}
+		l.book(caller+n, fmt.Sprintf("order-%d-%d", caller, n))
+	}
+}
+
+// book makes one booking; the key comes from the first entry that answers.
+func (l *load) book(pick int, id string) {
+	key := fetchKey(l.entries[pick%len(l.entries)])
+	if key == "" {
+		return
+	}
+	for attempt := range 3 {
+		header := map[string]string{wire.KeyHeader: key, wire.AttemptHeader: fmt.Sprint(attempt)}
+		told := post(l.entries[(pick+attempt)%len(l.entries)], "book", id, header)
+		l.mutex.Lock()
+		l.told[id] = append(l.told[id], told)
+		l.mutex.Unlock()
+		if told.verdict != "unknown" {
+			return
+		}
+	}
+}
+
+func fetchKey(address string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+wire.ServicesPath+"orders/keys", nil)
+	if err != nil {
+		return ""
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Keys []string `json:"keys"`
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil || len(answer.Keys) == 0 {
+		return ""
+	}
+	return answer.Keys[0]
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.wait.Wait()
+}
+
+// check compares what callers were told with what targets began.
+func (l *load) check(t *testing.T, begun map[target.Execution]int) (completed int) {
+	for id, told := range l.told {
+		book := begun[target.Execution{Service: "orders", Operation: "book", ID: id}]
+		debit := begun[target.Execution{Service: "ledger", Operation: "debit", ID: id}]
+		require.LessOrEqual(t, book, 1, "%s booked twice: %v", id, told)
+		require.LessOrEqual(t, debit, 1, "%s debited twice: %v", id, told)
+		last := told[len(told)-1]
+		switch last.verdict {
+		case "completed":
+			require.Equal(t, 1, book, id)
+			completed++
+		case "not_run":
+			require.Zero(t, book, "%s was reported as not run: %v", id, told)
+		default:
+			require.Equal(t, "unknown", last.verdict, "%s: %v", id, told)
+		}
+	}
+	return completed
+}
+
+// Guards against double executions, wrong answers and false "not run" when
+// nodes freeze, are killed, or leave by SIGTERM under load, and against a
+// planned stop that cuts requests.
+func TestKillFreezeAndStopUnderLoad(t *testing.T) {
+	c := newCluster(t)
+	first := c.add("orders-1", "a", "orders", "book=ledger/debit", "list")
+	frozen := c.add("orders-2", "b", "orders", "book=ledger/debit", "list")
+	leaving := c.add("orders-3", "c", "orders", "book=ledger/debit", "list")
+	c.add("ledger-1", "a", "ledger", "debit")
+	killed := c.add("ledger-2", "b", "ledger", "debit")
+	c.apply()
+	c.awaitReady()
+
+	entries := []string{first.callers, c.instances[3].callers}
+	l := startLoad(entries)
+	time.Sleep(time.Second)
+
+	frozen.node.signal(syscall.SIGSTOP)
+	time.Sleep(3 * time.Second)
+	frozen.node.signal(syscall.SIGCONT)
+
+	leaving.node.signal(syscall.SIGTERM)
+	select {
+	case <-leaving.node.done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the node did not leave in time")
+	}
+	require.Zero(t, leaving.node.command.ProcessState.ExitCode(), leaving.node.output.String())
+
+	killed.node.kill()
+	time.Sleep(2 * time.Second)
+	l.end()
+
+	completed := l.check(t, c.ledger())
+	require.Greater(t, completed, 100, "too few bookings succeeded; output of the first node: %s", tail(first.node.output.String()))
+	for _, i := range c.instances {
+		require.NotContains(t, i.node.output.String(), "panic")
+	}
+}
+
+func tail(output string) string {
+	const lines = 20
+	all := strings.Split(output, "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
--- a/internal/standin/target/ledger.go
+++ b/internal/standin/target/ledger.go
@@ -69,6 +69,23 @@
 	return repeated
 }
 
+// Count is how often one execution began.
+type Count struct {
+	Execution Execution `json:"execution"`
+	Begun     int       `json:"begun"`
+}
+
+// List returns all executions that began.
+func (l *Ledger) List() []Count {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	counts := make([]Count, 0, len(l.begun))
+	for execution, begun := range l.begun {
+		counts = append(counts, Count{Execution: execution, Begun: begun})
+	}
+	return counts
+}
+
 // Total returns the number of begun executions of the service.
 func (l *Ledger) Total(service string) int {
 	l.mutex.Lock()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -249,9 +249,18 @@
 	mux.HandleFunc("POST "+wire.OperationsPath+"{operation}", t.serveOperation)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /load", t.serveLoad)
+	mux.HandleFunc("GET "+LedgerPath, t.serveLedger)
 	return mux
 }
 
+// LedgerPath lists the executions that began at the target, as JSON.
+const LedgerPath = "/ledger"
+
+func (t *Target) serveLedger(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(t.config.Ledger.List())
+}
+
 // serveLoad reports the share of used slots, or the misleading value.
 func (t *Target) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	load := float64(t.reported.Load()) / fullSpeed
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -37,12 +37,14 @@
 		{
 			Entry: entry("orders", []string{"*"},
 				&pb.Operation{Name: "book", Class: pb.Class_CLASS_CRITICAL},
+				&pb.Operation{Name: "note", Class: pb.Class_CLASS_CRITICAL},
 				&pb.Operation{Name: "list", Class: pb.Class_CLASS_SHEDDABLE, Idempotent: true}),
 			Zones: []string{"a", "b"},
 			Slots: 8,
 			Operations: []target.Operation{
 				{Name: "book", Work: work, Calls: []target.Downstream{{Service: "ledger", Operation: "debit"}}},
-				{Name: "list", Work: work, AnswerBytes: 10_000},
+				{Name: "note", Work: work, AnswerBytes: 200},
+				{Name: "list", Work: work, AnswerBytes: 200},
 			},
 		},
 		{
@@ -54,7 +56,7 @@
 	}
 }
 
-func startFleet(t *testing.T, services []fleet.Service) *fleet.Fleet {
+func startFleet(t testing.TB, services []fleet.Service) *fleet.Fleet {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	running, err := fleet.Start(ctx, fleet.Config{Services: services, Seed: 1, Logger: zap.NewNop()})
