Check the control packages with histories, properties and fleets

Cause: the folds, the spreading and the eviction policy had no checks beyond a smoke test. The checks found four faults, which are fixed: a starting reader stopped when the log dropped records below its search; the bound of a zone shrank with each eviction; members of a cut-off zone were evicted in the moment of its return; an eviction was counted twice.

--- a/core/membership/evict.go
+++ b/core/membership/evict.go
@@ -17,6 +17,12 @@
 	ForwardInterval = 15 * time.Second
 	// SuspectFor is the time after which a suspect without new report is dropped.
 	SuspectFor = 2 * time.Minute
+	// ZoneSilence is the time after which a zone without answer counts as lost
+	// or cut off. Probes that fail meanwhile prove nothing about one member,
+	// also not when the zone is back.
+	ZoneSilence = 3 * ProbeInterval
+	// ReportValid is the time for which the report of another node counts.
+	ReportValid = 2 * ForwardInterval
 	// EvictWindow is the time for which evictions of a zone count.
 	EvictWindow = 10 * time.Minute
 	// ZoneShare is the share of a zone that may be suspect or evicted in the
@@ -25,7 +31,8 @@
 	// EvictInterval is the shortest time between two evictions in the fleet
 	// as seen by one reader.
 	EvictInterval = 5 * time.Second
-	// MaxProbesPerStep bounds the probes of one step.
+	// MaxProbesPerStep bounds the suspects probed in one step; each may bring a
+	// probe of a witness.
 	MaxProbesPerStep = 8
 	// MaxSuspects bounds the memory; more suspects mean a lost zone.
 	MaxSuspects = 1024
@@ -33,7 +40,7 @@
 
 // Actions are what the owner of an Evictor has to do.
 type Actions struct {
-	// Probe lists members to probe; report each result.
+	// Probe lists suspects and witnesses to probe; report each result.
 	Probe []*Member
 	// Forward lists suspects to report to readers, one of them in another zone.
 	Forward []*Member
@@ -44,9 +51,9 @@
 }
 
 // Evictor decides about evictions from reports of dead peers. A member is
-// evicted if it has been suspect for ConfirmAfter, own probes failed, a node in
-// another zone confirms (any other node if there is one zone), another member
-// of its zone has answered since, and the bound of the zone and the rate allow it.
+// evicted if it has been suspect for ConfirmAfter, own probes failed while other
+// members of its zone answered, a node in another zone confirms (any other node
+// if there is one zone), and the bound of the zone and the rate allow it.
 type Evictor struct {
 	self     uint64
 	zone     string
@@ -56,60 +63,99 @@
 }
 
 type suspect struct {
+	zone      string
 	since     time.Time
 	reported  time.Time
 	probed    time.Time
 	forwarded time.Time
 	failed    int
-	// reporters holds the zones of the nodes whose own probes failed.
-	reporters map[uint64]string
+	// reports holds the latest report of each node whose own probes failed.
+	reports map[uint64]report
 }
 
-type eviction struct {
+type report struct {
 	at   time.Time
 	zone string
 }
 
+// restart forgets the evidence.
+func (s *suspect) restart(now time.Time) {
+	s.since = now
+	s.failed = 0
+	clear(s.reports)
+}
+
+type eviction struct {
+	at          time.Time
+	incarnation uint64
+	zone        string
+}
+
 // NewEvictor returns an Evictor for the node with this incarnation and zone.
 func NewEvictor(self uint64, zone string) *Evictor {
 	return &Evictor{self: self, zone: zone, suspects: map[uint64]*suspect{}, answered: map[string]time.Time{}}
 }
 
-// Report notes that a member seems dead. Reporter is 0 for the own node, whose
+// Report notes that a member seems dead. Reporter is nil for the own node, whose
 // word counts only after its probes have failed, else a node whose probes failed.
-func (e *Evictor) Report(now time.Time, dead, reporter uint64, zone string) {
-	s := e.suspects[dead]
+func (e *Evictor) Report(now time.Time, dead, reporter *Member) {
+	s := e.suspects[dead.Incarnation]
 	if s == nil {
-		if len(e.suspects) >= MaxSuspects || dead == e.self {
+		if len(e.suspects) >= MaxSuspects || dead.Incarnation == e.self {
 			return
 		}
-		s = &suspect{since: now, reporters: map[uint64]string{}}
-		e.suspects[dead] = s
+		s = &suspect{zone: dead.Zone, since: now, reports: map[uint64]report{}}
+		e.suspects[dead.Incarnation] = s
 	}
 	s.reported = now
-	if reporter != 0 && reporter != e.self {
-		s.reporters[reporter] = zone
+	if reporter != nil && reporter.Incarnation != e.self && reporter.Incarnation != dead.Incarnation {
+		s.reports[reporter.Incarnation] = report{at: now, zone: reporter.Zone}
 	}
 }
 
-// Alive notes an answer of a member.
+// Alive notes an answer of a member. If its zone was silent, the evidence
+// against other members of the zone starts anew.
 func (e *Evictor) Alive(now time.Time, m *Member) {
 	delete(e.suspects, m.Incarnation)
+	if e.silent(now, m.Zone) {
+		for _, s := range e.suspects {
+			if s.zone == m.Zone {
+				s.restart(now)
+			}
+		}
+	}
 	e.answered[m.Zone] = now
 }
 
-// ProbeFailed notes that a probe got no answer, or the answer of another incarnation.
+func (e *Evictor) silent(now time.Time, zone string) bool {
+	return now.Sub(e.answered[zone]) > ZoneSilence
+}
+
+// ProbeFailed notes that a probe got no answer, or the answer of another
+// incarnation.
 func (e *Evictor) ProbeFailed(now time.Time, incarnation uint64) {
-	if s := e.suspects[incarnation]; s != nil {
-		s.failed++
-		s.reported = now
+	s := e.suspects[incarnation]
+	if s == nil {
+		return
 	}
+	s.reported = now
+	if e.silent(now, s.zone) {
+		s.restart(now)
+		return
+	}
+	s.failed++
 }
 
-// Evicted notes an eviction in the fold, by whichever reader.
+// Evicted notes an eviction that this node decided or the fold shows, by
+// whichever reader.
 func (e *Evictor) Evicted(now time.Time, m *Member) {
 	delete(e.suspects, m.Incarnation)
-	e.evicted = append(e.evicted, eviction{at: now, zone: m.Zone})
+	for _, ev := range e.evicted {
+		if ev.incarnation == m.Incarnation {
+			return
+		}
+	}
+	e.evicted = append(e.evicted, eviction{at: now, incarnation: m.Incarnation, zone: m.Zone})
 }
 
 // Suspects returns the number of suspects.
@@ -133,14 +179,15 @@
 
 func (e *Evictor) stepOne(now time.Time, members *Snapshot, m *Member, held, reader bool, actions *Actions) {
 	s := e.suspects[m.Incarnation]
-	if now.Sub(s.probed) >= ProbeInterval && len(actions.Probe) < MaxProbesPerStep {
+	if now.Sub(s.probed) >= ProbeInterval && len(actions.Probe) < 2*MaxProbesPerStep {
 		s.probed = now
 		actions.Probe = append(actions.Probe, m)
+		e.probeWitness(now, members, s, actions)
 	}
 	if held || s.failed < MinProbes || now.Sub(s.since) < ConfirmAfter {
 		return
 	}
-	if reader && e.confirmed(members, m, s) && e.allowed(now) {
+	if reader && e.confirmed(now, members, s) && e.allowed(now) {
 		actions.Evict = append(actions.Evict, m)
 		e.Evicted(now, m)
 		return
@@ -151,17 +198,31 @@
 	}
 }
 
+// probeWitness probes another member of the zone of a suspect, if none has
+// answered of late.
+func (e *Evictor) probeWitness(now time.Time, members *Snapshot, s *suspect, actions *Actions) {
+	if now.Sub(e.answered[s.zone]) < ProbeInterval {
+		return
+	}
+	zone := members.Zone(s.zone)
+	start := int(now.Unix()) % len(zone)
+	for i := range zone {
+		witness := zone[(start+i)%len(zone)]
+		if witness.Incarnation != e.self && e.suspects[witness.Incarnation] == nil {
+			actions.Probe = append(actions.Probe, witness)
+			return
+		}
+	}
+}
+
 // confirmed tells whether the evidence comes from more than one place.
-func (e *Evictor) confirmed(members *Snapshot, m *Member, s *suspect) bool {
-	if e.answered[m.Zone].Before(s.since) {
+func (e *Evictor) confirmed(now time.Time, members *Snapshot, s *suspect) bool {
+	if e.silent(now, s.zone) {
 		return false
 	}
 	single := len(members.zones) == 1
-	for reporter, zone := range s.reporters {
-		if reporter == m.Incarnation {
-			continue
-		}
-		if single || zone != e.zone {
+	for _, r := range s.reports {
+		if now.Sub(r.at) <= ReportValid && (single || r.zone != e.zone) {
 			return true
 		}
 	}
@@ -175,19 +236,22 @@
 	return now.Sub(e.evicted[len(e.evicted)-1].at) >= EvictInterval
 }
 
-// heldZones returns the zones with more suspects and recent evictions than the bound.
+// heldZones returns the zones with more suspects and recent evictions than the
+// bound. The evicted count towards the size, so that the bound does not shrink
+// with each eviction.
 func (e *Evictor) heldZones(members *Snapshot) map[string]bool {
-	counts := map[string]int{}
-	for id := range e.suspects {
-		m, _ := members.Member(id)
-		counts[m.Zone]++
-	}
+	evicted := map[string]int{}
 	for _, ev := range e.evicted {
-		counts[ev.zone]++
+		evicted[ev.zone]++
+	}
+	suspects := map[string]int{}
+	for _, s := range e.suspects {
+		suspects[s.zone]++
 	}
 	held := map[string]bool{}
-	for zone, n := range counts {
-		if n > ZoneBound(len(members.zones[zone])) {
+	for zone, n := range suspects {
+		size := len(members.zones[zone]) + evicted[zone]
+		if n+evicted[zone] > ZoneBound(size) {
 			held[zone] = true
 		}
 	}
--- /dev/null
+++ b/core/spread/folds.go
@@ -0,0 +1,94 @@
+package spread
+
+import (
+	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/membership"
+)
+
+// CatalogueFold is the Fold of the catalogue stream.
+type CatalogueFold struct {
+	State *catalogue.State
+	// OnEffect, if set, is told of the effect of each folded record.
+	OnEffect func(catalogue.Effect)
+}
+
+// Next implements Fold.
+func (f *CatalogueFold) Next() uint64 { return f.State.Next() }
+
+// Encode implements Fold.
+func (f *CatalogueFold) Encode() []byte { return f.State.Encode() }
+
+// CheckpointRecord implements Fold.
+func (f *CatalogueFold) CheckpointRecord() []byte { return f.State.CheckpointRecord() }
+
+// Covered implements Fold.
+func (f *CatalogueFold) Covered(data []byte) (uint64, bool) { return catalogue.Covered(data) }
+
+// CheckpointState implements Fold.
+func (f *CatalogueFold) CheckpointState(data []byte) []byte { return catalogue.CheckpointState(data) }
+
+// Strip implements Fold.
+func (f *CatalogueFold) Strip(data []byte) []byte { return catalogue.Strip(data) }
+
+// Step implements Fold.
+func (f *CatalogueFold) Step(r Record) error {
+	effect, err := f.State.Apply(r.Offset, r.Data)
+	if f.OnEffect != nil && err == nil {
+		f.OnEffect(effect)
+	}
+	return err
+}
+
+// Install implements Fold.
+func (f *CatalogueFold) Install(data []byte) error {
+	state, err := catalogue.Restore(data)
+	if err != nil {
+		return err
+	}
+	f.State = state
+	return nil
+}
+
+// MembersFold is the Fold of the members stream.
+type MembersFold struct {
+	State *membership.State
+	// OnEffect, if set, is told of the effect of each folded record.
+	OnEffect func(membership.Effect)
+}
+
+// Next implements Fold.
+func (f *MembersFold) Next() uint64 { return f.State.Next() }
+
+// Encode implements Fold.
+func (f *MembersFold) Encode() []byte { return f.State.Encode() }
+
+// CheckpointRecord implements Fold.
+func (f *MembersFold) CheckpointRecord() []byte { return f.State.CheckpointRecord() }
+
+// Covered implements Fold.
+func (f *MembersFold) Covered(data []byte) (uint64, bool) { return membership.Covered(data) }
+
+// CheckpointState implements Fold.
+func (f *MembersFold) CheckpointState(data []byte) []byte { return membership.CheckpointState(data) }
+
+// Strip implements Fold.
+func (f *MembersFold) Strip(data []byte) []byte { return membership.Strip(data) }
+
+// Step implements Fold.
+func (f *MembersFold) Step(r Record) error {
+	effect, err := f.State.Apply(r.Offset, r.Data)
+	if f.OnEffect != nil && err == nil {
+		f.OnEffect(effect)
+	}
+	return err
+}
+
+// Install implements Fold.
+func (f *MembersFold) Install(data []byte) error {
+	state, err := membership.Restore(data)
+	if err != nil {
+		return err
+	}
+	f.State = state
+	return nil
+}
--- a/core/spread/replica.go
+++ b/core/spread/replica.go
@@ -60,6 +60,10 @@
 	buffer  buffer
 	search  search
 	encoded []byte
+	// usable is the rule of checkpoints; tests replace it to check the checks.
+	usable func(covered, earliest, offset uint64) bool
+	// tail is how far before the end of the log a search begins.
+	tail uint64
 	// covered is the offset that the best checkpoint on the log covers, and
 	// coveredAt the offset of its record.
 	covered      uint64
@@ -80,7 +84,7 @@
 
 // NewReplica returns a replica that does not know the state yet.
 func NewReplica(stream string, fold Fold) *Replica {
-	return &Replica{stream: stream, fold: fold}
+	return &Replica{stream: stream, fold: fold, usable: usable, tail: tailRecords}
 }
 
 // Stream returns the name of the stream.
@@ -158,7 +162,7 @@
 // held records, and folds the records after the offset that it covers.
 func (r *Replica) use(record Record, held []Record) bool {
 	covered, ok := r.fold.Covered(record.Data)
-	if !ok || !usable(covered, held[0].Offset, record.Offset) {
+	if !ok || !r.usable(covered, held[0].Offset, record.Offset) {
 		return false
 	}
 	if r.known && covered <= r.Next() {
@@ -219,6 +223,11 @@
 		return true, nil
 	}
 	s := &r.search
+	if s.next < r.earliest {
+		// The log has dropped records that were not read yet.
+		s.held = nil
+		s.next = r.earliest
+	}
 	if s.next < r.end {
 		return false, nil
 	}
@@ -265,8 +274,8 @@
 
 func (r *Replica) begin(whole bool) {
 	r.search = search{active: true, whole: whole, next: r.earliest}
-	if !whole && r.end > r.earliest+tailRecords {
-		r.search.next = r.end - tailRecords
+	if !whole && r.end > r.earliest+r.tail {
+		r.search.next = r.end - r.tail
 		return
 	}
 	r.search.whole = true
--- /dev/null
+++ b/core/spread/replica_test.go
@@ -0,0 +1,345 @@
+package spread
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/membership"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+func catalogueReplica() *Replica {
+	return NewReplica("catalogue", &CatalogueFold{State: catalogue.NewState()})
+}
+
+func membersReplica() *Replica {
+	return NewReplica("members", &MembersFold{State: membership.NewState()})
+}
+
+// writer produces a stream and knows the state after each record.
+type writer struct {
+	fold    Fold
+	records []Record
+	states  [][]byte
+	// old holds checkpoint records that were encoded but not appended yet.
+	old [][]byte
+	id  uint64
+}
+
+func (w *writer) append(data []byte) {
+	r := Record{Offset: w.fold.Next(), Data: data}
+	w.records = append(w.records, r)
+	_ = w.fold.Step(r)
+	w.states = append(w.states, w.fold.Encode())
+}
+
+// change appends a change of one of three services that often has a stale base.
+func (w *writer) change(t *rapid.T) {
+	w.id++
+	id := make([]byte, catalogue.ChangeIDBytes)
+	binary.LittleEndian.PutUint64(id, rapid.Uint64Range(max(w.id, 3)-3, w.id).Draw(t, "id"))
+	service := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "service")
+	c := &pb.Change{Id: id, Operator: "ops", Service: service}
+	if rapid.IntRange(0, 4).Draw(t, "stale") > 0 {
+		c.BaseRevision = w.fold.(*CatalogueFold).State.Snapshot().Revision(service)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "delete") > 0 {
+		c.Entry = &pb.Entry{Service: service, Owner: "ops", Operations: []*pb.Operation{{Name: "read"}}}
+	}
+	w.append(catalogue.ChangeRecord(c))
+}
+
+// registration appends a batch of joins, leaves and evictions of few nodes.
+func (w *writer) registration(t *rapid.T) {
+	var batch []*pb.MembersRecord
+	for range rapid.IntRange(1, 4).Draw(t, "batch") {
+		node := rapid.Uint64Range(1, 12).Draw(t, "node")
+		switch rapid.IntRange(0, 3).Draw(t, "kind") {
+		case 0:
+			batch = append(batch, &pb.MembersRecord{Record: &pb.MembersRecord_Leave{Leave: &pb.Leave{Incarnation: node, Successor: 1}}})
+		case 1:
+			batch = append(batch, &pb.MembersRecord{Record: &pb.MembersRecord_Evict{Evict: &pb.Evict{Incarnation: node}}})
+		default:
+			m := testMember(int(node)%5, 2, node)
+			m.JoinedUnixNanos = rapid.Int64Range(0, 3).Draw(t, "joined")
+			batch = append(batch, &pb.MembersRecord{Record: &pb.MembersRecord_Join{Join: &pb.Join{Member: m}}})
+		}
+	}
+	w.append(membership.BatchRecord(batch))
+}
+
+// step appends one record: a change, a fresh checkpoint, or a checkpoint that
+// a paused writer had prepared long before, perhaps for the second time.
+func (w *writer) step(t *rapid.T) {
+	switch rapid.IntRange(0, 9).Draw(t, "step") {
+	case 0:
+		w.append(w.fold.CheckpointRecord())
+	case 1:
+		w.old = append(w.old, w.fold.CheckpointRecord())
+	case 2:
+		if len(w.old) > 0 {
+			w.append(rapid.SampledFrom(w.old).Draw(t, "late"))
+		}
+	default:
+		if _, ok := w.fold.(*CatalogueFold); ok {
+			w.change(t)
+			return
+		}
+		w.registration(t)
+	}
+}
+
+// reader follows the log of a writer, of which records are dropped meanwhile.
+type reader struct {
+	replica  *Replica
+	earliest uint64
+	highest  uint64
+	failed   error
+}
+
+// read does one read. It returns an error if the replica breaks a rule.
+func (r *reader) read(w *writer, limit int) error {
+	from := r.replica.NextRead()
+	var records []Record
+	for at := max(from, r.earliest); at < uint64(len(w.records)) && len(records) < limit; at++ {
+		records = append(records, w.records[at])
+	}
+	_, r.failed = r.replica.FromLog(from, records, r.earliest, uint64(len(w.records)))
+	return r.check(w)
+}
+
+func (r *reader) check(w *writer) error {
+	position, ok := r.replica.Position()
+	if !ok {
+		return nil
+	}
+	if position.GetNextOffset() < r.highest {
+		return errors.Newf("the offset in force fell from %d to %d", r.highest, position.GetNextOffset())
+	}
+	r.highest = position.GetNextOffset()
+	if r.highest == 0 {
+		return nil
+	}
+	if !bytes.Equal(r.replica.fold.Encode(), w.states[r.highest-1]) {
+		return errors.Newf("the state at %d differs from the fold of all records", r.highest)
+	}
+	return nil
+}
+
+// reachable tells whether the retained records suffice for a new reader.
+func reachable(w *writer, earliest uint64) bool {
+	if earliest == 0 {
+		return true
+	}
+	for _, record := range w.records[earliest:] {
+		covered, ok := w.fold.Covered(record.Data)
+		if ok && covered >= earliest && covered <= record.Offset {
+			return true
+		}
+	}
+	return false
+}
+
+// history is one run of a reader that starts anywhere, with any suffix of the
+// log retained, while the log goes on and drops records.
+func history(t *rapid.T, replica *Replica, w *writer) error {
+	r := &reader{replica: replica}
+	replica.tail = rapid.Uint64Range(1, 50).Draw(t, "tail")
+	for range rapid.IntRange(1, 40).Draw(t, "before") {
+		w.step(t)
+	}
+	for range rapid.IntRange(0, 12).Draw(t, "reads") {
+		r.earliest = rapid.Uint64Range(r.earliest, uint64(len(w.records))).Draw(t, "earliest")
+		if err := r.read(w, rapid.IntRange(1, 9).Draw(t, "limit")); err != nil {
+			return err
+		}
+		for range rapid.IntRange(0, 6).Draw(t, "more") {
+			w.step(t)
+		}
+	}
+	return finish(r, w)
+}
+
+// finish lets the reader read to the end and checks that it is there, or says
+// that it cannot be.
+func finish(r *reader, w *writer) error {
+	for range 3 * (len(w.records) + 2) {
+		if err := r.read(w, 7); err != nil {
+			return err
+		}
+	}
+	if r.replica.Next() == uint64(len(w.records)) && r.replica.Known() {
+		return nil
+	}
+	if reachable(w, r.earliest) {
+		return errors.Newf("the reader is at %d of %d, though the log from %d on suffices", r.replica.Next(), len(w.records), r.earliest)
+	}
+	if !errors.Is(r.failed, ErrUnreachable) {
+		return errors.Newf("the reader cannot follow and does not say so: %v", r.failed)
+	}
+	return nil
+}
+
+// Guards against a reader that reaches another state than the others, falls
+// back, or does not say that it lacks records; late and repeated checkpoints
+// are part of the histories.
+func TestReaderReachesTheSameStateOrSaysThatItCannot(t *testing.T) {
+	for name, start := range starts {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				replica, w := start()
+				require.NoError(t, history(t, replica, w))
+			})
+		})
+	}
+}
+
+var starts = map[string]func() (*Replica, *writer){
+	"catalogue": func() (*Replica, *writer) {
+		return catalogueReplica(), &writer{fold: &CatalogueFold{State: catalogue.NewState()}}
+	},
+	"members": func() (*Replica, *writer) {
+		return membersReplica(), &writer{fold: &MembersFold{State: membership.NewState()}}
+	},
+}
+
+// skippingFold breaks the rule of checkpoints on purpose: it installs a
+// checkpoint as if it covered the records that the log has dropped since.
+type skippingFold struct {
+	Fold
+	replica *Replica
+}
+
+func (f *skippingFold) Install(state []byte) error {
+	if _, ok := f.Fold.(*CatalogueFold); ok {
+		p := &pb.CatalogueState{}
+		_ = proto.Unmarshal(state, p)
+		p.NextOffset = max(p.GetNextOffset(), f.replica.earliest)
+		state, _ = proto.Marshal(p)
+		return f.Fold.Install(state)
+	}
+	p := &pb.MembersState{}
+	_ = proto.Unmarshal(state, p)
+	p.NextOffset = max(p.GetNextOffset(), f.replica.earliest)
+	state, _ = proto.Marshal(p)
+	return f.Fold.Install(state)
+}
+
+func useCheckpointsWithGaps(r *Replica) {
+	r.usable = func(covered, _, offset uint64) bool { return covered <= offset }
+	r.fold = &skippingFold{Fold: r.fold, replica: r}
+}
+
+func useNoCheckpoint(r *Replica) {
+	r.usable = func(_, _, _ uint64) bool { return false }
+}
+
+// Guards against a property that cannot fail: when a reader uses a checkpoint
+// although records after it are gone, or uses none, some history must show it.
+func TestHistoriesCatchABrokenCheckpointRule(t *testing.T) {
+	for stream, start := range starts {
+		require.Zero(t, brokenRuns(func(*Replica) {}, start), stream)
+		gaps, none := brokenRuns(useCheckpointsWithGaps, start), brokenRuns(useNoCheckpoint, start)
+		t.Logf("%s: of 200 histories %d show a checkpoint with a gap and %d an unused checkpoint", stream, gaps, none)
+		require.NotZero(t, gaps, stream)
+		require.NotZero(t, none, stream)
+	}
+}
+
+// brokenRuns counts histories out of 200 that show a broken rule.
+func brokenRuns(sabotage func(*Replica), start func() (*Replica, *writer)) int {
+	broken := 0
+	run := rapid.Custom(func(t *rapid.T) error {
+		replica, w := start()
+		sabotage(replica)
+		return history(t, replica, w)
+	})
+	for seed := range 200 {
+		if run.Example(seed) != nil {
+			broken++
+		}
+	}
+	return broken
+}
+
+// Guards against records of peers that leave a gap or set the state back, and
+// against a whole state below the offset in force.
+func TestPeersBringTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &writer{fold: &CatalogueFold{State: catalogue.NewState()}}
+		for range rapid.IntRange(1, 30).Draw(t, "records") {
+			w.step(t)
+		}
+		peer := &reader{replica: catalogueReplica()}
+		require.NoError(t, finish(peer, w))
+		r := &reader{replica: catalogueReplica()}
+		for range rapid.IntRange(1, 20).Draw(t, "messages") {
+			takeMessage(t, r, peer, w)
+			require.NoError(t, r.check(w))
+		}
+		position, _ := peer.replica.Position()
+		r.replica.FromPosition(position)
+		_, err := r.replica.InstallState(peer.replica.State())
+		require.NoError(t, err)
+		require.NoError(t, r.check(w))
+		require.Equal(t, peer.replica.Next(), r.replica.Next())
+		require.True(t, r.replica.Known())
+	})
+}
+
+// takeMessage passes records from anywhere or an old whole state.
+func takeMessage(t *rapid.T, r, peer *reader, w *writer) {
+	at := rapid.Uint64Range(0, uint64(len(w.records))).Draw(t, "at")
+	if rapid.Bool().Draw(t, "state") && at > 0 {
+		_, err := r.replica.InstallState(&pb.StreamState{Stream: "catalogue", NextOffset: at, State: w.states[at-1]})
+		require.NoError(t, err)
+		return
+	}
+	r.replica.FromPeer(peer.replica.Records(at, rapid.IntRange(0, 2000).Draw(t, "bytes")))
+}
+
+// Guards against a buffer or a message without bound.
+func TestBufferAndMessagesAreBounded(t *testing.T) {
+	b := &buffer{}
+	for i := range uint64(3 * MaxBufferRecords) {
+		b.add(Record{Offset: i, Data: make([]byte, 3000)})
+		require.LessOrEqual(t, len(b.records), MaxBufferRecords)
+		require.LessOrEqual(t, b.bytes, MaxBufferBytes)
+	}
+	require.Equal(t, uint64(3*MaxBufferRecords), b.next)
+	require.Empty(t, b.from(0, MaxMessageBytes))
+	require.Len(t, b.from(b.oldest(), MaxMessageBytes), MaxMessageBytes/3000)
+	require.Len(t, b.from(b.oldest(), 1), 1)
+}
+
+// Guards against a log that lost records without notice.
+func TestLogBehindIsReported(t *testing.T) {
+	w := &writer{fold: &MembersFold{State: membership.NewState()}}
+	w.append(w.fold.CheckpointRecord())
+	r := &reader{replica: membersReplica()}
+	require.NoError(t, finish(r, w))
+	_, err := r.replica.FromLog(1, nil, 0, 0)
+	require.ErrorIs(t, err, ErrLogBehind)
+	require.Equal(t, uint64(1), r.replica.Next())
+}
+
+func testMember(i, zones int, incarnation uint64) *pb.Member {
+	return &pb.Member{
+		Incarnation:      incarnation,
+		Vm:               fmt.Sprintf("vm-%04d", i),
+		Service:          fmt.Sprintf("service-%d", i%770),
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%zones),
+		Region:           "region-1",
+		NodeAddress:      fmt.Sprintf("10.%d.%d.1:7000", i/250, i%250),
+		Slots:            100,
+		JoinedUnixNanos:  1,
+	}
+}
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,7 +37,7 @@
 	f.ids++
 	member := fakeMember(i, f.zones, f.rng.Uint64()|1)
 	control, err := New(Config{
-		Self: member, Log: f.log, Peers: fakePeers{f.net, member.GetNodeAddress()}, Seeds: seeds, Seed: f.ids,
+		Self: member, Log: nodeLog{f.log, f.net, member.GetNodeAddress()}, Peers: fakePeers{f.net, member.GetNodeAddress()}, Seeds: seeds, Seed: f.ids,
 		OnEvicted: func(id uint64) { f.evicted <- id },
 	})
 	require.NoError(f.t, err)
@@ -47,6 +50,56 @@
 	return control
 }
 
+// nodes returns the running nodes.
+func (f *fleet) nodes() []*fakeNode {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	return slices.Collect(maps.Values(f.net.nodes))
+}
+
+// agreed fails unless all nodes have the same positions and number of members.
+func (f *fleet) agreed(members int) {
+	f.t.Helper()
+	first := f.nodes()[0].control.Snapshot()
+	for _, node := range f.nodes() {
+		view := node.control.Snapshot()
+		require.True(f.t, view.CatalogueKnown && view.MembersKnown)
+		require.Equal(f.t, members, view.Members.Len())
+		require.Equal(f.t, first.CataloguePosition, view.CataloguePosition)
+		require.Equal(f.t, first.MembersPosition, view.MembersPosition)
+		require.Equal(f.t, first.Catalogue.Services(), view.Catalogue.Services())
+	}
+}
+
+// spread waits until the catalogue position is in force everywhere and returns
+// the times after which 99 % and all of the nodes had it.
+func (f *fleet) spread(position uint64) []any {
+	start := time.Now()
+	nodes := f.nodes()
+	times := make([]time.Duration, len(nodes))
+	var wait sync.WaitGroup
+	for i, node := range nodes {
+		wait.Go(func() {
+			node.control.waitFor(position)
+			times[i] = time.Since(start)
+		})
+	}
+	wait.Wait()
+	slices.Sort(times)
+	return []any{times[len(times)*99/100], times[len(times)-1]}
+}
+
+// waitFor waits until the catalogue position is in force.
+func (c *Control) waitFor(position uint64) {
+	for {
+		changed := c.Changes()
+		if c.Snapshot().CataloguePosition >= position {
+			return
+		}
+		<-changed
+	}
+}
+
 // stop ends node i without a leave.
 func (f *fleet) stop(i int) uint64 {
 	address := fakeMember(i, f.zones, 1).GetNodeAddress()
--- a/node/control/exchange.go
+++ b/node/control/exchange.go
@@ -231,14 +231,14 @@
 
 // answered notes that a peer is alive.
 func (t *task) answered(now time.Time, incarnation uint64) {
-	if m, ok := t.mem.state.Member(incarnation); ok {
+	if m, ok := t.mem.State.Member(incarnation); ok {
 		t.evictor.Alive(now, m)
 	}
 }
 
 func (t *task) suspect(now time.Time, incarnation uint64) {
-	if _, ok := t.mem.state.Member(incarnation); ok {
-		t.evictor.Report(now, incarnation, 0, "")
+	if m, ok := t.mem.State.Member(incarnation); ok {
+		t.evictor.Report(now, m, nil)
 	}
 }
 
--- a/node/control/fake_test.go
+++ b/node/control/fake_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/platform"
 )
@@ -20,7 +23,7 @@
 	streams map[string]*fakeStream
 	// delay is the time of one request, split before and after its effect.
 	delay time.Duration
-	// down refuses every request; slowDown lets appends time out instead.
+	// down refuses every request.
 	down bool
 	// loseAnswers is the share of appends whose answer is lost, half of them
 	// before the effect.
@@ -38,6 +41,8 @@
 type fakeStream struct {
 	earliest uint64
 	records  [][]byte
+	// history holds all records, also those that are no longer retained.
+	history [][]byte
 }
 
 func newFakeLog(seed uint64) *fakeLog {
@@ -109,6 +114,7 @@
 	l.peak = max(l.peak, l.inRate)
 	s := l.stream(stream)
 	s.records = append(s.records, data)
+	s.history = append(s.history, data)
 	if l.retain > 0 && len(s.records) > l.retain {
 		s.records = s.records[1:]
 		s.earliest++
@@ -136,6 +142,37 @@
 	return batch, nil
 }
 
+// nodeLog is the log as one node sees it. While the node is paused its
+// requests are held up; an append takes effect after the pause, when the node
+// has long given up on the answer.
+type nodeLog struct {
+	*fakeLog
+	net     *fakeNet
+	address string
+}
+
+func (l nodeLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if !l.net.isPaused(l.address) {
+		return l.fakeLog.Append(ctx, stream, data)
+	}
+	go func() {
+		for l.net.isPaused(l.address) {
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, _ = l.fakeLog.append(stream, data)
+	}()
+	<-ctx.Done()
+	return 0, platform.ErrAppendUnknown
+}
+
+func (l nodeLog) Read(ctx context.Context, stream string, from uint64, limit int) (platform.Batch, error) {
+	if l.net.isPaused(l.address) {
+		<-ctx.Done()
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return l.fakeLog.Read(ctx, stream, from, limit)
+}
+
 // fakeNet connects the control tasks of one test.
 type fakeNet struct {
 	mu    sync.Mutex
@@ -153,11 +190,27 @@
 
 func newFakeNet() *fakeNet { return &fakeNet{nodes: map[string]*fakeNode{}} }
 
+func (n *fakeNet) isPaused(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node := n.nodes[address]
+	return node != nil && node.paused
+}
+
+func (n *fakeNet) setPaused(address string, paused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if node := n.nodes[address]; node != nil {
+		node.paused = paused
+	}
+}
+
 func (n *fakeNet) find(ctx context.Context, from, to string) (*fakeNode, error) {
 	n.mu.Lock()
 	node := n.nodes[to]
 	cut := n.cut != nil && n.cut(from, to)
-	paused := node != nil && node.paused
+	sender := n.nodes[from]
+	paused := node != nil && node.paused || sender != nil && sender.paused
 	n.mu.Unlock()
 	if node == nil {
 		return nil, errors.New("connection refused")
@@ -203,3 +256,13 @@
 		JoinedUnixNanos:  1,
 	}
 }
+
+func decodeBatches(t require.TestingT, records [][]byte) []*pb.MembersRecord {
+	var all []*pb.MembersRecord
+	for _, data := range records {
+		batch := &pb.MembersBatch{}
+		require.NoError(t, proto.Unmarshal(data, batch))
+		all = append(all, batch.GetRecords()...)
+	}
+	return all
+}
--- /dev/null
+++ b/node/control/fleet_test.go
@@ -0,0 +1,278 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/platform"
+)
+
+// Guards against a partition after which some nodes miss records, against
+// evictions during it, and against changes that do not spread among hundreds.
+func TestPartitionOfHundreds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 300
+		f := newFleet(t, 6)
+		defer f.stopAll()
+		for i := range size {
+			f.start(i)
+		}
+		time.Sleep(20 * time.Second)
+		f.agreed(size)
+
+		// Zones 0 to 2 are cut off from zones 3 to 5 and from nothing else.
+		zone := map[string]int{}
+		for i := range size {
+			zone[fakeMember(i, 6, 1).GetNodeAddress()] = i % 6
+		}
+		f.net.mu.Lock()
+		f.net.cut = func(from, to string) bool { return (zone[from] < 3) != (zone[to] < 3) }
+		f.net.mu.Unlock()
+		time.Sleep(3 * time.Minute)
+		result, err := f.nodes()[0].control.Submit(t.Context(), entryChange(1, "stock", "ops", 0, 1))
+		require.NoError(t, err)
+		require.True(t, result.GetAccepted())
+		t.Logf("during the partition a change is in effect at 99 %% of the nodes after %s, at all after %s", f.spread(1)...)
+		f.agreed(size)
+
+		f.net.mu.Lock()
+		f.net.cut = nil
+		f.net.mu.Unlock()
+		time.Sleep(time.Minute)
+		f.agreed(size)
+		require.Empty(t, f.evicted)
+	})
+}
+
+// Guards against nodes that lose the state during an outage of the log, and
+// against a slow return to normal.
+func TestHourOfLogOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 40
+		f := newFleet(t, 4)
+		defer f.stopAll()
+		for i := range size {
+			f.start(i)
+		}
+		time.Sleep(15 * time.Second)
+		_, err := f.nodes()[0].control.Submit(t.Context(), entryChange(1, "stock", "ops", 0, 1))
+		require.NoError(t, err)
+		f.log.set(func() { f.log.down = true })
+		time.Sleep(30 * time.Minute)
+		f.stop(3)
+		returned := f.start(3, "10.0.0.1:7000", "10.0.0.2:7000")
+		time.Sleep(30 * time.Minute)
+		require.Equal(t, 1, returned.Snapshot().Catalogue.Len())
+		f.log.set(func() { f.log.down = false })
+		start := time.Now()
+		_, err = f.nodes()[1].control.Submit(t.Context(), entryChange(2, "stock", "ops", 1, 2))
+		require.NoError(t, err)
+		for _, node := range f.nodes() {
+			for node.control.Snapshot().CataloguePosition < 2 || node.control.Snapshot().Members.Len() < size {
+				<-node.control.Changes()
+			}
+		}
+		t.Logf("%d nodes are up to date %s after the end of the outage", size, time.Since(start))
+		require.Less(t, time.Since(start), 12*time.Second)
+		require.Empty(t, f.evicted)
+	})
+}
+
+// Guards against nodes that claim a state which nobody can know, and against a
+// fleet that does not come back by itself.
+func TestWholeFleetRestartsWhileLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 200
+		f := newFleet(t, 4)
+		defer f.stopAll()
+		seeds := []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}
+		for i := range size {
+			f.start(i)
+		}
+		time.Sleep(15 * time.Second)
+		_, err := f.nodes()[0].control.Submit(t.Context(), entryChange(1, "stock", "ops", 0, 1))
+		require.NoError(t, err)
+		f.log.set(func() { f.log.down = true })
+		for i := range size {
+			f.stop(i)
+		}
+		time.Sleep(time.Second) // Messages of the old processes must not reach the new ones.
+		for i := range size {
+			f.start(i, seeds...)
+		}
+		time.Sleep(2 * time.Minute)
+		for _, node := range f.nodes() {
+			require.False(t, node.control.Snapshot().CatalogueKnown)
+		}
+		f.log.set(func() { f.log.down = false; f.log.rate = 100 })
+		start := time.Now()
+		for _, node := range f.nodes() {
+			for !node.control.Snapshot().CatalogueKnown || node.control.Snapshot().Catalogue.Len() == 0 {
+				<-node.control.Changes()
+			}
+		}
+		t.Logf("%d nodes know the catalogue %s after the end of the outage", size, time.Since(start))
+		require.Less(t, time.Since(start), 12*time.Second)
+		time.Sleep(time.Minute)
+		f.agreed(size)
+	})
+}
+
+// Guards against a paused node that keeps an evicted incarnation, and against
+// a false eviction that leads to further evictions.
+func TestFalseEvictionDoesNotMultiply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 30
+		f := newFleet(t, 3)
+		defer f.stopAll()
+		for i := range size {
+			f.start(i)
+		}
+		time.Sleep(15 * time.Second)
+		paused := fakeMember(4, 3, 1)
+		f.net.setPaused(paused.GetNodeAddress(), true)
+		time.Sleep(2 * time.Minute)
+		f.net.setPaused(paused.GetNodeAddress(), false)
+		old := <-f.evicted
+
+		node := f.net.nodes[paused.GetNodeAddress()]
+		require.Equal(t, node.incarnation, old)
+		require.ErrorIs(t, node.control.Register(t.Context(), fakeMember(4, 3, old)), ErrEvicted)
+		f.net.mu.Lock()
+		node.incarnation = old + 2
+		f.net.mu.Unlock()
+		require.NoError(t, node.control.Register(t.Context(), fakeMember(4, 3, old+2)))
+		time.Sleep(5 * time.Minute)
+		f.agreed(size)
+		require.Empty(t, f.evicted)
+		require.Equal(t, 1, f.evictions())
+	})
+}
+
+// evictions counts the evictions on the log.
+func (f *fleet) evictions() int {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	seen := map[uint64]bool{}
+	for _, record := range decodeBatches(f.t, f.log.stream(platform.MembersStream).history) {
+		if e := record.GetEvict(); e != nil {
+			seen[e.GetIncarnation()] = true
+		}
+	}
+	return len(seen)
+}
+
+// Guards against a leave that is lost, and a successor that is not found.
+func TestLeaveNamesSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer f.stopAll()
+		for i := range 10 {
+			f.start(i)
+		}
+		time.Sleep(15 * time.Second)
+		leaving := f.net.nodes[fakeMember(3, 2, 1).GetNodeAddress()]
+		successor := f.net.nodes[fakeMember(5, 2, 1).GetNodeAddress()].incarnation
+		require.NoError(t, leaving.control.Leave(t.Context(), successor))
+		f.stop(3)
+		time.Sleep(5 * time.Second)
+		f.agreed(9)
+		holder, ok := f.nodes()[0].control.Snapshot().Members.Holder(leaving.incarnation)
+		require.True(t, ok)
+		require.Equal(t, successor, holder.Incarnation)
+
+		f.log.set(func() { f.log.down = true })
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		err := f.nodes()[0].control.Leave(ctx, 0)
+		require.ErrorIs(t, err, ErrLeaveUnsettled)
+	})
+}
+
+// Guards against a stream whose checkpoint the log has dropped, so that no
+// new node could start.
+func TestCheckpointsFollowRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.log.retain = 30
+		defer f.stopAll()
+		for i := range 12 {
+			f.start(i)
+		}
+		time.Sleep(10 * time.Second)
+		for i := range uint64(300) {
+			revision := f.nodes()[0].control.Snapshot().Catalogue.Revision("stock")
+			_, err := f.nodes()[0].control.Submit(t.Context(), entryChange(i, "stock", "ops", revision, uint32(i)))
+			require.NoError(t, err)
+			time.Sleep(2 * time.Second)
+		}
+		f.net.mu.Lock()
+		f.net.cut = func(_, _ string) bool { return true }
+		f.net.mu.Unlock()
+		alone := f.start(20)
+		time.Sleep(10 * time.Second)
+		require.True(t, alone.Snapshot().CatalogueKnown)
+		require.True(t, alone.Snapshot().MembersKnown)
+		stock, _ := alone.Snapshot().Catalogue.Service("stock")
+		require.Equal(t, 299, stock.Limits.SlotsPerTarget)
+	})
+}
+
+// Guards against a return of a zone that needs more than 100 appends a second.
+// The 1,600 returning nodes are clients that register as a node does, at the
+// readers of other zones, because those of the own zone are not back.
+func TestZoneReturnsWithin100AppendsASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const returning = 1600
+		f := newFleet(t, 6)
+		defer f.stopAll()
+		var readers []*Control
+		for i := range 60 {
+			readers = append(readers, f.start(i))
+		}
+		time.Sleep(15 * time.Second)
+		f.log.set(func() { f.log.rate = 100; f.log.peak = 0; f.log.appends = 0 })
+		start := time.Now()
+		var wait sync.WaitGroup
+		for i := range returning {
+			wait.Go(func() { registerClient(t, readers[i%18], i) })
+		}
+		wait.Wait()
+		elapsed := time.Since(start)
+		f.log.set(func() {
+			t.Logf("%d nodes are back after %s with %d appends, at most %d in a second", returning, elapsed, f.log.appends, f.log.peak)
+			require.LessOrEqual(t, f.log.peak, 100)
+		})
+		require.Less(t, elapsed, 30*time.Second)
+		time.Sleep(5 * time.Second)
+		f.agreed(60 + returning)
+		require.Empty(t, f.evicted)
+	})
+}
+
+// registerClient sends a join to a reader until its fold shows it.
+func registerClient(t *testing.T, reader *Control, i int) {
+	member := fakeMember(100+i, 1, uint64(1_000_000+i))
+	member.AvailabilityZone = "zone-returned"
+	member.NodeAddress = fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250+1)
+	request := &pb.ExchangeRequest{Registrations: []*pb.MembersRecord{
+		{Record: &pb.MembersRecord_Join{Join: &pb.Join{Member: member}}},
+	}}
+	for {
+		if _, ok := reader.Snapshot().Members.Member(member.GetIncarnation()); ok {
+			return
+		}
+		_, err := reader.HandleExchange(t.Context(), request)
+		if err != nil {
+			return
+		}
+		time.Sleep(DefaultRegister)
+	}
+}
--- a/node/control/members.go
+++ b/node/control/members.go
@@ -37,7 +37,7 @@
 func (register) kind() Kind { return KindSubmit }
 
 func (m register) handle(t *task) {
-	if _, gone := t.mem.state.Gone(m.member.GetIncarnation()); gone {
+	if _, gone := t.mem.State.Gone(m.member.GetIncarnation()); gone {
 		m.reply <- ErrEvicted
 		return
 	}
@@ -70,7 +70,7 @@
 func (t *task) record() *pb.MembersRecord {
 	switch {
 	case t.want.leave != nil:
-		if _, gone := t.mem.state.Gone(t.want.leave.GetIncarnation()); gone {
+		if _, gone := t.mem.State.Gone(t.want.leave.GetIncarnation()); gone {
 			return nil
 		}
 		return &pb.MembersRecord{Record: &pb.MembersRecord_Leave{Leave: t.want.leave}}
@@ -83,10 +83,10 @@
 
 func (t *task) joinRecord() *pb.MembersRecord {
 	join := t.want.join
-	if _, gone := t.mem.state.Gone(join.GetIncarnation()); gone {
+	if _, gone := t.mem.State.Gone(join.GetIncarnation()); gone {
 		return nil
 	}
-	if m, ok := t.mem.state.Member(join.GetIncarnation()); ok && m.Joined >= join.GetJoinedUnixNanos() {
+	if m, ok := t.mem.State.Member(join.GetIncarnation()); ok && m.Joined >= join.GetJoinedUnixNanos() {
 		return nil
 	}
 	return &pb.MembersRecord{Record: &pb.MembersRecord_Join{Join: &pb.Join{Member: join}}}
@@ -181,10 +181,10 @@
 }
 
 func (t *task) reported(now time.Time, e *pb.Evict) {
-	_, present := t.mem.state.Member(e.GetIncarnation())
-	reporter, known := t.mem.state.Member(e.GetRequestedBy())
+	dead, present := t.mem.State.Member(e.GetIncarnation())
+	reporter, known := t.mem.State.Member(e.GetRequestedBy())
 	if present && known {
-		t.evictor.Report(now, e.GetIncarnation(), reporter.Incarnation, reporter.Zone)
+		t.evictor.Report(now, dead, reporter)
 	}
 }
 
@@ -198,7 +198,7 @@
 	if t.want.leave == nil {
 		return
 	}
-	if _, gone := t.mem.state.Gone(t.want.leave.GetIncarnation()); !gone {
+	if _, gone := t.mem.State.Gone(t.want.leave.GetIncarnation()); !gone {
 		return
 	}
 	for _, reply := range t.leaving {
@@ -209,12 +209,12 @@
 
 func (t *task) settleEviction() {
 	id := t.self.GetIncarnation()
-	_, present := t.mem.state.Member(id)
+	_, present := t.mem.State.Member(id)
 	t.seen = t.seen || present
 	if present || t.told || t.want.join == nil {
 		return
 	}
-	if _, gone := t.mem.state.Gone(id); !gone && !t.seen {
+	if _, gone := t.mem.State.Gone(id); !gone && !t.seen {
 		return
 	}
 	t.told = true
--- a/node/control/submit.go
+++ b/node/control/submit.go
@@ -22,8 +22,10 @@
 
 // Submit appends a change and returns what the fold decided about it. The same
 // change may be submitted again with the same id. The error matches
-// ErrInvalidChange, ErrLogDown or ErrLogRefused if the change has and will have
-// no effect, and ErrUnsettled if it may have one.
+// ErrInvalidChange, ErrLogDown or ErrLogRefused if this call has and will have
+// no effect, and ErrUnsettled if it may have one; an earlier call with the same
+// id is not covered. Without a deadline in ctx, Submit waits until the log has
+// the answer.
 func (c *Control) Submit(ctx context.Context, change *pb.Change) (*pb.ChangeResult, error) {
 	if err := catalogue.ValidateChange(change); err != nil {
 		return nil, ofKind(ErrInvalidChange, err)
@@ -165,7 +167,7 @@
 
 // answer replies to a waiter whose result is known or whose offset is reached.
 func (t *task) answer(m *awaitResult) bool {
-	if result, ok := t.cat.state.Result(m.id); ok {
+	if result, ok := t.cat.State.Result(m.id); ok {
 		m.reply <- result
 		return true
 	}
@@ -196,6 +198,6 @@
 func (lookUp) kind() Kind { return KindSubmit }
 
 func (m lookUp) handle(t *task) {
-	result, _ := t.cat.state.Result(bytes.Clone(m.id))
+	result, _ := t.cat.State.Result(bytes.Clone(m.id))
 	m.reply <- result
 }
--- a/node/control/task.go
+++ b/node/control/task.go
@@ -30,8 +30,8 @@
 	rng      *rand.Rand
 	logger   *zap.Logger
 	self     *pb.Member
-	cat      *catalogueFold
-	mem      *membersFold
+	cat      *spread.CatalogueFold
+	mem      *spread.MembersFold
 	streams  []*stream
 	batcher  *membership.Batcher
 	evictor  *membership.Evictor
@@ -81,13 +81,15 @@
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Self.GetIncarnation())),
 		logger:  cfg.Logger,
 		self:    cfg.Self,
-		cat:     &catalogueFold{state: catalogue.NewState(), logger: cfg.Logger},
-		mem:     &membersFold{state: membership.NewState(), logger: cfg.Logger},
+		cat:     &spread.CatalogueFold{State: catalogue.NewState()},
+		mem:     &spread.MembersFold{State: membership.NewState()},
 		batcher: membership.NewBatcher(),
 		evictor: membership.NewEvictor(cfg.Self.GetIncarnation(), cfg.Self.GetAvailabilityZone()),
 		links:   newLinks(),
 		reader:  true,
 	}
+	t.cat.OnEffect = t.catalogueEffect
+	t.mem.OnEffect = t.membersEffect
 	t.streams = []*stream{
 		{name: platform.CatalogueStream, replica: spread.NewReplica(platform.CatalogueStream, t.cat)},
 		{name: platform.MembersStream, replica: spread.NewReplica(platform.MembersStream, t.mem)},
@@ -147,7 +149,7 @@
 	return nil
 }
 
-func (t *task) members() *membership.Snapshot { return t.mem.state.Snapshot() }
+func (t *task) members() *membership.Snapshot { return t.mem.State.Snapshot() }
 
 // moved notes that the offset in force of a stream has moved from before.
 // Records that were learned while the stream was known are pushed.
@@ -165,22 +167,33 @@
 	if !t.dirty {
 		return
 	}
-	now := time.Now()
-	for _, d := range t.mem.takeGone() {
+	t.settleWaiters()
+	t.settleRegistration()
+}
+
+func (t *task) catalogueEffect(effect catalogue.Effect) {
+	if effect.Skipped != nil {
+		t.logger.Warn("control: skipped a catalogue record", zap.Error(effect.Skipped))
+	}
+}
+
+func (t *task) membersEffect(effect membership.Effect) {
+	if effect.Skipped != nil {
+		t.logger.Warn("control: skipped a members record", zap.Error(effect.Skipped))
+	}
+	for _, d := range effect.Gone {
 		if d.Evicted {
-			t.evictor.Evicted(now, d.Member)
+			t.evictor.Evicted(time.Now(), d.Member)
 		}
 	}
-	t.settleWaiters()
-	t.settleRegistration()
 }
 
 func (t *task) snapshot() Snapshot {
 	cat := t.stream(platform.CatalogueStream).replica
 	mem := t.stream(platform.MembersStream).replica
 	return Snapshot{
-		Catalogue:         t.cat.state.Snapshot(),
-		Members:           t.mem.state.Snapshot(),
+		Catalogue:         t.cat.State.Snapshot(),
+		Members:           t.mem.State.Snapshot(),
 		CatalogueKnown:    cat.Known(),
 		MembersKnown:      mem.Known(),
 		CataloguePosition: cat.Next(),
@@ -218,7 +231,7 @@
 
 // refresh chooses readers and partners anew after a change of the members.
 func (t *task) refresh(now time.Time) {
-	next := t.mem.state.Next()
+	next := t.mem.State.Next()
 	if now.Sub(t.refreshed) < refreshInterval || (next == t.refreshFor && !t.refreshed.IsZero()) {
 		return
 	}
