Add the operators' interface, its client and the subcommands

Cause: operators change the fleet only by the catalogue and need to see what it did; a node has to offer both without knowledge of the command line. Its client tells a change that was not written from one that may have been. The subcommands catalogue validate, diff, apply, get, history and status, report burn (table, JSON, one HTML page), explain and version have exit codes 0 to 3. Files that catalogue get writes carry the offset on which they are based, so that apply refuses to overwrite a later change. settings writes catalogues and lists the fields of an entry.

--- /dev/null
+++ b/operator/catalogue.go
@@ -0,0 +1,517 @@
+package operator
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/settings"
+)
+
+// settlePoll is the time between two questions about an unsettled change.
+const settlePoll = 500 * time.Millisecond
+
+// States of an AppliedEntry.
+const (
+	StateAccepted = "accepted"
+	StateRejected = "rejected"
+	StateFailed   = "failed"
+	StateUnknown  = "unknown"
+	StateSkipped  = "skipped"
+	StateKept     = "kept"
+)
+
+// ValidateCommand checks a catalogue file without asking a node.
+type ValidateCommand struct {
+	OutputFlags
+	File string `arg:"positional,required" help:"catalogue file"`
+}
+
+func (c *ValidateCommand) run(_ context.Context, out Output) (int, error) {
+	file, err := settings.LoadCatalogue(c.File)
+	var faults *settings.Error
+	if err != nil && !errors.As(err, &faults) {
+		return ExitUsage, err
+	}
+	report := validation(file, faults)
+	err = c.print(out, report, func(w io.Writer) { printValidation(w, c.File, file, faults) })
+	if faults != nil {
+		return ExitUsage, err
+	}
+	return exitOf(err), err
+}
+
+func validation(file *pb.CatalogueFile, faults *settings.Error) *pb.ValidationReport {
+	if faults == nil {
+		return &pb.ValidationReport{Valid: true, Entries: uint32(len(file.Entries))}
+	}
+	report := &pb.ValidationReport{}
+	for _, p := range faults.Problems {
+		report.Problems = append(report.Problems, &pb.FileProblem{
+			File:    p.File,
+			Line:    uint32(p.Line),
+			Column:  uint32(p.Column),
+			Field:   p.Field,
+			Message: p.Message,
+			Remedy:  p.Remedy,
+		})
+	}
+	return report
+}
+
+func printValidation(w io.Writer, name string, file *pb.CatalogueFile, faults *settings.Error) {
+	if faults != nil {
+		_, _ = fmt.Fprintf(w, "%v\n%s: %d problems\n", faults, name, len(faults.Problems))
+		return
+	}
+	_, _ = fmt.Fprintf(w, "%s: %d entries, no problems\n", name, len(file.Entries))
+}
+
+// PlanFlags say what a file is compared with.
+type PlanFlags struct {
+	File    string  `arg:"positional,required" help:"catalogue file"`
+	BasedOn *uint64 `arg:"--based-on" placeholder:"OFFSET" help:"refuse to overwrite changes after this offset; by default the offset in the file's '# based-on' line"`
+	Delete  bool    `arg:"--delete" help:"delete entries that the file does not hold"`
+}
+
+// load reads the file and the offset on which it is based.
+func (f *PlanFlags) load() (*pb.CatalogueFile, PlanOptions, error) {
+	options := PlanOptions{BasedOn: f.BasedOn, Delete: f.Delete}
+	file, err := settings.LoadCatalogue(f.File)
+	if err != nil {
+		return nil, options, err
+	}
+	data, err := os.ReadFile(f.File)
+	if err != nil {
+		return nil, options, errors.Wrap(err, "operator: cannot read the file; check the path and its permissions")
+	}
+	if offset, ok := BasedOn(data); ok && options.BasedOn == nil {
+		options.BasedOn = &offset
+	}
+	return file, options, nil
+}
+
+// DiffCommand shows what applying a file would change.
+type DiffCommand struct {
+	NodeFlags
+	OutputFlags
+	PlanFlags
+}
+
+func (c *DiffCommand) run(ctx context.Context, out Output) (int, error) {
+	file, options, err := c.load()
+	if err != nil {
+		return ExitUsage, err
+	}
+	client, err := c.client()
+	if err != nil {
+		return ExitUsage, err
+	}
+	defer client.Close()
+	state, err := client.Catalogue(ctx)
+	if err != nil {
+		return ExitFailed, err
+	}
+	plan := Plan(state, file, options)
+	err = c.print(out, plan, func(w io.Writer) { printPlan(w, plan) })
+	return exitOf(err), err
+}
+
+func printPlan(w io.Writer, plan *pb.CataloguePlan) {
+	changed := 0
+	for _, entry := range plan.Entries {
+		if entry.Action == ActionKeep {
+			continue
+		}
+		changed++
+		printEntryPlan(w, entry)
+	}
+	_, _ = fmt.Fprintf(w, "%d of %d entries differ from the catalogue at offset %d\n", changed, len(plan.Entries), plan.NextOffset)
+}
+
+func printEntryPlan(w io.Writer, entry *pb.EntryPlan) {
+	_, _ = fmt.Fprintf(w, "%s %s (based on revision %d)\n", entry.Action, cellText(entry.Service), entry.BaseRevision)
+	for _, change := range entry.Changes {
+		_, _ = fmt.Fprintf(w, "  %s: %s -> %s\n", cellText(change.Field), orNone(change.Before), orNone(change.After))
+	}
+	if entry.Conflict != "" {
+		_, _ = fmt.Fprintf(w, "  conflict: %s\n", cellText(entry.Conflict))
+	}
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "(none)"
+	}
+	return cellText(text)
+}
+
+// ApplyCommand submits the changes of a file.
+type ApplyCommand struct {
+	NodeFlags
+	OutputFlags
+	PlanFlags
+	Operator string        `arg:"--operator,required,env:PRIMROSEMOUNT_OPERATOR" placeholder:"NAME" help:"operator or team that makes the changes; with https the name in the certificate"`
+	Settle   time.Duration `arg:"--settle" default:"10s" help:"longest wait for the result of a change whose answer was lost"`
+}
+
+func (c *ApplyCommand) run(ctx context.Context, out Output) (int, error) {
+	file, options, err := c.load()
+	if err != nil {
+		return ExitUsage, err
+	}
+	client, err := c.client()
+	if err != nil {
+		return ExitUsage, err
+	}
+	defer client.Close()
+	state, err := client.Catalogue(ctx)
+	if err != nil {
+		return ExitFailed, err
+	}
+	a := newApplication(client, c, state, file)
+	report := a.apply(ctx, Plan(state, file, options))
+	err = c.print(out, report, func(w io.Writer) { printApplied(w, report) })
+	return applyExit(report, err), err
+}
+
+// application applies one plan.
+type application struct {
+	client   *Client
+	operator string
+	settle   time.Duration
+	entries  map[string]*pb.Entry
+	owners   map[string]string
+}
+
+func newApplication(client *Client, c *ApplyCommand, state *pb.CatalogueState, file *pb.CatalogueFile) *application {
+	a := &application{
+		client:   client,
+		operator: c.Operator,
+		settle:   c.Settle,
+		entries:  map[string]*pb.Entry{},
+		owners:   map[string]string{},
+	}
+	for _, entry := range file.Entries {
+		a.entries[entry.Service] = entry
+		a.owners[entry.Service] = entry.Owner
+	}
+	// The present owner decides, also when the file names a new one.
+	for _, present := range state.Entries {
+		a.owners[present.Entry.GetService()] = present.Entry.GetOwner()
+	}
+	return a
+}
+
+func (a *application) apply(ctx context.Context, plan *pb.CataloguePlan) *pb.ApplyReport {
+	report := &pb.ApplyReport{}
+	for _, entry := range plan.Entries {
+		report.Entries = append(report.Entries, a.one(ctx, entry))
+	}
+	return report
+}
+
+func (a *application) one(ctx context.Context, plan *pb.EntryPlan) *pb.AppliedEntry {
+	applied := &pb.AppliedEntry{Plan: plan, State: StateSkipped}
+	owner := a.owners[plan.Service]
+	switch {
+	case plan.Action == ActionKeep:
+		applied.State = StateKept
+	case plan.Conflict != "":
+		applied.Detail = plan.Conflict
+	case owner != a.operator:
+		applied.Detail = fmt.Sprintf("the entry belongs to %q; this operator has to apply it", owner)
+	default:
+		a.submit(ctx, applied)
+	}
+	return applied
+}
+
+func (a *application) submit(ctx context.Context, applied *pb.AppliedEntry) {
+	id := uuid.New()
+	applied.ChangeId = hex.EncodeToString(id[:])
+	change := &pb.Change{
+		Id:               id[:],
+		Operator:         a.operator,
+		Service:          applied.Plan.Service,
+		BaseRevision:     applied.Plan.BaseRevision,
+		CreatedUnixNanos: time.Now().UnixNano(),
+	}
+	if applied.Plan.Action != ActionDelete {
+		change.Entry = a.entries[applied.Plan.Service]
+	}
+	result, err := a.client.SubmitChange(ctx, change)
+	if err != nil {
+		a.unanswered(ctx, applied, change, err)
+		return
+	}
+	setResult(applied, result)
+}
+
+func setResult(applied *pb.AppliedEntry, result *pb.ChangeResult) {
+	applied.Result = result
+	applied.Detail = result.Detail
+	applied.State = StateRejected
+	if result.Accepted {
+		applied.State = StateAccepted
+	}
+}
+
+// unanswered handles a change without a result. If it may have been written,
+// its id is looked up until it is found or the time is over.
+func (a *application) unanswered(ctx context.Context, applied *pb.AppliedEntry, change *pb.Change, err error) {
+	applied.Detail = err.Error()
+	applied.State = StateFailed
+	var typed *Error
+	if errors.As(err, &typed) && typed.Outcome == outcome.NotRun {
+		return
+	}
+	applied.State = StateUnknown
+	if result := a.lookUp(ctx, change.Id); result != nil {
+		setResult(applied, result)
+	}
+}
+
+func (a *application) lookUp(ctx context.Context, id []byte) *pb.ChangeResult {
+	limited, cancel := context.WithTimeout(ctx, a.settle)
+	defer cancel()
+	for {
+		if result, err := a.client.Result(limited, id); err == nil && result != nil {
+			return result
+		}
+		select {
+		case <-limited.Done():
+			return nil
+		case <-time.After(settlePoll):
+		}
+	}
+}
+
+func applyExit(report *pb.ApplyReport, err error) int {
+	code := exitOf(err)
+	for _, entry := range report.Entries {
+		switch entry.State {
+		case StateUnknown:
+			return ExitUnknown
+		case StateRejected, StateFailed, StateSkipped:
+			code = ExitFailed
+		}
+	}
+	return code
+}
+
+func printApplied(w io.Writer, report *pb.ApplyReport) {
+	table(w, "SERVICE\tACTION\tSTATE\tREVISION\tCHANGE\tDETAIL", func(w io.Writer) {
+		for _, entry := range report.Entries {
+			row(w, entry.Plan.Service, entry.Plan.Action, entry.State, newRevision(entry), orDash(entry.ChangeId), entry.Detail)
+		}
+	})
+	for _, entry := range report.Entries {
+		if entry.State == StateUnknown {
+			_, _ = fmt.Fprintf(w, "The change of %s may take effect. Ask for its result: primrosemount catalogue status %s\n", cellText(entry.Plan.Service), entry.ChangeId)
+		}
+	}
+}
+
+func newRevision(entry *pb.AppliedEntry) string {
+	if entry.State != StateAccepted {
+		return "-"
+	}
+	return fmt.Sprint(entry.Result.Offset + 1)
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// GetCommand prints the catalogue in force.
+type GetCommand struct {
+	NodeFlags
+	OutputFlags
+	Service string `arg:"--service" help:"only this service"`
+	File    string `arg:"--output" placeholder:"FILE" help:"write to a file instead of standard output"`
+}
+
+func (c *GetCommand) run(ctx context.Context, out Output) (int, error) {
+	client, err := c.client()
+	if err != nil {
+		return ExitUsage, err
+	}
+	defer client.Close()
+	state, err := client.Catalogue(ctx)
+	if err != nil {
+		return ExitFailed, err
+	}
+	if state.Entries = keepService(state.Entries, c.Service); c.Service != "" && len(state.Entries) == 0 {
+		return ExitFailed, errors.Newf("operator: there is no service %q; `primrosemount catalogue get` lists the services", c.Service)
+	}
+	text, err := catalogueText(state)
+	if err != nil {
+		return ExitFailed, err
+	}
+	return c.write(out, state, text)
+}
+
+func (c *GetCommand) write(out Output, state *pb.CatalogueState, text []byte) (int, error) {
+	if c.File != "" {
+		err := os.WriteFile(c.File, text, 0o644)
+		return exitOf(err), errors.Wrap(err, "operator: cannot write the file; check the path and its permissions")
+	}
+	err := c.print(out, state, func(w io.Writer) { _, _ = w.Write(text) })
+	return exitOf(err), err
+}
+
+func keepService(entries []*pb.EntryState, service string) []*pb.EntryState {
+	if service == "" {
+		return entries
+	}
+	for _, entry := range entries {
+		if entry.Entry.GetService() == service {
+			return []*pb.EntryState{entry}
+		}
+	}
+	return nil
+}
+
+// catalogueText is a catalogue file with the offset on which it is based.
+func catalogueText(state *pb.CatalogueState) ([]byte, error) {
+	file := &pb.CatalogueFile{}
+	for _, entry := range state.Entries {
+		file.Entries = append(file.Entries, entry.Entry)
+	}
+	text, err := settings.FormatCatalogue(file)
+	if err != nil {
+		return nil, err
+	}
+	header := fmt.Sprintf("# Catalogue in force. `catalogue apply` refuses to overwrite later changes.\n# based-on: %d\n", state.NextOffset)
+	return append([]byte(header), text...), nil
+}
+
+// HistoryCommand prints recent changes.
+type HistoryCommand struct {
+	NodeFlags
+	OutputFlags
+	Service string `arg:"--service" help:"only this service"`
+}
+
+func (c *HistoryCommand) run(ctx context.Context, out Output) (int, error) {
+	client, err := c.client()
+	if err != nil {
+		return ExitUsage, err
+	}
+	defer client.Close()
+	history, err := client.History(ctx, c.Service)
+	if err != nil {
+		return ExitFailed, err
+	}
+	err = c.print(out, history, func(w io.Writer) { printResults(w, history.Results) })
+	return exitOf(err), err
+}
+
+func printResults(w io.Writer, results []*pb.ChangeResult) {
+	table(w, "OFFSET\tSERVICE\tOPERATOR\tRESULT\tCHANGE\tDETAIL", func(w io.Writer) {
+		for _, result := range results {
+			row(w, result.Offset, result.Service, result.Operator, resultText(result), hex.EncodeToString(result.ChangeId), result.Detail)
+		}
+	})
+}
+
+func resultText(result *pb.ChangeResult) string {
+	if result.Accepted {
+		return StateAccepted
+	}
+	return StateRejected
+}
+
+// StatusCommand prints what a node knows, or the result of one change.
+type StatusCommand struct {
+	NodeFlags
+	OutputFlags
+	Change string `arg:"positional" help:"id of a change; by default the state of the node is printed"`
+}
+
+func (c *StatusCommand) run(ctx context.Context, out Output) (int, error) {
+	client, err := c.client()
+	if err != nil {
+		return ExitUsage, err
+	}
+	defer client.Close()
+	if c.Change != "" {
+		return c.change(ctx, client, out)
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return ExitFailed, err
+	}
+	err = c.print(out, status, func(w io.Writer) { printStatus(w, status) })
+	return exitOf(err), err
+}
+
+// change prints the result of a change: accepted, rejected, or not known.
+func (c *StatusCommand) change(ctx context.Context, client *Client, out Output) (int, error) {
+	id, err := hex.DecodeString(c.Change)
+	if err != nil || len(id) != catalogue.ChangeIDBytes {
+		return ExitUsage, errors.Newf("operator: %q is not the id of a change; write the %d hexadecimal digits that `catalogue apply` printed", c.Change, 2*catalogue.ChangeIDBytes)
+	}
+	result, err := client.Result(ctx, id)
+	if err != nil {
+		return ExitUnknown, err
+	}
+	if result == nil {
+		return ExitUnknown, errors.Newf("operator: the node knows no result of change %s; it may not have read it yet, or the change is older than the history; ask again, or look at `catalogue get`", c.Change)
+	}
+	err = c.print(out, result, func(w io.Writer) { printResults(w, []*pb.ChangeResult{result}) })
+	if !result.Accepted {
+		return ExitFailed, err
+	}
+	return exitOf(err), err
+}
+
+func printStatus(w io.Writer, s *pb.NodeStatus) {
+	line := func(name string, value any) { row(w, name+":", value) }
+	table(w, "node:\t"+cellText(s.Node), func(w io.Writer) {
+		row(w, "service:", s.Service)
+		row(w, "zone:", s.AvailabilityZone+" in "+s.Region)
+		row(w, "version:", s.Version)
+		row(w, "log reachable:", s.LogReachable)
+		for _, stream := range s.Streams {
+			row(w, stream.Stream+":", streamText(stream))
+		}
+		row(w, "services:", s.Services)
+		row(w, "members:", s.Members)
+		row(w, "gate:", gateText(s.Gate))
+	})
+	if s.CertificateExpiryUnixSeconds > 0 {
+		line("certificate expires", time.Unix(s.CertificateExpiryUnixSeconds, 0).UTC().Format(time.RFC3339))
+	}
+}
+
+func streamText(s *pb.StreamStatus) string {
+	if !s.Known {
+		return "not known yet"
+	}
+	return fmt.Sprintf("read up to offset %d", s.NextOffset)
+}
+
+func gateText(g *pb.GateReport) string {
+	text := fmt.Sprintf("%d in progress, limit %d, threshold %d", g.GetInFlight(), g.GetLimit(), g.GetThreshold())
+	if g.GetDraining() {
+		text += ", draining"
+	}
+	if g.GetTargetDown() {
+		text += ", target down"
+	}
+	return text
+}
--- /dev/null
+++ b/operator/command.go
@@ -0,0 +1,237 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/transport/tlsconfig"
+)
+
+// Exit codes of the subcommands.
+const (
+	// ExitOK means that everything was done.
+	ExitOK = 0
+	// ExitFailed means that something was refused or failed and had no effect.
+	ExitFailed = 1
+	// ExitUsage means that the arguments or a file are not valid.
+	ExitUsage = 2
+	// ExitUnknown means that a change may have taken effect.
+	ExitUnknown = 3
+)
+
+// Commands are the operators' subcommands, to be embedded in the arguments of
+// the program.
+type Commands struct {
+	Catalogue *CatalogueCommand `arg:"subcommand:catalogue" help:"read and change the catalogue"`
+	Report    *ReportCommand    `arg:"subcommand:report" help:"report on service levels"`
+	Explain   *ExplainCommand   `arg:"subcommand:explain" help:"explain what happened to a request or at a target"`
+	Version   *VersionCommand   `arg:"subcommand:version" help:"print the version"`
+}
+
+// CatalogueCommand holds the subcommands for the catalogue.
+type CatalogueCommand struct {
+	Validate *ValidateCommand `arg:"subcommand:validate" help:"check a catalogue file"`
+	Diff     *DiffCommand     `arg:"subcommand:diff" help:"compare a catalogue file with the catalogue in force"`
+	Apply    *ApplyCommand    `arg:"subcommand:apply" help:"submit the changes of a catalogue file"`
+	Get      *GetCommand      `arg:"subcommand:get" help:"print the catalogue in force as a catalogue file"`
+	History  *HistoryCommand  `arg:"subcommand:history" help:"print recent changes and what was decided about them"`
+	Status   *StatusCommand   `arg:"subcommand:status" help:"print what a node knows, or the result of one change"`
+}
+
+// ReportCommand holds the reports.
+type ReportCommand struct {
+	Burn *BurnCommand `arg:"subcommand:burn" help:"how fast services spend what their objectives permit"`
+}
+
+// Output is where subcommands print.
+type Output struct {
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+// runner is one subcommand. It returns an exit code; an error is printed and
+// decides the code unless the code is set.
+type runner interface {
+	run(ctx context.Context, out Output) (int, error)
+}
+
+// Run runs the subcommand that was given and returns its exit code, or false if
+// none of these was given.
+func (c *Commands) Run(ctx context.Context, out Output) (int, bool) {
+	command := c.chosen()
+	if command == nil {
+		return ExitUsage, c.Catalogue != nil || c.Report != nil
+	}
+	code, err := command.run(ctx, out)
+	if err != nil {
+		_, _ = fmt.Fprintln(out.Stderr, err)
+	}
+	return code, true
+}
+
+// chosen returns the subcommand, or nil.
+func (c *Commands) chosen() runner {
+	switch {
+	case c.Explain != nil:
+		return c.Explain
+	case c.Version != nil:
+		return c.Version
+	case c.Report != nil && c.Report.Burn != nil:
+		return c.Report.Burn
+	case c.Catalogue != nil:
+		return c.Catalogue.chosen()
+	}
+	return nil
+}
+
+func (c *CatalogueCommand) chosen() runner {
+	switch {
+	case c.Validate != nil:
+		return c.Validate
+	case c.Diff != nil:
+		return c.Diff
+	case c.Apply != nil:
+		return c.Apply
+	case c.Get != nil:
+		return c.Get
+	case c.History != nil:
+		return c.History
+	case c.Status != nil:
+		return c.Status
+	}
+	return nil
+}
+
+// NodeFlags name the node to ask. Any node will do.
+type NodeFlags struct {
+	Node        string        `arg:"--node,env:PRIMROSEMOUNT_NODE" default:"http://127.0.0.1:7403" placeholder:"URL" help:"operators' listener of a node"`
+	Certificate string        `arg:"--certificate,env:PRIMROSEMOUNT_CERTIFICATE" placeholder:"FILE" help:"certificate of the operator, for https"`
+	Key         string        `arg:"--key,env:PRIMROSEMOUNT_KEY" placeholder:"FILE" help:"key of the certificate"`
+	Authorities string        `arg:"--authorities,env:PRIMROSEMOUNT_AUTHORITIES" placeholder:"FILE" help:"authorities of the nodes"`
+	Timeout     time.Duration `arg:"--timeout" default:"15s" help:"longest wait for one answer"`
+}
+
+// client returns a client of the node; an error is a fault of the arguments.
+func (f *NodeFlags) client() (*Client, error) {
+	config, err := f.tls()
+	if err != nil {
+		return nil, err
+	}
+	return NewClient(f.Node, config, f.Timeout)
+}
+
+func (f *NodeFlags) tls() (*tls.Config, error) {
+	if f.Certificate == "" && f.Key == "" && f.Authorities == "" {
+		return nil, nil
+	}
+	source, err := tlsconfig.Load(&pb.TlsSettings{
+		CertificateFile: f.Certificate,
+		KeyFile:         f.Key,
+		AuthoritiesFile: f.Authorities,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "give all three of --certificate, --key and --authorities")
+	}
+	return source.Client(tlsconfig.RoleNode), nil
+}
+
+// OutputFlags choose the form of the output.
+type OutputFlags struct {
+	JSON bool `arg:"--json" help:"print JSON"`
+}
+
+// print writes message as JSON if that is asked for, and calls text otherwise.
+func (f *OutputFlags) print(out Output, message proto.Message, text func(io.Writer)) error {
+	if !f.JSON {
+		text(out.Stdout)
+		return nil
+	}
+	data, err := encodeJSON(message)
+	if err != nil {
+		return errors.Wrap(err, "operator: the answer cannot be written as JSON; report this to the developers")
+	}
+	// protojson varies its spaces, which would make equal outputs differ.
+	var line bytes.Buffer
+	if err := json.Compact(&line, data); err != nil {
+		return errors.Wrap(err, "operator: the answer cannot be written as JSON; report this to the developers")
+	}
+	_, err = fmt.Fprintln(out.Stdout, line.String())
+	return err
+}
+
+// table aligns tab-separated lines.
+func table(w io.Writer, header string, lines func(io.Writer)) {
+	aligned := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(aligned, header)
+	lines(aligned)
+	_ = aligned.Flush()
+}
+
+// row writes one line of a table. Control characters in cells become spaces, so
+// that no value can break the table or the terminal.
+func row(w io.Writer, cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = cellText(fmt.Sprint(cell))
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(texts, "\t"))
+}
+
+func cellText(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, text)
+}
+
+// VersionCommand prints the version.
+type VersionCommand struct {
+	OutputFlags
+}
+
+// Version returns what the build recorded about itself.
+func Version() *pb.VersionReport {
+	report := &pb.VersionReport{Version: "unknown", GoVersion: runtime.Version()}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return report
+	}
+	report.Version = info.Main.Version
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			report.Revision = setting.Value
+		}
+	}
+	return report
+}
+
+func (c *VersionCommand) run(_ context.Context, out Output) (int, error) {
+	report := Version()
+	err := c.print(out, report, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "primrosemount %s %s %s\n", report.Version, report.Revision, report.GoVersion)
+	})
+	return exitOf(err), err
+}
+
+// exitOf is the code of a command that changes nothing.
+func exitOf(err error) int {
+	if err != nil {
+		return ExitFailed
+	}
+	return ExitOK
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
@@ -148,6 +149,37 @@
 	require.Contains(t, got, "9:11: entries[2].limits: this must be a mapping")
 }
 
+// Guards against a written catalogue that reads back as another one.
+func TestFormatRoundTrip(t *testing.T) {
+	for _, user := range []string{"kenttavuoro", "sarr-fils"} {
+		before, err := LoadCatalogue(filepath.Join("..", "examples", user, "catalogue.yaml"))
+		require.NoError(t, err)
+		before.Entries[0].Owner = "a: 'b' # c"
+		before.Entries[1].AllowedCallers = []string{"*", "null", "1.5"}
+		text, err := FormatCatalogue(before)
+		require.NoError(t, err)
+		after, err := ParseCatalogue(text)
+		require.NoError(t, err, "%s", text)
+		require.True(t, proto.Equal(before, after), "%s", text)
+	}
+}
+
+// Guards against a comparison that shows items of a list by their position.
+func TestFlatten(t *testing.T) {
+	got := Flatten(&pb.Entry{
+		Service:        "a",
+		Class:          pb.Class_CLASS_CRITICAL,
+		Limits:         &pb.Limits{RequestBytes: 2048},
+		Operations:     []*pb.Operation{{Name: "book", Deadline: durationpb.New(time.Second)}},
+		AllowedCallers: []string{"x", "y"},
+	})
+	require.Equal(t, []FieldText{
+		{"service", "a"}, {"class", "critical"}, {"limits.request_bytes", "2KiB"},
+		{"operations[book].name", "book"}, {"operations[book].idempotent", "false"}, {"operations[book].deadline", "1s"},
+		{"allowed_callers", "x, y"},
+	}, got)
+}
+
 // Guards against an unreadable file without the name of the file.
 func TestUnreadableFiles(t *testing.T) {
 	_, err := LoadNode(filepath.Join(t.TempDir(), "none.yaml"))
