--- a/cmd/primrosemount/main.go
+++ b/cmd/primrosemount/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/primrosemount/primrosemount/operator"
 )
 
 // Exit codes.
@@ -17,9 +19,9 @@
 
 // arguments are the subcommands; exactly one is set.
 type arguments struct {
-	Node    *nodeCommand    `arg:"subcommand:node" help:"run the node beside a target"`
-	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a small fleet with an overload, a drain and a crash"`
-	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+	Node *nodeCommand `arg:"subcommand:node" help:"run the node beside a target"`
+	Demo *demoCommand `arg:"subcommand:demo" help:"run a small fleet with an overload, a drain and a crash"`
+	operator.Commands
 }
 
 // Description implements arg.Described.
@@ -35,12 +37,10 @@
 func main() {
 	var args arguments
 	parser := arg.MustParse(&args)
-	chosen, ok := parser.Subcommand().(command)
-	if !ok {
-		parser.WriteHelp(os.Stderr)
-		os.Exit(exitUsage)
+	if chosen, ok := parser.Subcommand().(command); ok {
+		os.Exit(chosen.run())
 	}
-	os.Exit(chosen.run())
+	os.Exit(runOperators(parser, &args.Commands))
 }
 
 // fail prints an error and returns the exit code.
--- a/operator/client.go
+++ b/operator/client.go
@@ -132,7 +132,11 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, query url.Values, answer proto.Message) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path+"?"+query.Encode(), nil)
+	address := c.base + path
+	if len(query) > 0 {
+		address += "?" + query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return errors.Wrap(err, "operator: the request cannot be built; check the URL of the node")
 	}
--- a/operator/command.go
+++ b/operator/command.go
@@ -69,11 +69,11 @@
 }
 
 // Run runs the subcommand that was given and returns its exit code, or false if
-// none of these was given.
+// none of these was given completely.
 func (c *Commands) Run(ctx context.Context, out Output) (int, bool) {
 	command := c.chosen()
 	if command == nil {
-		return ExitUsage, c.Catalogue != nil || c.Report != nil
+		return ExitUsage, false
 	}
 	code, err := command.run(ctx, out)
 	if err != nil {
@@ -223,7 +223,7 @@
 func (c *VersionCommand) run(_ context.Context, out Output) (int, error) {
 	report := Version()
 	err := c.print(out, report, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "primrosemount %s %s %s\n", report.Version, report.Revision, report.GoVersion)
+		_, _ = fmt.Fprintln(w, "primrosemount", report.Version, orDash(report.Revision), report.GoVersion)
 	})
 	return exitOf(err), err
 }
