--- a/cmd/primrosemount/demo.go
+++ b/cmd/primrosemount/demo.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosemount/primrosemount/internal/demo"
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 type demoCommand struct {
@@ -23,7 +24,7 @@
 	logger := zap.NewNop()
 	if c.Verbose {
 		var err error
-		if logger, err = newLogger("info"); err != nil {
+		if logger, err = telemetry.NewLogger("info"); err != nil {
 			return fail(exitUsage, err)
 		}
 	}
--- a/cmd/primrosemount/node.go
+++ b/cmd/primrosemount/node.go
@@ -6,10 +6,9 @@
 	"os/signal"
 	"syscall"
 
-	"go.uber.org/zap"
-
 	"github.com/primrosemount/primrosemount/node"
 	"github.com/primrosemount/primrosemount/settings"
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 type nodeCommand struct {
@@ -23,7 +22,7 @@
 	if err != nil {
 		return fail(exitUsage, err)
 	}
-	logger, err := newLogger(parsed.GetLogLevel())
+	logger, err := telemetry.NewLogger(parsed.GetLogLevel())
 	if err != nil {
 		return fail(exitUsage, err)
 	}
@@ -46,14 +45,3 @@
 	}
 	return exitOK
 }
-
-func newLogger(level string) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	parsed, err := zap.ParseAtomicLevel(level)
-	if err != nil {
-		return nil, err
-	}
-	config.Level = parsed
-	config.DisableStacktrace = true
-	return config.Build()
-}
--- a/node/http.go
+++ b/node/http.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 	"golang.org/x/net/netutil"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -15,6 +16,7 @@
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/node/httpapi"
+	"github.com/primrosemount/primrosemount/operator"
 	"github.com/primrosemount/primrosemount/transport/tlsconfig"
 	"github.com/primrosemount/primrosemount/wire"
 )
@@ -32,23 +34,45 @@
 
 // httpServers are the servers of the HTTP listeners.
 type httpServers struct {
-	callers *http.Server
-	target  *http.Server
+	callers   *http.Server
+	target    *http.Server
+	operators *http.Server
 }
 
-// serveHTTP starts the servers for callers and for the target.
-func (n *Node) serveHTTP() {
+// all returns the servers.
+func (s *httpServers) all() []*http.Server {
+	return []*http.Server{s.callers, s.target, s.operators}
+}
+
+// buildHTTP creates the servers for callers, the target and operators.
+func (n *Node) buildHTTP() error {
 	callers := iris.New()
 	callers.Logger().SetLevel("disable")
 	callers.Post(wire.ServicesPath+"{service:string}/keys", n.serveKeys)
 	callers.Post(wire.ServicesPath+"{service:string}/{operation:string}", n.serveCall)
 	callers.OnAnyErrorCode(serveNoRoute)
-	// Build cannot fail for the fixed routes above.
-	_ = callers.Build()
+	if err := callers.Build(); err != nil {
+		return errors.Wrap(err, "node: the routes for callers could not be built")
+	}
+	operators, err := operator.NewHandler(operator.ServerConfig{
+		Source:  &source{node: n, started: time.Now()},
+		Metrics: n.metrics.Handler(),
+	})
+	if err != nil {
+		return err
+	}
 	n.servers.callers = n.newServer(n.politeClose(callers))
 	n.servers.target = n.newServer(n.targetHandler())
+	n.servers.operators = n.newServer(operators)
+	return nil
+}
+
+// serveHTTP starts the servers.
+func (n *Node) serveHTTP() {
 	n.spawn(func() { n.logEnd("callers", ignoreClosed(n.servers.callers.Serve(n.callerListener()))) })
 	n.spawn(func() { n.logEnd("target", ignoreClosed(n.servers.target.Serve(n.listeners.target))) })
+	operators := n.trust.listen(n.listeners.operators, tlsconfig.RoleOperator)
+	n.spawn(func() { n.logEnd("operators", ignoreClosed(n.servers.operators.Serve(operators))) })
 }
 
 // callerListener bounds the connections of callers and demands certificates
@@ -157,13 +181,16 @@
 	return nil
 }
 
-// shutdownHTTP waits for the answers in progress.
+// shutdownHTTP waits for the answers in progress. What the context cuts is
+// reported by the drain.
 func (n *Node) shutdownHTTP(ctx context.Context) {
-	_ = n.servers.callers.Shutdown(ctx)
-	_ = n.servers.target.Shutdown(ctx)
+	for _, server := range n.servers.all() {
+		_ = server.Shutdown(ctx)
+	}
 }
 
 func (n *Node) closeHTTP() {
-	_ = n.servers.callers.Close()
-	_ = n.servers.target.Close()
+	for _, server := range n.servers.all() {
+		_ = server.Close()
+	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -193,6 +193,9 @@
 		MaxBodyBytes:   bodyBytes,
 		MaxConnections: int(n.settings.GetBounds().GetNodeConnections()),
 	})
+	if err := n.buildHTTP(); err != nil {
+		return err
+	}
 	return n.exportMetrics()
 }
 
