--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -53,6 +53,13 @@
 	// delayIntervals is the standing queue in requests that is always accepted,
 	// because slow targets with few slots start less often than every 5 ms.
 	delayIntervals = 4
+	// delayShare is the standing delay, as a share of the service time, that
+	// is always accepted. Ends of slow requests come in bursts, and a shorter
+	// queue would leave slots idle between them.
+	delayShare = 0.5
+	// hangTimes is the number of service times without any end after which a
+	// target may hang.
+	hangTimes = 4
 	// windowOffers is the number of offers that closes a window early enough
 	// for a good count; patience is the number of window lengths after which a
 	// window closes with fewer.
@@ -523,7 +530,6 @@
 	}
 	stale := it.arrived + g.config.MaxWait
 	if at >= stale && !worseLeft {
-		g.window.lackedRoom++
 		g.evict(at, index)
 		return false
 	}
--- a/core/gate/threshold.go
+++ b/core/gate/threshold.go
@@ -12,10 +12,13 @@
 	// rises. Between it and 1 the threshold holds.
 	calmExcess = 0.5
 	// drainGain and lowestFactor shape the admitted share of the started rate
-	// while the queue is too long: less is admitted than started, so that the
-	// queue drains while all slots stay in use.
+	// while the queue is too long: a bit less is admitted than started, so that
+	// the queue drains. The order of the queue protects better levels meanwhile.
 	drainGain    = 0.1
-	lowestFactor = 0.7
+	lowestFactor = 0.9
+	// lowerGain is the share of the surplus that is shed while the queue still
+	// has room, so that one window of noise does not idle the slots.
+	lowerGain = 0.5
 	// raiseGain is the share of the free capacity that one raise hands out.
 	raiseGain = 0.5
 	// leastRaise keeps the threshold probing when all slots are in use.
@@ -31,7 +34,7 @@
 	idleUse = 0.75
 	// demandWeight is the weight of the newest window in the demand of levels
 	// that callers send.
-	demandWeight = 0.3
+	demandWeight = 0.4
 	// demandDecay is the factor per window on the remembered demand of levels
 	// above the threshold: half of it remains after 14 windows.
 	demandDecay = 0.95
@@ -43,7 +46,8 @@
 // load is what one window showed.
 type load struct {
 	duration time.Duration
-	starts   int
+	// starts is the number of requests that the target can start.
+	starts float64
 	// excess is the standing queue delay divided by the target delay.
 	excess float64
 	// lackedRoom tells that requests at admitted levels were refused or evicted.
@@ -67,12 +71,11 @@
 
 // adjust moves the threshold by one window and begins the next one.
 func (t *threshold) adjust(w load) {
-	offered := sum(t.seen[:t.level+1])
 	t.remember(w.duration)
 	t.seen = [levels]float64{}
 	switch {
 	case w.excess > 1 || w.lackedRoom:
-		t.lower(offered, w)
+		t.lower(w)
 	case w.excess < calmExcess:
 		t.raise(w.use)
 	}
@@ -80,15 +83,14 @@
 
 // lower moves down until the demand of the admitted levels fits the rate at
 // which requests start.
-func (t *threshold) lower(offered float64, w load) {
+func (t *threshold) lower(w load) {
 	factor := 1 - drainGain*(w.excess-1)
 	factor = math.Min(1, math.Max(lowestFactor, factor))
-	allowed := factor * float64(w.starts)
-	if offered <= allowed {
-		return
+	allowed := factor * w.starts / seconds(w.duration)
+	surplus := sum(t.demand[:t.level+1]) - allowed
+	if !w.lackedRoom {
+		surplus *= lowerGain
 	}
-	demand := sum(t.demand[:t.level+1])
-	surplus := demand * (1 - allowed/offered)
 	for surplus > 0 && t.level > lowestThreshold {
 		surplus -= t.demand[t.level]
 		t.level--
@@ -115,9 +117,8 @@
 
 // remember merges the offers of the window into the demand.
 func (t *threshold) remember(duration time.Duration) {
-	seconds := math.Max(duration.Seconds(), 0.001)
 	for level := range t.demand {
-		rate := t.seen[level] / seconds
+		rate := t.seen[level] / seconds(duration)
 		if outcome.Level(level) > t.level && rate < t.demand[level] {
 			t.demand[level] = math.Max(rate, demandDecay*t.demand[level])
 			continue
@@ -126,6 +127,11 @@
 	}
 }
 
+// seconds returns the length of a window for a division.
+func seconds(duration time.Duration) float64 {
+	return math.Max(duration.Seconds(), 0.001)
+}
+
 func sum(values []float64) float64 {
 	total := 0.0
 	for _, v := range values {
--- a/core/gate/window.go
+++ b/core/gate/window.go
@@ -53,7 +53,7 @@
 func (g *Gate) load(age time.Duration) load {
 	w := load{
 		duration:   age,
-		starts:     g.window.starts,
+		starts:     math.Max(float64(g.window.starts), g.expectedStarts(age)),
 		lackedRoom: g.window.lackedRoom > 0,
 		use:        float64(g.inFlight) / float64(g.limiter.Limit()),
 	}
@@ -61,12 +61,25 @@
 		w.use = g.window.use / float64(g.window.useSamples)
 	}
 	standing := min(g.window.standing, g.queue.length)
-	interval := float64(age) / math.Max(1, float64(w.starts))
+	interval := float64(age) / math.Max(1, w.starts)
 	target := math.Max(float64(g.config.TargetDelay), delayIntervals*interval)
+	target = math.Max(target, delayShare*g.service.mean)
 	w.excess = float64(standing) * interval / target
 	return w
 }
 
+// expectedStarts returns the number of starts that the limit and the service
+// time allow in a time. Starts that are counted may be fewer for a while, when
+// the limit was cut and the surplus of requests must end first. It is zero if
+// no request ended for some service times, because the target may hang.
+func (g *Gate) expectedStarts(length time.Duration) float64 {
+	mean := g.service.mean
+	if mean == 0 || float64(g.latest-g.service.updated) > hangTimes*mean {
+		return 0
+	}
+	return float64(length) / mean * float64(g.limiter.Limit())
+}
+
 func (g *Gate) resetWindow(at time.Duration) {
 	g.window = tally{start: at, standing: math.MaxInt}
 }
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -61,44 +61,60 @@
 	// growSamples is the least number of samples for a raise. A raise that
 	// was wrong is corrected by the next windows.
 	growSamples = 10
-	// cutSamples is the least number of samples for a cut or the verdict of a
-	// trial. The mean of 64 exponential times has a deviation of 12 %.
-	cutSamples = 64
-	// patience is the number of windows after which a window closes with
-	// fewer than cutSamples. It then needs a higher ratio for a cut, and a trial
-	// ends without a verdict.
+	// sureDeviations is the distance, in deviations of the measured ratio, at
+	// which a cut or a verdict needs no more samples, if there are at least
+	// sureSamples; with fewer the deviation is not known well. cutSamples is the
+	// number of samples that is always enough. The mean of 64 exponential times
+	// has a deviation of 12 %.
+	sureDeviations = 2
+	sureSamples    = 24
+	cutSamples     = 64
+	// grossRatio is a ratio that noise does not reach, so that it needs only
+	// growSamples.
+	grossRatio = 3
+	// patience is the number of windows after which a window closes although
+	// its samples are few and not sure.
 	patience = 20
 	// growth is the factor of a raise below the knee.
 	growth = 1.25
 	// slowGrowth is the factor of a raise while the ratio is between quickBelow
-	// and the tolerance, or above the concurrency at which the target refused.
+	// and the tolerance, or near a limit that was found too high.
 	slowGrowth = 1.03
 	quickBelow = 1.2
-	// refusalMemory is the time for which a refusal slows down raises.
-	refusalMemory = 2 * time.Second
-	// deepestCut and shallowestCut bound the factor of a trial. A smaller
-	// change of concurrency could not be told from noise.
-	deepestCut    = 0.5
-	shallowestCut = 0.7
+	// ceilingMemory is the time for which raises are slow near a limit that was
+	// found too high.
+	ceilingMemory = time.Second
+	// trialCut is the factor of a trial. A smaller change of concurrency takes
+	// longer to tell from noise: at 0.7 a trial costs half as much again.
+	trialCut = 0.5
+	// furtherCut bounds the cut that follows a trial.
+	furtherCut = 0.25
 	// refusalCut is the factor after a refusal by the target.
 	refusalCut = 0.9
-	// recheck is the time after which a raised expectation is put to trial
-	// again, because a verdict on noisy samples may be wrong.
-	recheck = 5 * time.Second
+	// recheck is the time after which an accepted slowdown is put to trial
+	// again, because a verdict may be wrong, mostly when conditions changed
+	// during the trial. It doubles with each confirmation up to longestRecheck.
+	// trialShare is the least time between rechecks in lengths of a trial, so
+	// that rechecks take less than 3 % of the throughput.
+	recheck        = time.Second
+	longestRecheck = time.Minute
+	trialShare     = 20
 	// settleTimes is the number of mean latencies after a change of the limit
 	// before samples count. Earlier ones ran at the old limit, or are the
 	// shortest of those that started since.
-	settleTimes = 2
+	settleTimes = 1.5
 	// relaxBelow is the ratio below which an accepted slowdown shrinks. Noise
 	// of cutSamples rarely goes below it.
 	relaxBelow = 0.8
+	// wrongBelow is the ratio below which the expected times themselves are
+	// wrong, because they were learned from a cold or full target.
+	wrongBelow = 0.5
 	// recheckSlowdown is the slowdown above which a recheck is worth its cost.
 	recheckSlowdown = 1.3
-	// learned is the number of samples after which an expected time needs no
-	// samples of a full target, and memory the number over which it averages.
-	// With 256 exponential times its deviation is 4 %.
-	learned = 64
-	memory  = 256
+	// learned is the number of samples over which an expected time averages,
+	// and after which it takes no samples of a full target. With 256
+	// exponential times its deviation is 6 % at first and 4 % later.
+	learned = 256
 	// inUse is the share of the limit that must be reached to call it in use.
 	inUse = 0.9
 )
@@ -150,14 +166,16 @@
 
 // window collects the samples of one decision.
 type window struct {
-	start    time.Time
-	own      float64 // nanoseconds
-	expect   float64 // nanoseconds
-	latency  float64 // nanoseconds
-	inFlight float64 // sum over samples
-	highest  int
-	count    int
-	refused  int
+	start   time.Time
+	own     float64 // nanoseconds
+	expect  float64 // nanoseconds
+	latency float64 // nanoseconds
+	// ownOwn, ownExpect and expectExpect are sums of products.
+	ownOwn, ownExpect, expectExpect float64
+	inFlight                        float64 // sum over samples
+	highest                         int
+	count                           int
+	refused                         int
 }
 
 // trial is a cut whose effect is not yet known.
@@ -165,6 +183,7 @@
 	active   bool
 	limit    float64
 	ratio    float64
+	error    float64 // deviation of ratio
 	inFlight float64
 }
 
@@ -174,18 +193,22 @@
 	limit  float64
 	max    float64
 	// slowdown is the factor on expected times that trials accepted.
-	slowdown  float64
-	table     [operations]expected
-	window    window
-	trial     trial
+	slowdown float64
+	table    [operations]expected
+	window   window
+	trial    trial
+	// suspected tells that the last window was too slow. A trial starts after
+	// two such windows, because the ratio of the first one was selected for
+	// being high, and any later ratio would look like a fall.
+	suspected bool
 	lastTrial time.Time
+	recheck   time.Duration
 	// settled is the time from which samples show the effect of the last cut
 	// or restore.
 	settled time.Time
-	// refusedAt is the time of the last cut after a refusal, and refusedLimit
-	// the limit after it.
-	refusedAt    time.Time
-	refusedLimit float64
+	// ceiling is the last limit that was found too high, at ceilingAt.
+	ceiling   float64
+	ceilingAt time.Time
 	// rampStart is the start of the ramp-up in progress; zero if none.
 	rampStart time.Time
 	rampCap   float64
@@ -194,7 +217,7 @@
 // New returns a Limiter whose limit is the cap.
 func New(config Config) *Limiter {
 	config = config.withDefaults()
-	l := &Limiter{config: config, slowdown: 1}
+	l := &Limiter{config: config, slowdown: 1, recheck: recheck}
 	l.max = float64(config.Max)
 	l.limit = l.max
 	l.rampCap = math.Inf(1)
@@ -227,7 +250,7 @@
 func (l *Limiter) Limit() int {
 	limit := math.Min(l.limit, l.rampCap)
 	limit = math.Min(limit, l.max)
-	return max(l.config.Min, int(limit))
+	return max(l.config.Min, int(math.Ceil(limit)))
 }
 
 // SetMax sets the cap. A limit that was at the old cap moves to the new one.
@@ -307,6 +330,9 @@
 	}
 	l.window.own += own
 	l.window.expect += e.mean
+	l.window.ownOwn += own * own
+	l.window.ownExpect += own * e.mean
+	l.window.expectExpect += e.mean * e.mean
 	l.window.latency += float64(s.Latency)
 	l.window.inFlight += float64(s.InFlight)
 	l.window.highest = max(l.window.highest, s.InFlight)
@@ -314,15 +340,15 @@
 }
 
 // learn updates the expected time of one operation from samples of a target
-// that is at most half full. Samples of a fuller target count only while too
-// few others are known.
+// that is at most half full and not slow. Other samples count only while too few
+// are known.
 func (l *Limiter) learn(e *expected, own float64, inFlight int) {
-	quiet := 2*inFlight <= l.Limit()
-	if !quiet && e.count >= learned {
+	normal := 2*inFlight <= l.Limit() && l.slowdown == 1
+	if !normal && e.count >= learned {
 		return
 	}
 	e.count++
-	weight := 1 / float64(min(e.count, memory))
+	weight := 1 / float64(min(e.count, learned))
 	e.mean += weight * (own/l.slowdown - e.mean)
 }
 
@@ -334,6 +360,16 @@
 	return w.own / w.expect
 }
 
+// error returns the deviation of ratio.
+func (w *window) error() float64 {
+	if w.expect == 0 {
+		return 1
+	}
+	r := w.ratio()
+	residual := w.ownOwn - 2*r*w.ownExpect + r*r*w.expectExpect
+	return math.Sqrt(math.Max(0, residual)) / w.expect
+}
+
 // due reports whether the window holds enough for a decision.
 func (l *Limiter) due(now time.Time) bool {
 	age := now.Sub(l.window.start)
@@ -343,20 +379,32 @@
 	if l.window.refused > 0 || age >= patience*l.config.Window {
 		return true
 	}
-	suspicious := l.trial.active || l.tooSlow()
-	return !suspicious || l.window.count >= cutSamples
+	if l.window.count >= cutSamples {
+		return true
+	}
+	if l.trial.active {
+		return l.verdictSure()
+	}
+	if l.ratio() < relaxBelow {
+		return l.tooFast()
+	}
+	return l.ratio() <= l.config.Tolerance || l.tooSlow()
 }
 
-// tooSlow reports whether the ratio is above the tolerance by more than noise.
-// With fewer samples the tolerance widens like the deviation of their mean.
-func (l *Limiter) tooSlow() bool {
-	return l.ratio() > 1+(l.config.Tolerance-1)*l.window.noise()
+// tooFast reports whether the ratio is below 1 by more than noise.
+func (l *Limiter) tooFast() bool {
+	return l.ratio() < relaxBelow && l.sure(1-l.ratio(), l.error())
 }
 
-// noise returns the deviation of the mean of the samples, relative to that of
-// cutSamples; at least 1.
-func (w *window) noise() float64 {
-	return math.Sqrt(cutSamples / math.Min(cutSamples, float64(w.count)))
+// tooSlow reports whether the ratio is above the tolerance by more than noise.
+func (l *Limiter) tooSlow() bool {
+	if l.ratio() <= l.config.Tolerance {
+		return false
+	}
+	if l.window.count >= cutSamples || l.ratio() > grossRatio {
+		return true
+	}
+	return l.sure(l.ratio()-quickBelow, l.error())
 }
 
 // ratio returns own time divided by the time that is expected now.
@@ -364,6 +412,11 @@
 	return l.window.ratio() / l.slowdown
 }
 
+// error returns the deviation of ratio.
+func (l *Limiter) error() float64 {
+	return l.window.error() / l.slowdown
+}
+
 // decide applies the control law to a full window.
 func (l *Limiter) decide(now time.Time) {
 	switch {
@@ -371,9 +424,12 @@
 		l.cutAfterRefusal(now)
 	case l.trial.active:
 		l.judge(now)
+	case l.tooSlow() && !l.suspected:
+		l.suspected = true
 	case l.tooSlow() || l.recheckDue(now):
 		l.startTrial(now)
 	default:
+		l.suspected = false
 		l.relax()
 		l.raise(now)
 	}
@@ -383,38 +439,57 @@
 func (l *Limiter) cutAfterRefusal(now time.Time) {
 	seen := l.window.inFlight / float64(l.window.count)
 	l.trial = trial{}
+	l.setCeiling(now, seen)
 	l.cutTo(now, refusalCut*math.Min(l.limit, seen))
-	l.refusedAt = now
-	l.refusedLimit = l.limit
 }
 
 // startTrial cuts the limit to learn whether concurrency causes the delay.
 func (l *Limiter) startTrial(now time.Time) {
 	inFlight := l.window.inFlight / float64(l.window.count)
-	l.trial = trial{active: true, limit: l.limit, ratio: l.ratio(), inFlight: inFlight}
+	l.trial = trial{active: true, limit: l.limit, ratio: l.ratio(), error: l.error(), inFlight: inFlight}
 	l.lastTrial = now
-	factor := l.config.Tolerance / l.ratio()
-	factor = math.Min(math.Max(factor, deepestCut), shallowestCut)
-	l.cutTo(now, factor*math.Min(l.limit, inFlight))
+	l.suspected = false
+	l.cutTo(now, trialCut*math.Min(l.limit, inFlight))
+}
+
+// boundary returns the ratio between the two verdicts of a trial: half of the
+// fall that own times proportional to concurrency would show.
+func (l *Limiter) boundary() float64 {
+	inFlight := l.window.inFlight / float64(l.window.count)
+	proportional := l.trial.ratio * math.Min(1, inFlight/l.trial.inFlight)
+	return (l.trial.ratio + proportional) / 2
+}
+
+// verdictSure reports whether the ratio is far from the boundary.
+func (l *Limiter) verdictSure() bool {
+	noise := math.Hypot(l.error(), l.trial.error)
+	return l.sure(math.Abs(l.ratio()-l.boundary()), noise)
+}
+
+// sure reports whether a distance is more than noise.
+func (l *Limiter) sure(distance, deviation float64) bool {
+	return l.window.count >= sureSamples && distance > sureDeviations*deviation
 }
 
-// judge ends a trial. The cut stays if the ratio fell at least half as far as
-// it falls when own time is proportional to concurrency.
+// judge ends a trial. The cut stays if concurrency was the cause. If that is
+// sure and the ratio is still above the tolerance, the cut goes on in proportion.
 func (l *Limiter) judge(now time.Time) {
-	t := l.trial
+	caused, sure := l.ratio() <= l.boundary(), l.verdictSure()
+	before, inFlight := l.trial.limit, l.trial.inFlight
 	l.trial = trial{}
-	if l.window.count < cutSamples/2 {
-		l.restore(now, t.limit)
-		return
-	}
-	inFlight := l.window.inFlight / float64(l.window.count)
-	proportional := t.ratio * math.Min(1, inFlight/t.inFlight)
-	if l.ratio() <= (t.ratio+proportional)/2 {
+	if caused {
 		l.slowdown = math.Max(1, l.slowdown*math.Min(1, l.ratio()))
+		l.recheck = recheck
+		l.setCeiling(now, inFlight)
+		if sure && l.ratio() > l.config.Tolerance {
+			l.cutTo(now, l.limit*math.Max(furtherCut, l.config.Tolerance/l.ratio()))
+		}
 		return
 	}
 	l.slowdown = math.Max(1, l.slowdown*l.ratio())
-	l.restore(now, t.limit)
+	l.recheck = max(2*l.recheck, trialShare*now.Sub(l.lastTrial))
+	l.recheck = min(l.recheck, longestRecheck)
+	l.restore(now, before)
 }
 
 func (l *Limiter) restore(now time.Time, limit float64) {
@@ -430,22 +505,24 @@
 
 // recheckDue tells that an accepted slowdown must be put to trial again.
 func (l *Limiter) recheckDue(now time.Time) bool {
-	return l.slowdown > recheckSlowdown && l.limitInUse() && now.Sub(l.lastTrial) >= recheck
+	return l.slowdown > recheckSlowdown && l.limitInUse() && now.Sub(l.lastTrial) >= l.recheck
 }
 
 // relax follows own times that became faster than expected: first the accepted
-// slowdown shrinks, then the expected times do. A window with few samples has
-// less weight.
+// slowdown shrinks, then the expected times do. Both stay at the upper end of
+// what the noise allows, because a time that is too short causes trials.
 func (l *Limiter) relax() {
-	ratio := l.ratio()
-	if ratio >= 1-(1-relaxBelow)*l.window.noise() {
+	if !l.tooFast() {
 		return
 	}
-	ratio = math.Pow(ratio, math.Min(1, float64(l.window.count)/cutSamples))
+	ratio := math.Min(1, l.ratio()+sureDeviations*l.error())
 	if l.slowdown > 1 {
 		l.slowdown = math.Max(1, l.slowdown*ratio)
 		return
 	}
+	if ratio > wrongBelow {
+		return
+	}
 	for i := range l.table {
 		l.table[i].mean *= ratio
 	}
@@ -457,15 +534,21 @@
 		return
 	}
 	factor := growth
-	if l.ratio() > quickBelow || l.nearRefusal(now) {
+	if l.ratio() > quickBelow || l.nearCeiling(now) {
 		factor = slowGrowth
 	}
-	l.limit = math.Min(l.max, math.Max(l.limit+1, l.limit*factor))
+	l.limit = math.Min(l.max, l.limit*factor)
+}
+
+// nearCeiling reports whether a quick raise would come to a limit that was found
+// too high recently.
+func (l *Limiter) nearCeiling(now time.Time) bool {
+	return growth*l.limit >= l.ceiling && now.Sub(l.ceilingAt) < ceilingMemory
 }
 
-// nearRefusal reports whether the target refused at this limit recently.
-func (l *Limiter) nearRefusal(now time.Time) bool {
-	return l.limit >= l.refusedLimit && now.Sub(l.refusedAt) < refusalMemory
+func (l *Limiter) setCeiling(now time.Time, limit float64) {
+	l.ceiling = limit
+	l.ceilingAt = now
 }
 
 func (l *Limiter) limitInUse() bool {
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -24,6 +24,9 @@
 	refuseAbove int
 }
 
+// seeds is the number of random runs of each test.
+const seeds = 20
+
 // drive lets a target run for a time and returns the mean limit of the last
 // quarter. Samples have exponential own times.
 func drive(l *Limiter, now *time.Time, length time.Duration, tg target, random *rand.Rand) float64 {
@@ -73,7 +76,7 @@
 // Guards against a limit far above the knee of a target that announces more
 // slots than it can use: throughput would stay, but latency would grow.
 func TestFindsKneeBelowSlots(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(seeds) {
 		l, now, random := newRun(160, seed)
 		tg := target{processors: 40, cpu: 10 * time.Millisecond}
 		tg.demand = 20
@@ -88,7 +91,7 @@
 // Guards against a fall of the limit when a deep service is slow, with and
 // without known downstream time.
 func TestSlowDownstreamKeepsSlots(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(seeds) {
 		for _, hidden := range []bool{false, true} {
 			l, now, random := newRun(160, seed)
 			tg := target{processors: 160, cpu: 5 * time.Millisecond, downstream: 5 * time.Millisecond, hidden: hidden}
@@ -103,12 +106,12 @@
 // Guards against a limit that stays low after a disk, not concurrency, made the
 // target slow, and after the target is fast again.
 func TestSlowDiskKeepsSlots(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(seeds) {
 		l, now, random := newRun(50, seed)
 		tg := target{processors: 50, cpu: time.Millisecond, disk: 10 * time.Millisecond}
 		drive(l, now, 2*time.Second, tg, random)
 		tg.disk = 100 * time.Millisecond
-		limit := drive(l, now, 20*time.Second, tg, random)
+		limit := drive(l, now, 60*time.Second, tg, random)
 		require.Greater(t, limit, 0.9*50, "seed %d: while slow", seed)
 		tg.disk = 10 * time.Millisecond
 		limit = drive(l, now, 4*time.Second, tg, random)
@@ -119,7 +122,7 @@
 // Guards against a throttled processor that is taken for a slow disk, and
 // against a slow return to the slots afterwards.
 func TestThrottledProcessorLowersLimit(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(seeds) {
 		l, now, random := newRun(160, seed)
 		tg := target{processors: 160, cpu: 10 * time.Millisecond}
 		drive(l, now, 2*time.Second, tg, random)
@@ -135,7 +138,7 @@
 
 // Guards against a change of the mix of operations that is taken for overload.
 func TestMixOfOperations(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(seeds) {
 		l, now, random := newRun(100, seed)
 		cheap := target{processors: 100, cpu: time.Millisecond, demand: 40}
 		drive(l, now, time.Second, cheap, random)
--- /dev/null
+++ b/internal/experiment/arrivals.go
@@ -0,0 +1,116 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+// baseUse is the share of the scarcest capacity that ordinary demand uses.
+const baseUse = 0.6
+
+// Arrival is one recorded root request.
+type Arrival struct {
+	// At is the time since the start of the recording.
+	At time.Duration `json:"at"`
+	// Operation is the name of the root operation, for example "stock check".
+	Operation string `json:"operation"`
+	// Class is the class in lower case; it tells apart roots that share an
+	// operation. Empty: the first root with the operation.
+	Class string `json:"class,omitempty"`
+	// Cohort is the cohort of the root request, 0 to 127.
+	Cohort uint32 `json:"cohort"`
+}
+
+type arrival struct {
+	at     time.Duration
+	spec   *rootSpec
+	cohort uint32
+}
+
+// seededArrivals draws Poisson arrivals with the demand of the case.
+func seededArrivals(g *graph, s *scenario, seed uint64) []arrival {
+	random := rand.New(rand.NewPCG(seed, 7))
+	roots := s.roots(g)
+	rate := baseUse * s.base * capacity{graph: g, scenario: s, at: 0}.highestRate(roots)
+	var list []arrival
+	end := s.end() + afterwards
+	for at := time.Duration(0); at < end; {
+		now := rate
+		if s.active(at) {
+			now *= s.demand
+		}
+		at += time.Duration(random.ExpFloat64() / now * float64(time.Second))
+		list = append(list, arrival{at, drawRoot(roots, random), random.Uint32() % outcome.Cohorts})
+	}
+	return list
+}
+
+// roots returns the root requests of a case with shares that sum up to 1.
+func (s *scenario) roots(g *graph) []*rootSpec {
+	var list []*rootSpec
+	total := 0.0
+	for i := range g.roots {
+		spec := g.roots[i]
+		if s.deepOnly && depthTo(spec.op, g.deep) < 2 {
+			continue
+		}
+		total += spec.share
+		list = append(list, &spec)
+	}
+	for _, spec := range list {
+		spec.share /= total
+	}
+	return list
+}
+
+// depthTo returns the number of calls between an operation and a service, and
+// -1 if it does not reach it.
+func depthTo(op *operation, service int) int {
+	if op.service == service {
+		return 0
+	}
+	for _, child := range op.calls {
+		if depth := depthTo(child, service); depth >= 0 {
+			return depth + 1
+		}
+	}
+	return -1
+}
+
+func drawRoot(roots []*rootSpec, random *rand.Rand) *rootSpec {
+	x := random.Float64()
+	for _, spec := range roots {
+		x -= spec.share
+		if x < 0 {
+			return spec
+		}
+	}
+	return roots[len(roots)-1]
+}
+
+// recorded converts recorded arrivals. It returns an error that names the
+// operation that the graph does not have.
+func recorded(g *graph, s *scenario, list []Arrival) ([]arrival, error) {
+	roots := s.roots(g)
+	var out []arrival
+	for _, a := range list {
+		spec := findRoot(roots, a)
+		if spec == nil {
+			detail := "the call graph " + g.name + " has no root operation " + a.Operation + " " + a.Class
+			return nil, outcome.New(outcome.NotRun, outcome.BadRequest, detail)
+		}
+		out = append(out, arrival{a.At, spec, a.Cohort % outcome.Cohorts})
+	}
+	return out, nil
+}
+
+func findRoot(roots []*rootSpec, a Arrival) *rootSpec {
+	for _, spec := range roots {
+		if spec.op.name == a.Operation && (a.Class == "" || a.Class == spec.class.String()) {
+			return spec
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/best.go
@@ -0,0 +1,145 @@
+package experiment
+
+import (
+	"math"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+// capacity computes the best goodput at one time of a case: slots of a service
+// are held during own work and during the calls that an operation makes, and
+// own work needs processors.
+type capacity struct {
+	graph    *graph
+	scenario *scenario
+	at       time.Duration
+}
+
+// need is the time, in seconds, that one root request holds slots and
+// processors of each service.
+type need struct {
+	slots      []float64
+	processors []float64
+}
+
+// of returns what one request of an operation needs.
+func (c capacity) of(op *operation) need {
+	n := need{make([]float64, len(c.graph.services)), make([]float64, len(c.graph.services))}
+	c.add(op, &n)
+	return n
+}
+
+// add adds the need of an operation and returns the time that it takes.
+func (c capacity) add(op *operation, n *need) float64 {
+	own := op.work.Seconds()
+	if op.service == c.graph.deep && c.scenario.active(c.at) && !c.scenario.slowOne {
+		own *= c.scenario.slow
+	}
+	n.processors[op.service] += own
+	held := own
+	for _, child := range op.calls {
+		held += c.add(child, n) + 2*c.graph.hop.Seconds()
+	}
+	n.slots[op.service] += held
+	return held
+}
+
+// available returns the slots and processors of each service. A returning zone
+// counts as warm.
+func (c capacity) available() need {
+	n := need{}
+	for i, spec := range c.graph.services {
+		targets := float64(spec.targets)
+		if i == c.graph.deep && c.scenario.slowOne && c.scenario.active(c.at) {
+			targets -= 1 - 1/c.scenario.slow
+		}
+		processors := targets * float64(spec.slots)
+		n.slots = append(n.slots, processors)
+		if i == c.graph.deep && c.scenario.active(c.at) {
+			processors *= c.scenario.throttled
+		}
+		n.processors = append(n.processors, processors)
+	}
+	return n
+}
+
+// highestRate returns the rate of root requests, in their shares, that fits.
+func (c capacity) highestRate(roots []*rootSpec) float64 {
+	total := need{make([]float64, len(c.graph.services)), make([]float64, len(c.graph.services))}
+	for _, spec := range roots {
+		total.addScaled(c.of(spec.op), spec.share)
+	}
+	return c.available().fits(total, math.Inf(1))
+}
+
+func (n need) addScaled(other need, factor float64) {
+	for i := range n.slots {
+		n.slots[i] += factor * other.slots[i]
+		n.processors[i] += factor * other.processors[i]
+	}
+}
+
+// fits returns the largest factor, at most highest, by which other fits into n.
+func (n need) fits(other need, highest float64) float64 {
+	for i := range n.slots {
+		if other.slots[i] > 0 {
+			highest = math.Min(highest, n.slots[i]/other.slots[i])
+		}
+		if other.processors[i] > 0 {
+			highest = math.Min(highest, n.processors[i]/other.processors[i])
+		}
+	}
+	return math.Max(0, highest)
+}
+
+// best returns the highest rate of whole requests of each class for an offered
+// rate of each root. More important classes are served first. Within a class
+// all roots get the same share, until a service is used up; roots that do not
+// need that service go on.
+func (c capacity) best(offered map[*rootSpec]float64) map[outcome.Class]float64 {
+	left := c.available()
+	good := map[outcome.Class]float64{}
+	for class := outcome.Critical; class <= outcome.Sheddable; class++ {
+		open := map[*rootSpec]float64{}
+		for spec, rate := range offered {
+			if spec.class == class {
+				open[spec] = rate
+			}
+		}
+		good[class] = c.fill(open, left)
+	}
+	return good
+}
+
+// fill serves the roots of one class and takes their needs from what is left.
+func (c capacity) fill(open map[*rootSpec]float64, left need) float64 {
+	good, served := 0.0, 0.0
+	for len(open) > 0 && served < 1 {
+		total := need{make([]float64, len(left.slots)), make([]float64, len(left.slots))}
+		count := 0.0
+		for spec, rate := range open {
+			total.addScaled(c.of(spec.op), rate)
+			count += rate
+		}
+		share := left.fits(total, 1-served)
+		left.addScaled(total, -share)
+		good += share * count
+		served += share
+		c.closeFull(open, left)
+	}
+	return good
+}
+
+// closeFull drops the roots that need a service that is used up.
+func (c capacity) closeFull(open map[*rootSpec]float64, left need) {
+	const nothing = 1e-9
+	for spec := range open {
+		n := c.of(spec.op)
+		for i := range n.slots {
+			if n.slots[i] > 0 && (left.slots[i] < nothing || left.processors[i] < nothing) {
+				delete(open, spec)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,320 @@
+// Package experiment replays arrivals through the decision core on a virtual
+// clock and compares policies of overload control.
+//
+// Model. The gates and limits are the real core types. Around them stands a
+// small model: call graphs in the shape of both users' deployments, targets
+// that hold a slot for a request during own work and during its calls, callers
+// with deadlines who send failed requests again, and a constant time per hop.
+// Own work has a deviation of half of its mean. It stretches when more requests
+// work at a target than it has processors. Processors equal slots unless a case
+// throttles them. It is no simulator of a cluster: nodes do not fail, and
+// catalogue and membership are constant.
+//
+// Signal. Each root request is followed to its end. Goodput counts whole
+// requests that are complete within the patience of the caller, by time of
+// arrival. Arrivals in the last seconds of the trigger are not counted, because
+// a caller who sends again may then profit from the time after it. The best goodput is computed from capacity: the more important class
+// first, then as many root requests as slots and processors allow.
+//
+// Reaction. For each case and policy the report gives the goodput during the
+// trigger relative to the best, the same by class, the share of own work that
+// was spent on requests that failed, the highest number of attempts of one root
+// request, and the time from the end of the trigger to 95 % of the share of
+// good requests before it.
+package experiment
+
+import (
+	"math"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+// Options selects what is replayed.
+type Options struct {
+	// Seed of arrivals and of all random choices.
+	Seed uint64
+	// Users, Cases and Policies select by name; empty means all.
+	Users    []string
+	Cases    []string
+	Policies []string
+	// Shortest cuts triggers to this length; 0: the full length.
+	Shortest time.Duration
+	// Arrivals is replayed instead of seeded arrivals. It requires one user.
+	Arrivals []Arrival
+	// Parallel is the number of replays at a time; 0: half of the processors.
+	Parallel int
+}
+
+// Row is the result of one case under one policy.
+type Row struct {
+	User   string `json:"user"`
+	Case   string `json:"case"`
+	Policy string `json:"policy"`
+	// Goodput is the goodput during the trigger relative to the best that
+	// capacity allows.
+	Goodput float64 `json:"goodput"`
+	// ByClass is the same for each class; a class with a best of zero is left
+	// out.
+	ByClass map[string]float64 `json:"by_class"`
+	// BestShare is the best goodput relative to the offered requests, by class.
+	BestShare map[string]float64 `json:"best_share"`
+	// P99Seconds is the 99th percentile of the time from arrival to answer,
+	// attempts that failed included, of good requests during the trigger.
+	P99Seconds float64 `json:"p99_seconds"`
+	// WastedWork is the share of own work on requests that failed, over the
+	// whole run.
+	WastedWork float64 `json:"wasted_work"`
+	// MaxAttempts is the highest number of attempts of one root request on all
+	// hops, the first one of each hop not counted, plus 1.
+	MaxAttempts int `json:"max_attempts"`
+	// RecoverySeconds is the time from the end of the trigger to 95 % of the
+	// earlier goodput; negative if the replay ends before.
+	RecoverySeconds float64 `json:"recovery_seconds"`
+	// Roots is the number of root requests of the run.
+	Roots int `json:"roots"`
+}
+
+// Report is the result of Run.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	Rows []Row  `json:"rows"`
+}
+
+// job is one replay.
+type job struct {
+	graph    graph
+	scenario scenario
+	policy   policy
+}
+
+// Run replays the selected cases under the selected policies. It returns an
+// error of type *outcome.Error if a name is not known.
+func Run(o Options) (Report, error) {
+	jobs, err := o.jobs()
+	if err != nil {
+		return Report{}, err
+	}
+	report := Report{Seed: o.Seed, Rows: make([]Row, len(jobs))}
+	var group errgroup.Group
+	group.SetLimit(o.parallel())
+	for i := range jobs {
+		group.Go(func() error {
+			row, err := jobs[i].replay(o)
+			report.Rows[i] = row
+			return err
+		})
+	}
+	return report, group.Wait()
+}
+
+func (o Options) parallel() int {
+	if o.Parallel > 0 {
+		return o.Parallel
+	}
+	return max(1, runtime.GOMAXPROCS(0)/2)
+}
+
+// jobs lists the replays that the options select.
+func (o Options) jobs() ([]job, error) {
+	if len(o.Arrivals) > 0 && len(o.Users) != 1 {
+		return nil, badOption("recorded arrivals need exactly one user")
+	}
+	all := scenarios(o.Shortest)
+	if err := o.check(all); err != nil {
+		return nil, err
+	}
+	var jobs []job
+	for _, g := range graphs() {
+		for _, s := range all {
+			for _, p := range policies() {
+				if selected(o.Users, g.name) && selected(o.Cases, s.name) && selected(o.Policies, p.name) {
+					jobs = append(jobs, job{g, s, p})
+				}
+			}
+		}
+	}
+	return jobs, nil
+}
+
+// check reports a selected name that does not exist.
+func (o Options) check(all []scenario) error {
+	var users, cases, names []string
+	for _, g := range graphs() {
+		users = append(users, g.name)
+	}
+	for _, s := range all {
+		cases = append(cases, s.name)
+	}
+	for _, p := range policies() {
+		names = append(names, p.name)
+	}
+	if err := known("user", o.Users, users); err != nil {
+		return err
+	}
+	if err := known("case", o.Cases, cases); err != nil {
+		return err
+	}
+	return known("policy", o.Policies, names)
+}
+
+func known(kind string, chosen, names []string) error {
+	for _, name := range chosen {
+		if !selected(names, name) {
+			return badOption("no " + kind + " " + name + "; there are: " + strings.Join(names, ", "))
+		}
+	}
+	return nil
+}
+
+func badOption(detail string) error {
+	return outcome.New(outcome.NotRun, outcome.BadRequest, detail)
+}
+
+// selected reports whether a list names a value; an empty list names all.
+func selected(list []string, name string) bool {
+	for _, item := range list {
+		if item == name {
+			return true
+		}
+	}
+	return len(list) == 0
+}
+
+// replay runs one job and measures it.
+func (j job) replay(o Options) (Row, error) {
+	arrivals, err := j.arrivals(o)
+	if err != nil {
+		return Row{}, err
+	}
+	r := newRun(&j.graph, &j.scenario, j.policy, o.Seed+1)
+	r.replay(arrivals)
+	return j.measure(r), nil
+}
+
+func (j job) arrivals(o Options) ([]arrival, error) {
+	if len(o.Arrivals) > 0 {
+		return recorded(&j.graph, &j.scenario, o.Arrivals)
+	}
+	return seededArrivals(&j.graph, &j.scenario, o.Seed), nil
+}
+
+// measure computes the row of a finished replay.
+func (j job) measure(r *run) Row {
+	row := Row{User: j.graph.name, Case: j.scenario.name, Policy: j.policy.name, Roots: len(r.roots)}
+	row.WastedWork, row.MaxAttempts = wasted(r.roots)
+	row.RecoverySeconds = recovery(r.roots, &j.scenario)
+	j.goodput(r.roots, &row)
+	return row
+}
+
+func wasted(roots []*root) (share float64, attempts int) {
+	var all, lost time.Duration
+	retries := 0
+	for _, q := range roots {
+		all += q.work
+		if !q.good {
+			lost += q.work
+		}
+		retries = max(retries, q.retries)
+	}
+	return float64(lost) / math.Max(1, float64(all)), retries + 1
+}
+
+// bestBin is the length over which offered requests are compared with capacity.
+const bestBin = time.Second
+
+// goodput fills in what concerns the time of the trigger.
+func (j job) goodput(roots []*root, row *Row) {
+	offered, good, best := map[outcome.Class]float64{}, map[outcome.Class]float64{}, map[outcome.Class]float64{}
+	bins := map[time.Duration]map[*rootSpec]float64{}
+	var latencies []time.Duration
+	for _, q := range roots {
+		if !j.scenario.measured(q.arrival) {
+			continue
+		}
+		if q.good {
+			good[q.spec.class]++
+			latencies = append(latencies, q.latency)
+		}
+		bin := q.arrival.Truncate(bestBin)
+		if bins[bin] == nil {
+			bins[bin] = map[*rootSpec]float64{}
+		}
+		bins[bin][q.spec] += 1 / bestBin.Seconds()
+		offered[q.spec.class]++
+	}
+	for at, rates := range bins {
+		c := capacity{graph: &j.graph, scenario: &j.scenario, at: at}
+		for class, rate := range c.best(rates) {
+			best[class] += rate * bestBin.Seconds()
+		}
+	}
+	row.fill(offered, good, best)
+	row.P99Seconds = percentile99(latencies)
+}
+
+func percentile99(values []time.Duration) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)*99/100].Seconds()
+}
+
+// fill sets the relative figures of a row.
+func (row *Row) fill(offered, good, best map[outcome.Class]float64) {
+	row.ByClass, row.BestShare = map[string]float64{}, map[string]float64{}
+	allGood, allBest := 0.0, 0.0
+	for class := outcome.Critical; class <= outcome.Sheddable; class++ {
+		allGood += good[class]
+		allBest += best[class]
+		if offered[class] > 0 {
+			row.BestShare[class.String()] = best[class] / offered[class]
+		}
+		if best[class] >= 1 {
+			row.ByClass[class.String()] = good[class] / best[class]
+		}
+	}
+	row.Goodput = allGood / math.Max(1, allBest)
+}
+
+// Windows of the measurement of recovery.
+const (
+	recoveryWindow = time.Second
+	recoveryStep   = 100 * time.Millisecond
+	recoveredShare = 0.95
+)
+
+// recovery returns the seconds from the end of the trigger to the start of the
+// first window of arrivals of which as many are good as before, times 0.95.
+func recovery(roots []*root, s *scenario) float64 {
+	before := goodShare(roots, warmUp/2, warmUp)
+	last := s.end() + afterwards - patience - recoveryWindow
+	for at := s.end(); at <= last; at += recoveryStep {
+		if goodShare(roots, at, at+recoveryWindow) >= recoveredShare*before {
+			return (at - s.end()).Seconds()
+		}
+	}
+	return -1
+}
+
+// goodShare returns the share of good requests among the arrivals of a time.
+func goodShare(roots []*root, from, to time.Duration) float64 {
+	all, good := 0.0, 0.0
+	for _, q := range roots {
+		if q.arrival < from || q.arrival >= to {
+			continue
+		}
+		all++
+		if q.good {
+			good++
+		}
+	}
+	return good / math.Max(1, all)
+}
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,91 @@
+package experiment
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+// Targets of section 1.2 of the design.
+const (
+	leastGoodput  = 0.90
+	leastCritical = 0.99
+	longestReturn = 5.0 // seconds
+	// fits tells that the demand of a class fits the capacity.
+	fits = 0.999
+)
+
+// short cuts triggers so that the tests stay under a minute.
+const short = 8 * time.Second
+
+// requireTargets checks one row against the stated targets.
+func requireTargets(t *testing.T, row Row) {
+	t.Helper()
+	require.GreaterOrEqual(t, row.Goodput, leastGoodput, "goodput")
+	if row.BestShare[outcome.Critical.String()] >= fits {
+		require.GreaterOrEqual(t, row.ByClass[outcome.Critical.String()], leastCritical, "critical goodput")
+	}
+	require.GreaterOrEqual(t, row.RecoverySeconds, 0.0, "recovery")
+	require.LessOrEqual(t, row.RecoverySeconds, longestReturn, "recovery")
+	require.LessOrEqual(t, row.MaxAttempts, 1+allowance, "attempts")
+}
+
+// runCase replays one case under full control, for both users if none is named.
+func runCase(t *testing.T, name string, users ...string) {
+	t.Helper()
+	t.Parallel()
+	o := Options{Seed: 1, Users: users, Cases: []string{name}, Policies: []string{"full"}, Shortest: short}
+	report, err := Run(o)
+	require.NoError(t, err)
+	for _, row := range report.Rows {
+		t.Run(row.User, func(t *testing.T) { requireTargets(t, row) })
+	}
+}
+
+// Each of these guards the goals for goodput, important classes, recovery and
+// the retry bound in one case.
+func TestDeepSlow(t *testing.T)     { runCase(t, "deep-slow") }
+func TestSurge(t *testing.T)        { runCase(t, "surge") }
+func TestSurgeAndSlow(t *testing.T) { runCase(t, "surge-and-slow") }
+func TestHardRetries(t *testing.T)  { runCase(t, "hard-retries") }
+func TestTwoLevelsUp(t *testing.T)  { runCase(t, "two-levels-up") }
+func TestReportsIdle(t *testing.T)  { runCase(t, "reports-idle") }
+func TestColdZone(t *testing.T)     { runCase(t, "cold-zone") }
+
+// Guard against the same where a processor is throttled, for each user.
+func TestThrottledRota(t *testing.T)       { runCase(t, "throttled", "rota") }
+func TestThrottledWholesaler(t *testing.T) { runCase(t, "throttled", "wholesaler") }
+
+// Guards against a replay that differs between runs with the same seed.
+func TestReplayIsDeterministic(t *testing.T) {
+	t.Parallel()
+	o := Options{Seed: 3, Users: []string{"rota"}, Cases: []string{"deep-slow"}, Policies: []string{"full"}, Shortest: time.Second}
+	first, err := Run(o)
+	require.NoError(t, err)
+	second, err := Run(o)
+	require.NoError(t, err)
+	require.Equal(t, first, second)
+}
+
+// Guards recorded arrivals and the errors for names that do not exist.
+func TestOptions(t *testing.T) {
+	o := Options{Users: []string{"wholesaler"}, Cases: []string{"surge"}, Policies: []string{"full"}, Shortest: time.Second}
+	o.Arrivals = []Arrival{{At: time.Second, Operation: "order"}, {At: 9 * time.Second / 2, Operation: "stock check", Class: "normal"}}
+	report, err := Run(o)
+	require.NoError(t, err)
+	require.Equal(t, 2, report.Rows[0].Roots)
+	var table strings.Builder
+	require.NoError(t, report.WriteTable(&table))
+	require.Contains(t, table.String(), "wholesaler")
+	o.Arrivals[0].Operation = "gift"
+	_, err = Run(o)
+	require.ErrorContains(t, err, "gift")
+	_, err = Run(Options{Cases: []string{"flood"}})
+	var typed *outcome.Error
+	require.ErrorAs(t, err, &typed)
+	require.Equal(t, outcome.BadRequest, typed.Reason)
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,39 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+// WriteTable writes one line per case and policy. Goodput is in percent of the
+// best that capacity allows, overall and for the classes; "critical fits" is the
+// share of critical requests that capacity allows.
+func (r Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "user\tcase\tpolicy\tgoodput\tcritical\tnormal\tsheddable\tcritical fits\tp99\twasted\tattempts\trecovery")
+	for _, row := range r.Rows {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%.1f %%\t%s\t%s\t%s\t%.0f %%\t%.0f ms\t%.1f %%\t%d\t%s\n",
+			row.User, row.Case, row.Policy, 100*row.Goodput,
+			row.class(outcome.Critical), row.class(outcome.Normal), row.class(outcome.Sheddable),
+			100*row.BestShare[outcome.Critical.String()], 1000*row.P99Seconds, 100*row.WastedWork, row.MaxAttempts, row.recovery())
+	}
+	return table.Flush()
+}
+
+func (row Row) class(c outcome.Class) string {
+	share, ok := row.ByClass[c.String()]
+	if !ok {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f %%", 100*share)
+}
+
+func (row Row) recovery() string {
+	if row.RecoverySeconds < 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%.1f s", row.RecoverySeconds)
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,254 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+const (
+	// entries is the number of nodes at which outside requests arrive.
+	entries = 4
+	// attemptDeadline is the deadline of one attempt of a caller.
+	attemptDeadline = time.Second
+	// patience is the time after which an answer is of no use to the caller.
+	patience = 3 * time.Second
+	// shape of the gamma distribution of own work; its deviation is half of the
+	// mean.
+	gammaShape = 4
+)
+
+// root is one root request with everything that the measurement needs.
+type root struct {
+	spec    *rootSpec
+	cohort  uint32
+	arrival time.Duration
+	// retries counts all attempts beyond the first, on all hops and by the
+	// caller.
+	retries int
+	resends int
+	good    bool
+	// latency is the time from the arrival to the complete answer.
+	latency time.Duration
+	work    time.Duration
+	entry   *node
+}
+
+// attempt is one attempt of the caller at a root request.
+type attempt struct {
+	root      *root
+	deadline  time.Duration
+	cancelled bool
+	answered  bool
+	// open holds the calls in progress, the deepest last.
+	open []*call
+	// working tells that the deepest call does own work since workFrom.
+	working  bool
+	workFrom time.Duration
+}
+
+func (a *attempt) close(c *call) {
+	for i := len(a.open) - 1; i >= 0; i-- {
+		if a.open[i] == c {
+			a.open = append(a.open[:i], a.open[i+1:]...)
+			return
+		}
+	}
+}
+
+// run is the replay of one case under one policy.
+type run struct {
+	clock    clock
+	random   *rand.Rand
+	graph    *graph
+	scenario *scenario
+	policy   policy
+	targets  [][]*target
+	entries  []*node
+	roots    []*root
+	scratch  []*target
+	nextID   uint64
+}
+
+func newRun(g *graph, s *scenario, p policy, seed uint64) *run {
+	r := &run{graph: g, scenario: s, policy: p, random: rand.New(rand.NewPCG(seed, seed))}
+	for service := range g.services {
+		var list []*target
+		for i := range g.services[service].targets {
+			list = append(list, newTarget(r, service, i))
+		}
+		r.targets = append(r.targets, list)
+	}
+	for range entries {
+		n := &node{}
+		n.init(r)
+		r.entries = append(r.entries, n)
+	}
+	return r
+}
+
+// replay executes arrivals until some time after the trigger.
+func (r *run) replay(arrivals []arrival) {
+	if r.scenario.zoneReturns {
+		r.zoneLeaves()
+		r.clock.after(warmUp, r.zoneReturns)
+	}
+	r.arrive(arrivals)
+	r.clock.runUntil(r.scenario.end() + afterwards)
+}
+
+// arrive schedules the first arrival, which schedules the next one.
+func (r *run) arrive(arrivals []arrival) {
+	if len(arrivals) == 0 {
+		return
+	}
+	next := arrivals[0]
+	r.clock.after(next.at-r.clock.now, func() {
+		r.start(next)
+		r.arrive(arrivals[1:])
+	})
+}
+
+func (r *run) start(a arrival) {
+	q := &root{spec: a.spec, cohort: a.cohort, arrival: a.at}
+	q.entry = r.entries[r.random.IntN(len(r.entries))]
+	r.roots = append(r.roots, q)
+	r.attempt(q)
+}
+
+// attempt lets the caller send a root request once.
+func (r *run) attempt(q *root) {
+	a := &attempt{root: q, deadline: r.clock.now + attemptDeadline}
+	r.clock.after(r.graph.client, func() {
+		q.entry.send(a, q.spec.op, func(res result) {
+			r.clock.after(r.graph.client, func() { r.answered(a, res) })
+		})
+	})
+	r.clock.after(attemptDeadline, func() { r.expired(a) })
+}
+
+// expired ends an attempt at its deadline. With control, the calls in progress
+// are cancelled; without, they go on.
+func (r *run) expired(a *attempt) {
+	if a.answered {
+		return
+	}
+	if r.policy.gate {
+		a.cancelled = true
+		for len(a.open) > 0 {
+			c := a.open[len(a.open)-1]
+			c.target.cancel(c)
+		}
+	}
+	r.answered(a, result{reason: outcome.DeadlineExceeded})
+}
+
+// answered is the end of an attempt as the caller sees it.
+func (r *run) answered(a *attempt, res result) {
+	if a.answered {
+		return
+	}
+	a.answered = true
+	q := a.root
+	if res.ok {
+		q.good = r.clock.now-q.arrival <= patience
+		q.latency = r.clock.now - q.arrival
+		return
+	}
+	r.resend(q, res)
+}
+
+// resend lets the caller send again after a wait with jitter.
+func (r *run) resend(q *root, res result) {
+	if q.resends >= r.scenario.resends || r.clock.now-q.arrival > patience {
+		return
+	}
+	q.resends++
+	wait := max(r.scenario.backoff, res.retryAfter)
+	if r.scenario.resends > 1 {
+		wait = r.scenario.backoff // a hard retrier ignores Retry-After
+	}
+	wait = time.Duration(float64(wait) * (0.5 + r.random.Float64()))
+	r.clock.after(wait, func() {
+		if r.policy.bounded && q.retries >= allowance {
+			return // the entry refuses: retry bound
+		}
+		q.retries++
+		r.attempt(q)
+	})
+}
+
+// level returns the level of a request. Without cohorts each gate sees another
+// one.
+func (r *run) level(a *attempt) outcome.Level {
+	cohort := a.root.cohort
+	if !r.policy.cohorts {
+		cohort = r.random.Uint32()
+	}
+	return outcome.LevelOf(a.root.spec.class, cohort)
+}
+
+// slowdown returns the factor on own work at a target.
+func (r *run) slowdown(t *target) float64 {
+	factor := 1.0
+	if cold := t.coldFrom + coldFor - r.clock.now; t.coldFrom > 0 && cold > 0 {
+		factor = 1 + (coldFactor-1)*float64(cold)/float64(coldFor)
+	}
+	deep := t.spec == &r.graph.services[r.graph.deep]
+	if deep && r.scenario.active(r.clock.now) && (!r.scenario.slowOne || t.index == 0) {
+		factor *= r.scenario.slow
+	}
+	return factor
+}
+
+// processors returns the share of processors that a target has.
+func (r *run) processors(t *target) float64 {
+	deep := t.spec == &r.graph.services[r.graph.deep]
+	if deep && r.scenario.active(r.clock.now) {
+		return r.scenario.throttled
+	}
+	return 1
+}
+
+// reportedLoad is what the load endpoint of a target says.
+func (r *run) reportedLoad(t *target) float64 {
+	if r.scenario.slowOne && t.spec == &r.graph.services[r.graph.deep] && t.index == 0 {
+		return 0
+	}
+	return float64(t.held+len(t.backlog)) / float64(t.spec.slots)
+}
+
+// gamma draws a factor with mean 1.
+func (r *run) gamma() float64 {
+	sum := 0.0
+	for range gammaShape {
+		sum += r.random.ExpFloat64()
+	}
+	return sum / gammaShape
+}
+
+// zoneLeaves takes all targets of zone 0 away.
+func (r *run) zoneLeaves() { r.eachOfZone(func(t *target) { t.up = false }) }
+
+// zoneReturns brings them back cold.
+func (r *run) zoneReturns() {
+	r.eachOfZone(func(t *target) {
+		t.up = true
+		t.coldFrom = r.clock.now
+		t.latency = 0
+		if r.policy.gate {
+			t.gate.StartRampUp(r.clock.time())
+		}
+	})
+}
+
+func (r *run) eachOfZone(do func(*target)) {
+	for _, list := range r.targets {
+		for _, t := range list {
+			if t.zone == 0 {
+				do(t)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/target.go
@@ -0,0 +1,273 @@
+package experiment
+
+import (
+	"math"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/gate"
+	"github.com/primrosemount/primrosemount/core/limit"
+	"github.com/primrosemount/primrosemount/core/outcome"
+)
+
+// contention is the exponent by which own work stretches when more requests
+// work than there are processors. Above 1, throughput falls past the knee.
+const contention = 1.2
+
+// openGate is the limit of a gate that controls nothing.
+const openGate = 1 << 16
+
+// target is one target with its node: the gate of the core before a model of
+// the process behind it.
+type target struct {
+	node
+	run   *run
+	spec  *serviceSpec
+	index int
+	zone  int
+	gate  *gate.Gate
+	calls map[uint64]*call
+	wake  time.Duration // time of the earliest scheduled wake-up; 0: none
+
+	up       bool
+	coldFrom time.Duration
+	// held counts the slots in use, working those that do own work.
+	held    int
+	working int
+	backlog []*call
+	// latency is a moving average over answers, for the router.
+	latency float64
+}
+
+// call is one attempt of one operation at one target.
+type call struct {
+	id      uint64
+	attempt *attempt
+	op      *operation
+	target  *target
+	reply   func(result)
+	started time.Duration
+	// downstream is the time that the call waited for its own calls.
+	downstream time.Duration
+	state      callState
+}
+
+type callState uint8
+
+const (
+	waiting callState = iota
+	running
+	ended
+)
+
+// result is the end of a call as its caller sees it.
+type result struct {
+	ok     bool
+	reason outcome.Reason
+	// notRun tells that the target did not start the call.
+	notRun     bool
+	retryAfter time.Duration
+	// threshold is the highest level admitted for the operation, including the
+	// services behind it.
+	threshold outcome.Level
+}
+
+func newTarget(r *run, service, index int) *target {
+	spec := &r.graph.services[service]
+	t := &target{run: r, spec: spec, index: index, zone: index % r.graph.zones, up: true}
+	t.calls = make(map[uint64]*call)
+	t.node.init(r)
+	config := gate.Config{Slots: spec.slots, Limit: limit.Config{Fixed: !r.policy.adaptive}}
+	if !r.policy.gate {
+		config = gate.Config{Slots: openGate, AdmitAll: true, Limit: limit.Config{Fixed: true}}
+	}
+	t.gate = gate.New(config, r.clock.time())
+	return t
+}
+
+// offer asks the gate for admission of a call.
+func (t *target) offer(c *call) {
+	t.run.nextID++
+	c.id = t.run.nextID
+	c.target = t
+	c.attempt.open = append(c.attempt.open, c)
+	t.calls[c.id] = c
+	request := gate.Request{ID: c.id, Level: t.run.level(c.attempt), Operation: c.op.number}
+	if t.run.policy.gate {
+		request.Deadline = epoch.Add(c.attempt.deadline)
+	}
+	switch d := t.gate.Offer(t.run.clock.time(), request); d.Kind {
+	case gate.Start:
+		t.begin(c)
+	case gate.Refuse:
+		t.refuse(c, d)
+	}
+	t.pump()
+}
+
+// pump handles what the gate decided about queued calls.
+func (t *target) pump() {
+	for _, e := range t.gate.Poll(t.run.clock.time()) {
+		c := t.calls[e.ID]
+		if e.Kind == gate.Start {
+			t.begin(c)
+			continue
+		}
+		t.refuse(c, e.Decision)
+	}
+	t.schedule()
+}
+
+// schedule sets a timer for the next wake-up that the gate asks for.
+func (t *target) schedule() {
+	next := t.gate.NextWake(t.run.clock.time())
+	if next.IsZero() {
+		return
+	}
+	at := next.Sub(epoch)
+	if t.wake > t.run.clock.now && t.wake <= at {
+		return
+	}
+	t.wake = at
+	t.run.clock.after(at-t.run.clock.now, func() {
+		if t.wake == at {
+			t.wake = 0
+			t.pump()
+		}
+	})
+}
+
+// refuse answers a call that did not start.
+func (t *target) refuse(c *call, d gate.Decision) {
+	t.end(c, result{reason: d.Reason, notRun: true, retryAfter: d.RetryAfter})
+}
+
+// end closes a call and sends its answer.
+func (t *target) end(c *call, res result) {
+	c.state = ended
+	delete(t.calls, c.id)
+	c.attempt.close(c)
+	res.threshold = t.operationThreshold(c.op)
+	c.reply(res)
+}
+
+// begin hands a call to the process, which queues it when its slots are full.
+func (t *target) begin(c *call) {
+	c.state = running
+	c.started = t.run.clock.now
+	if t.held < t.spec.slots {
+		t.process(c)
+		return
+	}
+	if len(t.backlog) >= t.spec.connections-t.spec.slots {
+		t.finish(c, result{reason: outcome.TargetRefused, notRun: true}, limit.Sample{Refused: true})
+		return
+	}
+	t.backlog = append(t.backlog, c)
+}
+
+// process does the first half of the own work, then the calls, then the rest.
+func (t *target) process(c *call) {
+	t.held++
+	t.work(c, func() { t.callNext(c, 0) })
+}
+
+// work does half of the own work of a call.
+func (t *target) work(c *call, then func()) {
+	t.working++
+	duration := t.ownWork(c.op) / 2
+	t.run.clock.after(duration, func() {
+		if c.state == ended {
+			return
+		}
+		t.working--
+		c.attempt.root.work += duration
+		then()
+	})
+	c.attempt.working = true
+	c.attempt.workFrom = t.run.clock.now
+}
+
+// ownWork draws the own work of an operation under the present conditions.
+func (t *target) ownWork(op *operation) time.Duration {
+	work := float64(op.work) * t.run.gamma()
+	work *= t.run.slowdown(t)
+	processors := float64(t.spec.slots) * t.run.processors(t)
+	if crowd := float64(t.working) / processors; crowd > 1 {
+		work *= math.Pow(crowd, contention)
+	}
+	return time.Duration(work)
+}
+
+// callNext makes the calls of an operation one after the other.
+func (t *target) callNext(c *call, i int) {
+	c.attempt.working = false
+	if i == len(c.op.calls) {
+		t.work(c, func() { t.finish(c, result{ok: true}, limit.Sample{}) })
+		return
+	}
+	from := t.run.clock.now
+	t.send(c.attempt, c.op.calls[i], func(res result) {
+		if c.state == ended {
+			return
+		}
+		c.downstream += t.run.clock.now - from
+		if !res.ok {
+			res = result{reason: outcome.DoomedDownstream, retryAfter: res.retryAfter}
+			t.finish(c, res, limit.Sample{Failed: true})
+			return
+		}
+		t.callNext(c, i+1)
+	})
+}
+
+// finish ends a started call: the slot becomes free and the gate learns.
+func (t *target) finish(c *call, res result, s limit.Sample) {
+	if !s.Refused {
+		t.freeSlot()
+	}
+	s.Latency = t.run.clock.now - c.started
+	s.Downstream = c.downstream
+	t.observe(s)
+	t.gate.Done(t.run.clock.time(), c.id, s)
+	t.end(c, res)
+	t.pump()
+}
+
+// observe updates the average latency that the router uses.
+func (t *target) observe(s limit.Sample) {
+	if s.Failed || s.Refused {
+		return
+	}
+	if t.latency == 0 {
+		t.latency = float64(s.Latency)
+	}
+	t.latency += (float64(s.Latency) - t.latency) / 16
+}
+
+func (t *target) freeSlot() {
+	t.held--
+	for len(t.backlog) > 0 && t.held < t.spec.slots {
+		next := t.backlog[0]
+		t.backlog = t.backlog[1:]
+		if next.state == running {
+			t.process(next)
+		}
+	}
+}
+
+// cancel ends a call whose root request gave up.
+func (t *target) cancel(c *call) {
+	switch c.state {
+	case waiting:
+		t.gate.Cancel(t.run.clock.time(), c.id)
+		t.end(c, result{reason: outcome.Cancelled, notRun: true})
+		t.pump()
+	case running:
+		if c.attempt.working {
+			t.working--
+			c.attempt.working = false
+			c.attempt.root.work += t.run.clock.now - c.attempt.workFrom
+		}
+		t.finish(c, result{reason: outcome.Cancelled}, limit.Sample{Failed: true})
+	}
+}
