Measure the control packages and bound their state

Cause: the size in two years needs measured slopes, and nothing bounded the entries and members that the log can bring into every node.

--- a/core/catalogue/catalogue_test.go
+++ b/core/catalogue/catalogue_test.go
@@ -127,6 +127,30 @@
 	require.NotZero(t, s.Snapshot().Revision(fmt.Sprintf("s%d", MaxTombstones)))
 }
 
+// Guards against a catalogue that outgrows the memory of every node, and
+// against a size that is not the same after a restore.
+func TestCatalogueBytesAreBounded(t *testing.T) {
+	s := NewState()
+	large := func(i int) *pb.Change {
+		c := testChange(uint64(i), fmt.Sprintf("s%d", i), "ops", 0)
+		for j := range 250 {
+			c.Entry.AllowedCallers = append(c.Entry.AllowedCallers, fmt.Sprintf("caller-%0200d", j))
+		}
+		return c
+	}
+	accepted := 0
+	for apply(t, s, large(accepted)).GetAccepted() {
+		accepted++
+	}
+	require.InDelta(t, MaxCatalogueBytes, s.bytes, 60_000)
+	restored, err := Restore(s.Encode())
+	require.NoError(t, err)
+	require.Equal(t, s.bytes, restored.bytes)
+	remove := &pb.Change{Id: testID(1e6), Operator: "ops", Service: "s0", BaseRevision: s.Snapshot().Revision("s0")}
+	require.True(t, apply(t, s, remove).GetAccepted())
+	require.True(t, apply(t, s, large(1000)).GetAccepted())
+}
+
 // drawRecord draws records that collide on few services, operators and ids.
 func drawRecord(t *rapid.T, s *State) []byte {
 	switch rapid.IntRange(0, 9).Draw(t, "kind") {
--- a/core/catalogue/checkpoint.go
+++ b/core/catalogue/checkpoint.go
@@ -77,6 +77,7 @@
 			return nil, errors.Wrapf(ErrBadState, "entry %q", e.GetEntry().GetService())
 		}
 		s.entries[e.GetEntry().GetService()] = e
+		s.bytes += proto.Size(e.GetEntry())
 		s.dirty[e.GetEntry().GetService()] = struct{}{}
 	}
 	for _, t := range p.GetTombstones() {
--- a/core/catalogue/state.go
+++ b/core/catalogue/state.go
@@ -17,6 +17,9 @@
 	// MaxTombstones bounds the deleted entries that are remembered, five times
 	// the number of services planned.
 	MaxTombstones = 4096
+	// MaxCatalogueBytes bounds the encoded entries, five times the size of 770
+	// typical ones. Every node holds them, and a checkpoint is one record.
+	MaxCatalogueBytes = 2 << 20
 	// ChangeIDBytes is the length of the id of a change.
 	ChangeIDBytes = 16
 	// maxDetailBytes bounds the reason of a rejection, because it is part of
@@ -50,6 +53,7 @@
 // State is the fold of the catalogue stream. The zero value is not usable; see NewState.
 type State struct {
 	next       uint64
+	bytes      int
 	entries    map[string]*pb.EntryState
 	tombstones map[string]*pb.Tombstone
 	recent     []*pb.ChangeResult
@@ -146,10 +150,19 @@
 		result.Detail = "there is no entry to delete; nothing needs to be done"
 		return result
 	}
+	if total := s.bytes + s.growth(c); total > MaxCatalogueBytes {
+		result.Detail = fmt.Sprintf("the catalogue would have %d bytes instead of at most %d; shorten or delete entries", total, MaxCatalogueBytes)
+		return result
+	}
 	result.Accepted = true
 	return result
 }
 
+// growth returns by how many bytes a change makes the encoded entries longer.
+func (s *State) growth(c *pb.Change) int {
+	return proto.Size(c.GetEntry()) - proto.Size(s.entries[c.GetService()].GetEntry())
+}
+
 func stale(base, present uint64, by string) string {
 	if by == "" {
 		return clip(fmt.Sprintf("the change is based on revision %d, but no such entry exists; read the catalogue and make the change again", base))
@@ -205,6 +218,7 @@
 func (s *State) put(offset uint64, c *pb.Change) {
 	service := c.GetService()
 	s.dirty[service] = struct{}{}
+	s.bytes += s.growth(c)
 	if c.GetEntry() == nil {
 		delete(s.entries, service)
 		s.bury(&pb.Tombstone{Service: service, Revision: offset + 1, ChangedBy: c.GetOperator(), ChangeId: c.GetId()})
--- a/core/membership/snapshot.go
+++ b/core/membership/snapshot.go
@@ -33,8 +33,8 @@
 		next:     s.next,
 		count:    s.table.count,
 		members:  s.table.members.share(),
-		services: maps.Clone(s.table.services),
-		zones:    maps.Clone(s.table.zones),
+		services: s.table.services.share(),
+		zones:    s.table.zones.share(),
 		gone:     s.goneBy.share(),
 		buried:   len(s.gone),
 	}
--- a/core/membership/state.go
+++ b/core/membership/state.go
@@ -15,6 +15,8 @@
 	// MaxGone bounds the gone incarnations kept: about four days of 2,100
 	// restarts each, far longer than a key is kept.
 	MaxGone = 8192
+	// MaxMembers bounds the table, twice the number of members planned.
+	MaxMembers = 20_000
 	// MaxNameBytes bounds the names in a member record.
 	MaxNameBytes = 253
 	// MaxBatch bounds the records of one append, about 60 KB of joins.
@@ -172,6 +174,9 @@
 		s.update(old, m, effect)
 		return nil
 	}
+	if s.table.count >= MaxMembers {
+		return errors.Errorf("the table has %d members already; remove nodes, or raise MaxMembers", MaxMembers)
+	}
 	if old, ok := s.table.members.get(j.GetReplaces()); ok && old.VM == m.GetVm() {
 		s.remove(old, 0, false, effect)
 	}
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -51,56 +51,76 @@
 	return x.parts
 }
 
-// table indexes the members. Its lists are copied before they change, because
-// snapshots share them.
+// lists holds members by the name of a service or zone, each list in the order
+// of incarnations, so that equal states have equal lists. It copies a list that
+// a snapshot may share before it changes the list.
+type lists struct {
+	by    map[string][]*Member
+	owned map[string]struct{}
+}
+
+func newLists() lists {
+	return lists{by: map[string][]*Member{}, owned: map[string]struct{}{}}
+}
+
+func (l *lists) put(name string, m *Member) {
+	list := l.own(name)
+	at, _ := slices.BinarySearchFunc(list, m.Incarnation, byIncarnation)
+	l.by[name] = slices.Insert(list, at, m)
+}
+
+func (l *lists) remove(name string, m *Member) {
+	list := l.own(name)
+	at, found := slices.BinarySearchFunc(list, m.Incarnation, byIncarnation)
+	if found {
+		list = slices.Delete(list, at, at+1)
+	}
+	if len(list) == 0 {
+		delete(l.by, name)
+		return
+	}
+	l.by[name] = list
+}
+
+func (l *lists) own(name string) []*Member {
+	list := l.by[name]
+	if _, owned := l.owned[name]; owned {
+		return list
+	}
+	l.owned[name] = struct{}{}
+	return slices.Clone(list)
+}
+
+// share returns the lists for a snapshot.
+func (l *lists) share() map[string][]*Member {
+	clear(l.owned)
+	return maps.Clone(l.by)
+}
+
+// table indexes the members.
 type table struct {
 	count    int
 	members  index[*Member]
-	services map[string][]*Member
-	zones    map[string][]*Member
+	services lists
+	zones    lists
 }
 
 func newTable() table {
-	return table{services: map[string][]*Member{}, zones: map[string][]*Member{}}
+	return table{services: newLists(), zones: newLists()}
 }
 
 func (t *table) put(m *Member) {
 	t.count++
 	t.members.put(m.Incarnation, m)
-	t.services[m.Service] = inserted(t.services[m.Service], m)
-	t.zones[m.Zone] = inserted(t.zones[m.Zone], m)
+	t.services.put(m.Service, m)
+	t.zones.put(m.Zone, m)
 }
 
 func (t *table) remove(m *Member) {
 	t.count--
 	t.members.remove(m.Incarnation)
-	drop(t.services, m.Service, m)
-	drop(t.zones, m.Zone, m)
-}
-
-// inserted returns a copy with m in the order of incarnations, so that equal
-// states have equal lists.
-func inserted(list []*Member, m *Member) []*Member {
-	at, _ := slices.BinarySearchFunc(list, m.Incarnation, byIncarnation)
-	copied := make([]*Member, 0, len(list)+1)
-	copied = append(copied, list[:at]...)
-	copied = append(copied, m)
-	return append(copied, list[at:]...)
-}
-
-func drop(lists map[string][]*Member, key string, m *Member) {
-	list := lists[key]
-	at, found := slices.BinarySearchFunc(list, m.Incarnation, byIncarnation)
-	if !found {
-		return
-	}
-	if len(list) == 1 {
-		delete(lists, key)
-		return
-	}
-	copied := make([]*Member, 0, len(list)-1)
-	copied = append(copied, list[:at]...)
-	lists[key] = append(copied, list[at+1:]...)
+	t.services.remove(m.Service, m)
+	t.zones.remove(m.Zone, m)
 }
 
 func byIncarnation(m *Member, incarnation uint64) int {
--- /dev/null
+++ b/node/control/bench_test.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/membership"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/platform"
+)
+
+// benchSizes are members and services from today's order to two years on.
+var benchSizes = []struct{ members, services int }{{300, 24}, {1200, 96}, {4800, 385}, {9600, 770}}
+
+const benchOperations = 8
+
+func benchEntry(i int) *pb.Entry {
+	service := fmt.Sprintf("service-%03d", i)
+	e := &pb.Entry{Service: service, Owner: "ops", AllowedCallers: []string{"service-001", "service-002", "service-003", "service-004"}}
+	for j := range benchOperations {
+		e.Operations = append(e.Operations, &pb.Operation{Name: fmt.Sprintf("operation-%d", j), Idempotent: j%2 == 0})
+	}
+	return e
+}
+
+// benchTask returns the task of member 1 with a whole state, not running.
+func benchTask(b *testing.B, members, services int) *task {
+	self := fakeMember(1, 6, 2)
+	c, err := New(Config{Self: self, Log: newFakeLog(1), Peers: fakePeers{newFakeNet(), self.GetNodeAddress()}, Seed: 1})
+	if err != nil {
+		b.Fatal(err)
+	}
+	t := c.task
+	ctx, cancel := context.WithCancel(context.Background())
+	t.ctx = ctx
+	b.Cleanup(cancel)
+	t.takeState(&pb.StreamState{Stream: platform.MembersStream, NextOffset: uint64(members), State: benchMembers(members)})
+	t.takeState(&pb.StreamState{Stream: platform.CatalogueStream, NextOffset: uint64(services), State: benchCatalogue(b, services)})
+	t.settle()
+	t.publish()
+	t.refresh(time.Now())
+	return t
+}
+
+func benchMembers(n int) []byte {
+	state := &pb.MembersState{NextOffset: uint64(n)}
+	for i := range n {
+		m := fakeMember(i, 6, uint64(i+1)*0x9e3779b97f4a7c15)
+		m.Service = fmt.Sprintf("service-%03d", i%770)
+		state.Members = append(state.Members, m)
+	}
+	data, _ := proto.Marshal(state)
+	return data
+}
+
+func benchCatalogue(b *testing.B, n int) []byte {
+	s := catalogue.NewState()
+	for i := range n {
+		entry := benchEntry(i)
+		c := &pb.Change{Id: changeID(uint64(i)), Operator: "ops", Service: entry.GetService(), Entry: entry}
+		if _, err := s.Apply(uint64(i), catalogue.ChangeRecord(c)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return s.Encode()
+}
+
+// forTasks runs a benchmark at each size. Run messages are not sent anywhere:
+// the results of requests that the task starts stay in its inbox.
+func forTasks(b *testing.B, run func(b *testing.B, t *task, members, services int)) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("members=%d/services=%d", size.members, size.services), func(b *testing.B) {
+			t := benchTask(b, size.members, size.services)
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, t, size.members, size.services)
+		})
+	}
+}
+
+// BenchmarkIdleTick measures one of ten ticks a second with nothing due.
+func BenchmarkIdleTick(b *testing.B) {
+	forTasks(b, func(b *testing.B, t *task, _, _ int) {
+		far := time.Now().Add(time.Hour)
+		t.links.due = far
+		for _, s := range t.streams {
+			s.readAt = far
+		}
+		b.ResetTimer()
+		for range b.N {
+			t.handle(tick{})
+		}
+	})
+}
+
+// BenchmarkCompare measures one comparison of positions at both sides.
+func BenchmarkCompare(b *testing.B) {
+	forTasks(b, func(b *testing.B, t *task, _, _ int) {
+		reply := make(chan *pb.ExchangeResponse, 1)
+		for range b.N {
+			request := t.request()
+			t.handle(exchangeIn{request, reply})
+			t.handle(exchangeDone{address: "10.0.0.9:7000", request: request, response: <-reply})
+		}
+	})
+}
+
+// BenchmarkCatalogueRecord measures a change that a peer has pushed, with the
+// new snapshot.
+func BenchmarkCatalogueRecord(b *testing.B) {
+	forTasks(b, func(b *testing.B, t *task, _, services int) {
+		reply := make(chan *pb.ExchangeResponse, 1)
+		revision := uint64(1)
+		for i := range b.N {
+			offset := t.cat.State.Next()
+			c := &pb.Change{Id: changeID(uint64(1e9 + i)), Operator: "ops", Service: "service-000", BaseRevision: revision, Entry: benchEntry(0)}
+			record := &pb.StreamRecord{Stream: platform.CatalogueStream, Offset: offset, Data: catalogue.ChangeRecord(c)}
+			t.handle(exchangeIn{&pb.ExchangeRequest{Records: []*pb.StreamRecord{record}}, reply})
+			<-reply
+			revision = offset + 1
+		}
+		if t.cat.State.Snapshot().Revision("service-000") != revision {
+			b.Fatal("the changes were not accepted")
+		}
+	})
+}
+
+// BenchmarkMembersRecord measures a join that a peer has pushed, with the new
+// snapshot and the new choice of partners.
+func BenchmarkMembersRecord(b *testing.B) {
+	forTasks(b, func(b *testing.B, t *task, members, _ int) {
+		reply := make(chan *pb.ExchangeResponse, 1)
+		for i := range b.N {
+			m := fakeMember(i%members, 6, uint64(members+i+1)*0x9e3779b97f4a7c15)
+			join := &pb.MembersRecord{Record: &pb.MembersRecord_Join{Join: &pb.Join{Member: m}}}
+			record := &pb.StreamRecord{Stream: platform.MembersStream, Offset: t.mem.State.Next(), Data: membership.BatchRecord([]*pb.MembersRecord{join})}
+			t.handle(exchangeIn{&pb.ExchangeRequest{Records: []*pb.StreamRecord{record}}, reply})
+			<-reply
+			t.refreshed = time.Time{}
+			t.refresh(time.Now())
+		}
+	})
+}
+
+// BenchmarkStart measures a start from a whole state of a peer. The heap that
+// the task then holds is reported as heap-bytes.
+func BenchmarkStart(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("members=%d/services=%d", size.members, size.services), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				t := benchTask(b, size.members, size.services)
+				b.ReportMetric(float64(heap()-before), "heap-bytes")
+				runtime.KeepAlive(t)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -18,7 +18,7 @@
 
 // fleet runs control tasks in one synctest bubble.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	log   *fakeLog
 	net   *fakeNet
 	rng   *rand.Rand
@@ -28,7 +28,7 @@
 	evicted chan uint64
 }
 
-func newFleet(t *testing.T, zones int) *fleet {
+func newFleet(t testing.TB, zones int) *fleet {
 	return &fleet{t: t, log: newFakeLog(1), net: newFakeNet(), rng: rand.New(rand.NewPCG(2, 2)), zones: zones, evicted: make(chan uint64, 1024)}
 }
 
--- a/node/control/fake_test.go
+++ b/node/control/fake_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -71,6 +70,9 @@
 		delay = time.Duration(l.rng.Int64N(int64(delay)))
 	}
 	l.mu.Unlock()
+	if delay <= 0 {
+		return ctx.Err()
+	}
 	select {
 	case <-time.After(delay):
 		return nil
--- /dev/null
+++ b/node/control/fleet_bench_test.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// benchChanges is the number of changes of one run, at the rate of an ordinary day.
+const benchChanges = 6
+
+// BenchmarkFleet runs whole control tasks in real time, without a network. It
+// reports the processor time per node, the time until a change is in force at
+// 99 % and at all nodes, and the heap per node. Run it with -benchtime 1x.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{75, 300, 1200} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			for range b.N {
+				benchFleet(b, size)
+			}
+		})
+	}
+}
+
+func benchFleet(b *testing.B, size int) {
+	before := heap()
+	f := newFleet(b, 6)
+	f.log.delay = 10 * time.Millisecond
+	defer f.stopAll()
+	for i := range size {
+		f.start(i)
+	}
+	f.waitForMembers(size)
+	time.Sleep(5 * time.Second)
+	b.ReportMetric(float64(heap()-before)/float64(size), "heap-bytes/node")
+	start, used := time.Now(), processorTime()
+	var times []time.Duration
+	for i := range benchChanges {
+		times = append(times, f.change(b, i)...)
+		time.Sleep(changeInterval - time.Since(start)%changeInterval)
+	}
+	spent := (processorTime() - used).Seconds() / time.Since(start).Seconds() / float64(size)
+	slices.Sort(times)
+	b.ReportMetric(spent*1e6, "cpu-us/node-second")
+	b.ReportMetric(float64(times[len(times)*99/100].Milliseconds()), "p99-ms")
+	b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "max-ms")
+}
+
+func (f *fleet) waitForMembers(size int) {
+	for _, node := range f.nodes() {
+		for node.control.Snapshot().Members.Len() < size {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	runtime.GC()
+}
+
+// change submits a change and returns the times until it is in force, from the
+// moment before it is submitted.
+func (f *fleet) change(b *testing.B, i int) []time.Duration {
+	nodes := f.nodes()
+	times := make([]time.Duration, len(nodes))
+	start := time.Now()
+	var wait sync.WaitGroup
+	for n, node := range nodes {
+		wait.Go(func() {
+			node.control.waitFor(uint64(i + 1))
+			times[n] = time.Since(start)
+		})
+	}
+	entry := benchEntry(i)
+	c := &pb.Change{Id: changeID(uint64(i)), Operator: "ops", Service: entry.GetService(), Entry: entry}
+	if _, err := nodes[0].control.Submit(b.Context(), c); err != nil {
+		b.Fatal(err)
+	}
+	wait.Wait()
+	return times
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/node/control/log.go
+++ b/node/control/log.go
@@ -102,14 +102,25 @@
 	r := m.s.replica
 	before, known := r.Next(), r.Known()
 	moved, err := r.FromLog(m.from, records, m.batch.Earliest, m.batch.Next)
-	if err != nil {
-		t.logger.Warn("control: read of the log", zap.Error(err))
-	}
+	t.warn(m.s, err)
 	if moved || r.Known() != known {
 		t.moved(m.s, before, known && moved)
 	}
 }
 
+// warn logs the fault of a read when it is new.
+func (t *task) warn(s *stream, err error) {
+	if err == nil {
+		s.warned = ""
+		return
+	}
+	if s.warned == err.Error() {
+		return
+	}
+	s.warned = err.Error()
+	t.logger.Warn("control: the records of the log do not suffice", zap.Error(err))
+}
+
 // nextRead returns the time until the next read of a stream.
 func (t *task) nextRead(s *stream) time.Duration {
 	if s.replica.NextRead() < s.replica.End() {
--- a/node/control/task.go
+++ b/node/control/task.go
@@ -61,6 +61,8 @@
 	reading bool
 	readAt  time.Time
 	failed  int
+	// warned is the last fault of a read that was logged.
+	warned string
 	// pushFrom is the lowest offset to push; valid if pushing.
 	pushing  bool
 	pushFrom uint64
