Add traces and property tests of routing, retries and thresholds

Cause: ejection, return, spill-over, drain, panic mode and early refusal had no stated outcomes yet, and the bound on retries was not checked over call trees. The traces showed two faults: a target that had recovered after a few failures or refusals got 1 % of the calls for 6 s (6 of 600), because its cost stayed a little above that of its equal peers; and a target that was ejected after comparison and then lost its connection kept getting calls in panic mode (28 of 30).

Change: costs get a random surcharge of up to 25 %; averages age with a memory of 2 s, and a good answer after a pause makes the aged shares permanent; a lost connection in panic mode changes the cause of the ejection. The replay has two more faults, a paused target and a crashed zone.

--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -1,11 +1,18 @@
 package retry
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
 )
 
+var start = time.Unix(1000, 0)
+
 // Guards against a returned allowance that is credited twice, or beyond the
 // grant, or after the answer was given.
 func TestGrantIsSettledOnce(t *testing.T) {
@@ -15,9 +22,240 @@
 	require.True(t, g.Return(99))
 	require.False(t, g.Return(3))
 	require.EqualValues(t, 5, a.Left())
+	lost := a.Grant(1)
+	lost.Lose()
+	require.False(t, lost.Return(3))
+	require.EqualValues(t, 2, a.Left())
 	late := a.Grant(1)
-	require.EqualValues(t, 2, a.Close())
-	require.False(t, late.Return(3))
-	require.EqualValues(t, 2, a.Close())
+	require.EqualValues(t, 1, a.Close())
+	require.False(t, late.Return(1))
+	require.EqualValues(t, 1, a.Close())
 	require.False(t, a.Spend())
 }
+
+// Guards against a retry above services that have used up their attempts, and
+// against a retry of work that may have run.
+func TestRetryableFailures(t *testing.T) {
+	refused := outcome.New(outcome.NotRun, outcome.Overloaded, "")
+	lost := outcome.New(outcome.Unknown, outcome.AnswerLost, "")
+	require.True(t, Failure{Err: refused, Granted: 2, Unspent: 1}.Retryable())
+	require.True(t, Failure{Err: refused}.Retryable())
+	require.False(t, Failure{Err: refused, Granted: 2}.Retryable())
+	require.False(t, Failure{Err: lost}.Retryable())
+	require.True(t, Failure{Err: lost, Idempotent: true}.Retryable())
+}
+
+// maxDepth is the depth of the longest call chain of the design.
+const maxDepth = 29
+
+// tree runs one root request over a random call tree. It counts the retries that
+// are made and the executions of each call of the tree, and checks nothing that
+// the code under test reports.
+type tree struct {
+	t       *rapid.T
+	retries int
+	// executions counts the attempts that reached each call.
+	executions map[string]int
+	// steps bounds the size of one tree.
+	steps int
+}
+
+// execute runs one execution of a call with the granted allowance and returns
+// the unspent part that its answer carries.
+func (tr *tree) execute(name string, depth int, granted uint32) uint32 {
+	tr.executions[name]++
+	tr.steps++
+	a := NewAllowance(granted)
+	if depth < maxDepth && tr.steps < 400 {
+		tr.children(name, depth, a)
+	}
+	return a.Close()
+}
+
+// children makes calls one after the other or at the same time. Concurrent
+// calls are interleaved: all attempts start before any answer is taken in.
+func (tr *tree) children(name string, depth int, a *Allowance) {
+	fanout := rapid.SampledFrom([]int{1, 1, 1, 1, 2, 3}).Draw(tr.t, "fanout")
+	concurrent := rapid.Bool().Draw(tr.t, "concurrent")
+	var answers []func()
+	for i := range fanout {
+		child := fmt.Sprintf("%s/%d", name, i)
+		answer := tr.attempt(child, depth, a, fanout-i)
+		if !concurrent {
+			answer()
+			continue
+		}
+		answers = append(answers, answer)
+	}
+	for _, answer := range rapid.Permutation(answers).Draw(tr.t, "order") {
+		answer()
+	}
+}
+
+// attempt sends one attempt and returns the function that takes in its answer:
+// good, failed, lost, or duplicated. After a failure or loss the call may be
+// attempted again.
+func (tr *tree) attempt(child string, depth int, a *Allowance, calls int) func() {
+	g := a.Grant(calls)
+	unspent := tr.execute(child, depth+1, g.Count())
+	return func() {
+		fate := rapid.SampledFrom([]string{"good", "good", "failed", "lost", "duplicated"}).Draw(tr.t, "fate")
+		switch fate {
+		case "lost":
+			g.Lose()
+			g.Return(unspent) // the late answer of the abandoned attempt
+		case "duplicated":
+			g.Return(unspent)
+			g.Return(unspent + 1)
+		default:
+			g.Return(unspent)
+		}
+		if (fate == "failed" || fate == "lost") && a.Spend() {
+			tr.retries++
+			tr.attempt(child, depth, a, calls)()
+		}
+	}
+}
+
+// Guards the bound on retries over trees up to 29 deep with fan-out, concurrent
+// children, lost and duplicated answers, and callers that send again.
+func TestRetriesStayWithinAllowance(t *testing.T) {
+	deepest := 0
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Uint32Range(0, 8).Draw(t, "limit")
+		resends := NewCallerResends(0, 0)
+		tr := &tree{t: t, executions: map[string]int{}}
+		attempts := rapid.Uint32Range(1, 12).Draw(t, "attempts of the caller")
+		for n := range attempts {
+			// The attempt number is what a caller claims and may be wrong.
+			claim := Claim{Caller: "c", Identity: "k", Attempt: n * rapid.Uint32Range(0, 1).Draw(t, "honest")}
+			a, err := resends.Admit(start, claim, limit)
+			if err != nil {
+				require.Equal(t, outcome.RetryBound, err.Reason)
+				continue
+			}
+			if n > 0 {
+				tr.retries++
+			}
+			tr.attempt("root", 0, a, 1)()
+		}
+		require.LessOrEqual(t, tr.retries, int(limit))
+		for name, executions := range tr.executions {
+			require.LessOrEqual(t, executions, int(limit)+1, name)
+			deepest = max(deepest, len(name))
+		}
+	})
+	require.Equal(t, len("root")+2*(maxDepth-1), deepest, "no tree was as deep as the longest chain")
+}
+
+// Guards against an honest caller that exceeds the bound by sending to many
+// entries: it keeps an Allowance itself and claims the parts that it grants.
+func TestResendsOverSeveralEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Uint32Range(0, 8).Draw(t, "limit")
+		caller := NewAllowance(limit)
+		tr := &tree{t: t, executions: map[string]int{}}
+		for n := uint32(0); n == 0 || caller.Spend(); n++ {
+			if n > 0 {
+				tr.retries++
+			}
+			g := caller.Grant(1)
+			entry := NewCallerResends(0, 0)
+			claim := Claim{Caller: "c", Identity: "k", Attempt: n, Remaining: g.Count(), HasRemaining: true}
+			a, err := entry.Admit(start, claim, limit)
+			require.Nil(t, err)
+			tr.attempt("root", 0, a, 1)()
+			if rapid.Bool().Draw(t, "answered") {
+				g.Return(a.Left())
+			}
+		}
+		require.LessOrEqual(t, tr.retries, int(limit))
+	})
+}
+
+// Guards against a table of resends without bound, and against a request that is
+// remembered for ever.
+func TestResendsAreBounded(t *testing.T) {
+	r := NewCallerResends(100, time.Minute)
+	for i := range 1000 {
+		_, err := r.Admit(start, Claim{Caller: "c", Identity: fmt.Sprint(i)}, 3)
+		require.Nil(t, err)
+	}
+	require.Equal(t, 100, r.Len())
+	_, err := r.Admit(start.Add(time.Hour), Claim{Caller: "c", Identity: "new"}, 3)
+	require.Nil(t, err)
+	require.Equal(t, 1, r.Len())
+	_, err = r.Admit(start, Claim{Caller: "c", Identity: "unseen", Attempt: 4}, 3)
+	require.Equal(t, outcome.RetryBound, err.Reason)
+}
+
+// Guards against an edge that sends more retries than its share.
+func TestEdgeBudgetHoldsRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0.01, 0.5).Draw(t, "ratio")
+		b := NewEdgeBudget(start, ratio)
+		now, first, retries := start, 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.First(now)
+				first++
+			} else if b.Spend(now) {
+				retries++
+			}
+		}
+		bound := ratio*float64(first) + minRetriesPerSecond*now.Sub(start).Seconds() + maxSaved
+		require.LessOrEqual(t, float64(retries), bound+1e-6)
+	})
+}
+
+// Guards against delays outside of their range and callers that return together.
+func TestBackoffIsJittered(t *testing.T) {
+	b := NewBackoff(1, 0, 0)
+	seen := map[time.Duration]bool{}
+	for n := range 100 {
+		delay := b.Delay(n, 0)
+		seen[delay] = true
+		require.GreaterOrEqual(t, delay, DefaultBase/2)
+		require.LessOrEqual(t, delay, DefaultMax)
+		suggested := b.Delay(n, time.Second)
+		require.GreaterOrEqual(t, suggested, time.Second)
+		require.LessOrEqual(t, suggested, 3*time.Second/2)
+	}
+	require.Greater(t, len(seen), 90)
+}
+
+func BenchmarkGrantAndReturn(b *testing.B) {
+	a := NewAllowance(5)
+	b.ReportAllocs()
+	for b.Loop() {
+		g := a.Grant(1)
+		g.Return(g.Count())
+	}
+}
+
+func BenchmarkEdgeBudget(b *testing.B) {
+	budget := NewEdgeBudget(start, 0.1)
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.First(start)
+	}
+}
+
+func BenchmarkAdmitNewRoot(b *testing.B) {
+	r := NewCallerResends(0, 0)
+	identities := make([]string, 1<<16)
+	for i := range identities {
+		identities[i] = fmt.Sprint(i)
+	}
+	now := start
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		i++
+		if _, err := r.Admit(now, Claim{Caller: "c", Identity: identities[i%len(identities)]}, 3); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/core/route/bench_test.go
+++ b/core/route/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -88,11 +89,33 @@
 	}
 }
 
+// Reports the memory that a router with the whole fleet retains.
 func BenchmarkUpdateFleet(b *testing.B) {
-	b.ReportAllocs()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	r := fullRouter(TwoChoices)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
 	for b.Loop() {
 		fullRouter(TwoChoices)
 	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB-retained")
+	runtime.KeepAlive(r)
+}
+
+// One of 400 targets leaves or joins.
+func BenchmarkUpdateOneTarget(b *testing.B) {
+	r := fullRouter(TwoChoices)
+	var targets []Target
+	for _, e := range (*r.services.Load())["big"].view.Load().known {
+		targets = append(targets, e.target)
+	}
+	n := 0
+	for b.Loop() {
+		n++
+		r.Update(start, "big", targets[n%2:])
+	}
 }
 
 func BenchmarkFind(b *testing.B) {
--- a/core/route/counters.go
+++ b/core/route/counters.go
@@ -22,11 +22,14 @@
 	// shareWeight is the weight of one outcome in the shares of failures and
 	// refusals; six bad outcomes in a row give a share of 0.55.
 	shareWeight = 0.125
-	// latencyMemory is the age at which an average without new samples has moved
+	// maxShareWeight bounds the weight of an outcome that follows a long pause, so
+	// that one failure alone does not eject.
+	maxShareWeight = 0.3
+	// costMemory is the age at which an average without new samples has moved
 	// half of the way to the median of its peers, so that it is tried again.
-	latencyMemory = 5 * time.Second
-	// steadyMemory is the same for the mean that targets are compared by.
-	steadyMemory = time.Second
+	costMemory = 2 * time.Second
+	// compareMemory is the same for the mean that targets are compared by.
+	compareMemory = time.Second
 	// HintWeight bounds the effect of reported load: a full gate costs at most
 	// 1+HintWeight times as much as an idle one.
 	HintWeight = 0.5
@@ -44,10 +47,13 @@
 func (f *float) store(v float64) { f.bits.Store(math.Float64bits(v)) }
 
 // blend moves the value towards sample by weight.
-func (f *float) blend(sample, weight float64) {
+func (f *float) blend(sample, weight float64) { f.age(1, sample, weight) }
+
+// age scales the value by fresh and then moves it towards sample by weight.
+func (f *float) age(fresh, sample, weight float64) {
 	for {
 		old := f.bits.Load()
-		v := math.Float64frombits(old)
+		v := fresh * math.Float64frombits(old)
 		v += weight * (sample - v)
 		if f.bits.CompareAndSwap(old, math.Float64bits(v)) {
 			return
@@ -110,8 +116,8 @@
 	if e.latency.load() == 0 {
 		return
 	}
-	latency := towards(e.service.median.load(), e.latency.load(), e.freshness(at, latencyMemory))
-	steady := towards(e.service.steady.load(), e.steady.load(), e.freshness(at, steadyMemory))
+	latency := towards(e.service.median.load(), e.latency.load(), e.freshness(at, costMemory))
+	steady := towards(e.service.steady.load(), e.steady.load(), e.freshness(at, compareMemory))
 	e.latency.store(latency)
 	e.steady.store(steady)
 }
@@ -132,9 +138,17 @@
 	}
 }
 
+// learnShares counts an outcome with a weight that grows with the pause before
+// it, so that a target with few calls is judged by its recent ones. A good
+// outcome after a pause in addition makes the aged shares permanent.
 func (c *counters) learnShares(at int64, verdict verdict) {
-	c.failed.blend(indicator(verdict == verdictFailed || verdict == verdictLost), shareWeight)
-	c.refused.blend(indicator(verdict == verdictRefused), shareWeight)
+	fresh := c.freshness(at, costMemory)
+	weight := min(1-(1-shareWeight)*fresh, maxShareWeight)
+	if verdict != verdictGood {
+		fresh = 1
+	}
+	c.failed.age(fresh, indicator(verdict == verdictFailed || verdict == verdictLost), weight)
+	c.refused.age(fresh, indicator(verdict == verdictRefused), weight)
 	c.judged.Add(1)
 	c.judgedAt.Store(at)
 }
@@ -184,7 +198,7 @@
 // cost is the expected cost of one more call, in nanoseconds per slot. Values
 // without recent outcomes move towards the median of the service.
 func (e *Endpoint) cost(at int64) float64 {
-	fresh := e.freshness(at, latencyMemory)
+	fresh := e.freshness(at, costMemory)
 	latency := e.latencyOr(e.service.median.load(), fresh)
 	load := float64(e.inFlight.Load()+1) / e.slots
 	good := (1 - fresh*e.failed.load()) * (1 - fresh*e.refused.load())
--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -228,12 +228,22 @@
 	case phaseTrial:
 		e.decideTrial(at, result, verdict)
 	case phaseNormal:
-		if verdict == verdictLost {
-			e.eject(at, phaseNormal, CauseConnectionLost)
+		e.ejectLost(at, phaseNormal, verdict)
+	case phaseEjected:
+		// Calls reach an ejected target in panic mode.
+		if Cause(e.cause.Load()) != CauseConnectionLost {
+			e.ejectLost(at, phaseEjected, verdict)
 		}
 	}
 }
 
+// ejectLost ejects the target if the connection was lost.
+func (e *Endpoint) ejectLost(at int64, expected uint32, verdict verdict) {
+	if verdict == verdictLost {
+		e.eject(at, expected, CauseConnectionLost)
+	}
+}
+
 // noteDown follows answers of the gate that its target is down.
 func (e *Endpoint) noteDown(at int64, result Result) {
 	if result.Outcome == outcome.Completed {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -12,6 +12,10 @@
 	// ZonePenalty multiplies the cost of targets in other zones of the region.
 	// Calls spill over when the own zone costs more than this factor.
 	ZonePenalty = 2
+	// costNoise is the largest random surcharge on a cost, as a share of it. Without
+	// it a target whose cost is a little higher would get no calls while the load
+	// is low, and nothing would show that it has become as good as its peers.
+	costNoise = 0.25
 	// sampleTries bounds the samples taken for two candidates before all
 	// targets of the subset are scanned.
 	sampleTries = 4
@@ -177,7 +181,7 @@
 		case fitTrial:
 			return e
 		case fitYes:
-			best.offer(e, penalty*e.cost(q.at))
+			best.offer(e, q.noise()*penalty*e.cost(q.at))
 			n--
 		}
 		if n == 0 {
@@ -187,6 +191,9 @@
 	return nil
 }
 
+// noise is a random factor from 1 to 1+costNoise.
+func (q *query) noise() float64 { return 1 + costNoise*q.draw.share() }
+
 // preference orders endpoints in a scan, best first.
 type preference uint8
 
--- a/core/route/policy_test.go
+++ b/core/route/policy_test.go
@@ -10,22 +10,43 @@
 )
 
 // Faults of the target with incarnation 1 in the model.
-func faultSlow(*simTarget) (time.Duration, Result, bool) {
+func faultSlow() (time.Duration, Result, bool) {
 	return 20 * simService, Result{}, true
 }
 
-func faultLying(*simTarget) (time.Duration, Result, bool) {
+func faultLying() (time.Duration, Result, bool) {
 	return 100 * time.Microsecond, Result{Outcome: outcome.NotRun, Reason: outcome.Overloaded}, false
 }
 
-func faultFastFailing(*simTarget) (time.Duration, Result, bool) {
+func faultFastFailing() (time.Duration, Result, bool) {
 	return 100 * time.Microsecond, Result{Outcome: outcome.Completed, ErrorAnswer: true}, false
 }
 
-func faultCrashed(*simTarget) (time.Duration, Result, bool) {
+func faultCrashed() (time.Duration, Result, bool) {
 	return 0, Result{Outcome: outcome.NotRun, Reason: outcome.ConnectFailed}, false
 }
 
+// faultPaused lets calls time out.
+func faultPaused() (time.Duration, Result, bool) {
+	return time.Minute, Result{Outcome: outcome.Completed}, false
+}
+
+// scenario is a fault of the first targets.
+type scenario struct {
+	name  string
+	bad   uint64
+	fault fault
+}
+
+var scenarios = []scenario{
+	{"slow", 1, faultSlow},
+	{"lying", 1, faultLying},
+	{"fast failing", 1, faultFastFailing},
+	{"crashed", 1, faultCrashed},
+	{"paused", 1, faultPaused},
+	{"zone crashed", 2, faultCrashed},
+}
+
 var evenCallers = []string{"a", "b", "c", "d", "a", "b", "c", "d"}
 
 // The 8 targets serve 6,400 calls/s; the offered load is 60 % of it, which the
@@ -34,17 +55,14 @@
 //
 // Guards against a lone bad target that keeps attracting calls, and against a
 // target that does not get its share back.
-func TestTwoChoicesWithstandsLoneBadTarget(t *testing.T) {
+func TestTwoChoicesWithstandsBadTargets(t *testing.T) {
 	const rate = 0.6 * 8 * simSlots * float64(time.Second/simService)
-	faults := map[string]func(*simTarget) (time.Duration, Result, bool){
-		"slow": faultSlow, "lying": faultLying, "fast failing": faultFastFailing, "crashed": faultCrashed,
-	}
-	for name, fault := range faults {
-		t.Run(name, func(t *testing.T) {
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
 			good := map[Policy]float64{}
 			for _, policy := range []Policy{TwoChoices, RoundRobin, Random, LeastConnections} {
 				s := newSim(42, policy, evenCallers)
-				s.run(rate, fault)
+				s.run(rate, sc.bad, sc.fault)
 				t.Logf("%-17s %v", policy, &s.tally)
 				good[policy] = s.tally.share(phaseFault)
 				if policy == TwoChoices {
@@ -78,7 +96,7 @@
 	for seed := range uint64(5) {
 		s := newSim(seed, TwoChoices, evenCallers)
 		s.observe(func(e Event) { t.Errorf("seed %d, %v: ejected %v for being %v", seed, s.now, e.Target, e.Cause) })
-		s.run(rate, nil)
+		s.run(rate, 0, nil)
 	}
 }
 
@@ -89,7 +107,7 @@
 	callers := []string{"a", "a", "a", "a", "b", "c"}
 	for _, policy := range []Policy{TwoChoices, RoundRobin, Random, LeastConnections} {
 		s := newSim(42, policy, callers)
-		s.run(rate, nil)
+		s.run(rate, 0, nil)
 		t.Logf("%-17s %v", policy, &s.tally)
 		if policy == TwoChoices {
 			require.GreaterOrEqual(t, s.tally.share(phaseBefore), 0.99)
--- a/core/route/sim_test.go
+++ b/core/route/sim_test.go
@@ -22,11 +22,15 @@
 	tally   tallyByPhase
 }
 
+// fault tells how a bad target treats a call: it serves the call with the given
+// mean service time, or answers with the result after that time.
+type fault func() (after time.Duration, result Result, serve bool)
+
 // simTarget is one target of the model.
 type simTarget struct {
 	Target
 	service time.Duration // mean service time of one call
-	fault   func(*simTarget) (time.Duration, Result, bool)
+	fault   fault
 	busy    int
 	queue   []func()
 	calls   int
@@ -120,12 +124,13 @@
 	return time.Duration(s.random.ExpFloat64() * float64(mean))
 }
 
-// run offers calls at the rate and lets the target with incarnation 1 have the
-// fault during the fault phase.
-func (s *sim) run(rate float64, fault func(*simTarget) (time.Duration, Result, bool)) {
-	bad := s.targets[1]
-	s.after(faultFrom, func() { bad.fault = fault })
-	s.after(faultUntil, func() { bad.fault = nil })
+// run offers calls at the rate and lets the first bad targets have the fault
+// during the fault phase.
+func (s *sim) run(rate float64, bad uint64, fault fault) {
+	for id := range bad {
+		s.after(faultFrom, func() { s.targets[id+1].fault = fault })
+		s.after(faultUntil, func() { s.targets[id+1].fault = nil })
+	}
 	gap := time.Duration(float64(time.Second) / rate)
 	var arrive func()
 	arrive = func() {
@@ -197,12 +202,12 @@
 	t.calls++
 	mean := t.service
 	if t.fault != nil {
-		slower, result, serve := t.fault(t)
+		after, result, serve := t.fault()
 		if !serve {
-			s.after(slower, func() { answer(result) })
+			s.after(after, func() { answer(result) })
 			return
 		}
-		mean = slower
+		mean = after
 	}
 	if len(t.queue) >= simQueue {
 		answer(Result{Outcome: outcome.NotRun, Reason: outcome.Overloaded})
