--- a/internal/demo/summary.go
+++ b/internal/demo/summary.go
@@ -32,6 +32,8 @@
 	Shed           map[string]int `json:"shed"`
 	OfferedByClass map[string]int `json:"offered_by_class"`
 	Unknown        int            `json:"unknown"`
+	// UnknownByReason counts unknown outcomes by class and reason.
+	UnknownByReason map[string]int `json:"unknown_by_reason"`
 	// AttemptsPerRootMax is the highest number of times that one operation was
 	// begun at targets on behalf of one request.
 	AttemptsPerRootMax int `json:"attempts_per_root_max"`
@@ -59,6 +61,7 @@
 		DurationSeconds:  s.options.Duration.Seconds(),
 		Shed:             make(map[string]int),
 		OfferedByClass:   make(map[string]int),
+		UnknownByReason:  make(map[string]int),
 		CutByDrain:       len(s.fleet.Ledger.Cut()),
 		WorkAfterLeaving: s.events.lateWork,
 		CatalogueSeconds: s.events.changeSeconds,
@@ -85,6 +88,7 @@
 		s.Shed[r.operation.class]++
 	case verdictUnknown:
 		s.Unknown++
+		s.UnknownByReason[r.operation.class+"/"+r.sends[len(r.sends)-1].reason]++
 	}
 	for _, sent := range r.sends {
 		if sent.verdict == verdictWrong {
