--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,6 +41,9 @@
 	Log      logservice.Config
 	// Intervals of the control tasks; zero fields get the defaults.
 	Intervals control.Intervals
+	// TLS is the content of the tls section of the settings, by service; empty
+	// means plain connections.
+	TLS func(service string) string
 }
 
 // Instance is one target VM: a node and the target beside it.
@@ -168,6 +172,10 @@
 }
 
 func (f *Fleet) nodeYAML(instance *Instance) string {
+	tls := ""
+	if f.config.TLS != nil {
+		tls = "tls: " + f.config.TLS(instance.Service.Entry.GetService())
+	}
 	return fmt.Sprintf(`
 vm: %s
 availability_zone: %s
@@ -175,7 +183,23 @@
 service: %s
 listen: {callers: "127.0.0.1:0", target: "127.0.0.1:0", nodes: "127.0.0.1:0", operators: "127.0.0.1:0"}
 log: {url: "%s", timeout: 1s, poll_interval: 100ms}
-`, instance.VM, instance.Zone, instance.Service.Entry.GetService(), f.logServer.URL)
+seeds: [%s]
+%s
+`, instance.VM, instance.Zone, instance.Service.Entry.GetService(), f.logServer.URL, f.seeds(), tls)
+}
+
+// maxSeeds bounds the seeds of a new node.
+const maxSeeds = 3
+
+// seeds lists the addresses of some running nodes.
+func (f *Fleet) seeds() string {
+	var addresses []string
+	for _, instance := range f.Instances() {
+		if len(addresses) < maxSeeds {
+			addresses = append(addresses, instance.Node.NodesAddress())
+		}
+	}
+	return strings.Join(addresses, ", ")
 }
 
 // Instances returns the running instances.
--- /dev/null
+++ b/node/failure_test.go
@@ -0,0 +1,233 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosemount/primrosemount/internal/fleet"
+	"github.com/primrosemount/primrosemount/internal/standin/logservice"
+	"github.com/primrosemount/primrosemount/internal/standin/target"
+	"github.com/primrosemount/primrosemount/node/control"
+	"github.com/primrosemount/primrosemount/wire"
+)
+
+const testTime = 20 * time.Second
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// keysOf asks an entry for keys of the service orders.
+func keysOf(t *testing.T, address string, count int) []string {
+	got := post(t, address, fmt.Sprintf("/v1/services/orders/keys?count=%d", count), "", nil)
+	require.Equal(t, http.StatusOK, got.status, string(got.body))
+	var answer struct {
+		Keys []string `json:"keys"`
+	}
+	require.NoError(t, json.Unmarshal(got.body, &answer))
+	return answer.Keys
+}
+
+func withKey(key string) map[string]string { return map[string]string{wire.KeyHeader: key} }
+
+// Guards against keys whose outcome is lost when their executor leaves, and
+// against a second execution by the successor.
+func TestDrainHandsKeysOver(t *testing.T) {
+	running := startFleet(t, twoTiers(time.Millisecond))
+	orders := running.Of("orders")
+	entryNode := running.Of("ledger")[0].Node.CallersAddress()
+	keys := keysOf(t, entryNode, 20)
+	answers := make(map[string][]byte)
+	for n, key := range keys[:10] {
+		got := post(t, entryNode, "/v1/services/orders/book", fmt.Sprintf("order-%d", n), withKey(key))
+		require.Equal(t, http.StatusOK, got.status, string(got.body))
+		answers[key] = got.body
+	}
+
+	require.NoError(t, running.Retire(testContext(t), orders[0]))
+
+	for n, key := range keys[:10] {
+		again := post(t, entryNode, "/v1/services/orders/book", fmt.Sprintf("order-%d", n), withKey(key))
+		require.Equal(t, http.StatusOK, again.status, string(again.body))
+		require.Equal(t, answers[key], again.body)
+		require.Equal(t, 1, running.Ledger.Begun(target.Execution{Service: "orders", Operation: "book", ID: fmt.Sprintf("order-%d", n)}))
+	}
+	for n, key := range keys[10:] {
+		id := fmt.Sprintf("late-%d", n)
+		late := post(t, entryNode, "/v1/services/orders/book", id, withKey(key))
+		execution := target.Execution{Service: "orders", Operation: "book", ID: id}
+		if late.status == http.StatusOK {
+			require.Equal(t, 1, running.Ledger.Begun(execution))
+			continue
+		}
+		require.Equal(t, "not_run", late.problem.Outcome, string(late.body))
+		require.Zero(t, running.Ledger.Begun(execution))
+		require.NotEmpty(t, late.header.Get(wire.NextKeyHeader))
+	}
+}
+
+// Guards against calls, drains or refusals that depend on the log.
+func TestLogOutage(t *testing.T) {
+	running := startFleet(t, twoTiers(time.Millisecond))
+	ledgerNode := running.Of("ledger")[0].Node
+	running.Log.SetFaults(logservice.Faults{Down: true})
+
+	changed := proto.CloneOf(twoTiers(0)[0].Entry)
+	changed.Limits.QueuePerTarget = 9
+	ctx, cancel := context.WithTimeout(testContext(t), 5*time.Second)
+	defer cancel()
+	err := running.Apply(ctx, ledgerNode, changed, ledgerNode.Revision("orders"))
+	require.ErrorIs(t, err, control.ErrLogDown)
+
+	require.NoError(t, running.Retire(testContext(t), running.Of("orders")[0]))
+	for n := range 20 {
+		got := post(t, ledgerNode.CallersAddress(), "/v1/services/orders/book", fmt.Sprintf("o%d", n), nil)
+		require.Equal(t, http.StatusOK, got.status, string(got.body))
+	}
+
+	running.Log.SetFaults(logservice.Faults{})
+	require.Eventually(t, func() bool {
+		return running.Apply(testContext(t), ledgerNode, changed, ledgerNode.Revision("orders")) == nil
+	}, 5*time.Second, 50*time.Millisecond)
+}
+
+// Guards against a node that starts during an outage of the log and cannot
+// serve although its peers know the catalogue.
+func TestNodeStartsWhileLogIsDown(t *testing.T) {
+	services := twoTiers(time.Millisecond)
+	running := startFleet(t, services)
+	running.Log.SetFaults(logservice.Faults{Down: true})
+	added, err := running.Add(&services[0], "b")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return post(t, added.Node.CallersAddress(), "/v1/services/orders/list", "x", nil).status == http.StatusOK
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
+// Guards against calls that are accepted without a catalogue when a whole
+// fleet restarts during an outage of the log.
+func TestFleetRestartsWhileLogIsDown(t *testing.T) {
+	services := twoTiers(time.Millisecond)
+	running := startFleet(t, services)
+	running.Log.SetFaults(logservice.Faults{Down: true})
+	for _, instance := range running.Instances() {
+		running.Crash(instance)
+	}
+	var fresh []*fleet.Instance
+	for n := range services {
+		for _, zone := range services[n].Zones {
+			added, err := running.Add(&services[n], zone)
+			require.NoError(t, err)
+			fresh = append(fresh, added)
+		}
+	}
+	address := fresh[0].Node.CallersAddress()
+	refused := post(t, address, "/v1/services/orders/list", "x", nil)
+	require.Equal(t, "catalogue_unknown", refused.problem.Reason, string(refused.body))
+	require.Equal(t, "not_run", refused.problem.Outcome)
+
+	running.Log.SetFaults(logservice.Faults{})
+	require.Eventually(t, func() bool {
+		return post(t, address, "/v1/services/orders/book", "y", nil).status == http.StatusOK
+	}, 10*time.Second, 50*time.Millisecond)
+}
+
+// Guards against a crashed target whose requests are reported as not run, and
+// against a node that never takes its successor target back.
+func TestTargetCrashAndReturn(t *testing.T) {
+	services := twoTiers(300 * time.Millisecond)
+	services[0].Zones = []string{"a"}
+	running := startFleet(t, services)
+	instance := running.Of("orders")[0]
+	address := running.Of("ledger")[0].Node.CallersAddress()
+	const calls = 4
+	told := make([]answer, calls)
+	var wait sync.WaitGroup
+	for n := range calls {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			told[n] = post(t, address, "/v1/services/orders/book", fmt.Sprintf("c%d", n), nil)
+		}()
+	}
+	// A target that has just started is ramped up, so not all calls are at work.
+	require.Eventually(t, func() bool { return instance.Target.Running() > 0 }, 2*time.Second, time.Millisecond)
+	instance.Target.Crash()
+	wait.Wait()
+	for n, got := range told {
+		begun := running.Ledger.Begun(target.Execution{Service: "orders", Operation: "book", ID: fmt.Sprintf("c%d", n)})
+		if begun > 0 {
+			require.Equal(t, "unknown", got.problem.Outcome, string(got.body))
+		}
+		require.LessOrEqual(t, begun, 1)
+	}
+	require.NoError(t, running.StartTarget(instance))
+	require.Eventually(t, func() bool {
+		return post(t, address, "/v1/services/orders/book", "after", nil).status == http.StatusOK
+	}, 10*time.Second, 50*time.Millisecond)
+}
+
+// Guards against work that goes on at a target although its caller has gone.
+func TestCallerGoneCancelsIdempotentWork(t *testing.T) {
+	running := startFleet(t, twoTiers(2*time.Second))
+	address := running.Of("ledger")[0].Node.CallersAddress()
+	ctx, cancel := context.WithCancel(context.Background())
+	request := newRequest(ctx, t, address, "/v1/services/orders/list", "gone", nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			response.Body.Close()
+		}
+	}()
+	atWork := func() int {
+		total := 0
+		for _, instance := range running.Of("orders") {
+			total += instance.Target.Running()
+		}
+		return total
+	}
+	require.Eventually(t, func() bool { return atWork() == 1 }, 2*time.Second, time.Millisecond)
+	cancel()
+	<-done
+	require.Eventually(t, func() bool { return atWork() == 0 }, 500*time.Millisecond, time.Millisecond)
+}
+
+// Guards against a change that takes longer than the goal of 3 s to be in
+// force, in a fleet of some dozens of nodes, and against a change that reverts.
+func TestChangesReachEveryNode(t *testing.T) {
+	services := twoTiers(time.Millisecond)
+	services[0].Zones = slices.Repeat([]string{"a", "b", "c"}, 8)
+	services[1].Zones = []string{"a", "b"}
+	running := startFleet(t, services)
+	const changes = 20
+	goal := 3 * time.Second
+	var taken []time.Duration
+	through := running.Of("ledger")[0].Node
+	for n := range changes {
+		changed := proto.CloneOf(services[0].Entry)
+		changed.Limits.QueuePerTarget = uint32(10 + n)
+		begun := time.Now()
+		require.NoError(t, running.Apply(testContext(t), through, changed, through.Revision("orders")))
+		revision := through.Revision("orders")
+		for _, instance := range running.Instances() {
+			require.Eventually(t, func() bool { return instance.Node.Revision("orders") >= revision }, goal, time.Millisecond)
+		}
+		taken = append(taken, time.Since(begun))
+	}
+	slices.Sort(taken)
+	t.Logf("%d nodes, %d changes: p50 %s, highest %s", len(running.Instances()), changes, taken[changes/2], taken[changes-1])
+	require.Less(t, taken[changes-1], goal)
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -72,14 +72,19 @@
 	problem wire.Problem
 }
 
-func post(t *testing.T, address, path, id string, header map[string]string) answer {
+func newRequest(ctx context.Context, t *testing.T, address, path, id string, header map[string]string) *http.Request {
 	body, err := json.Marshal(target.Request{ID: id})
 	require.NoError(t, err)
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	require.NoError(t, err)
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
+	return request
+}
+
+func post(t *testing.T, address, path, id string, header map[string]string) answer {
+	request := newRequest(context.Background(), t, address, path, id, header)
 	response, err := http.DefaultClient.Do(request)
 	require.NoError(t, err)
 	defer response.Body.Close()
