--- a/core/once/table.go
+++ b/core/once/table.go
@@ -156,9 +156,12 @@
 }
 
 // Finish records the final outcome of a started key. It returns false, and
-// changes nothing, if the key is not running. An answer that is larger than
-// Config.MaxAnswerBytes, or for which there is no room, is not kept: the record
-// then has the outcome, the status and BodyOmitted.
+// changes nothing, if the key is not running; after an Export that settled the
+// key, the owner may still return the answer to the attempt that got it.
+//
+// An answer that is larger than Config.MaxAnswerBytes, or for which there is no
+// room, is not kept: the record then has the outcome, the status and
+// BodyOmitted.
 func (t *Table) Finish(now time.Time, key string, result Result) bool {
 	at := t.advance(now)
 	k, err := ParseKey(key)
