--- a/node/control/bench_test.go
+++ b/node/control/bench_test.go
@@ -41,13 +41,15 @@
 	t.ctx = ctx
 	b.Cleanup(cancel)
 	t.takeState(&pb.StreamState{Stream: platform.MembersStream, NextOffset: uint64(members), State: benchMembers(members)})
-	t.takeState(&pb.StreamState{Stream: platform.CatalogueStream, NextOffset: uint64(services), State: benchCatalogue(b, services)})
+	t.takeState(benchCatalogue(b, services))
 	t.settle()
 	t.publish()
 	t.refresh(time.Now())
 	return t
 }
 
+// benchMembers returns a state with n members and as many gone incarnations as
+// a state keeps.
 func benchMembers(n int) []byte {
 	state := &pb.MembersState{NextOffset: uint64(n)}
 	for i := range n {
@@ -55,20 +57,29 @@
 		m.Service = fmt.Sprintf("service-%03d", i%770)
 		state.Members = append(state.Members, m)
 	}
+	for i := range membership.MaxGone {
+		state.Successors = append(state.Successors, &pb.Leave{Incarnation: uint64(i+1) * 0xbf58476d1ce4e5b9})
+	}
 	data, _ := proto.Marshal(state)
 	return data
 }
 
-func benchCatalogue(b *testing.B, n int) []byte {
+// benchCatalogue returns a state with n services and as many results of
+// changes as a state keeps.
+func benchCatalogue(b *testing.B, n int) *pb.StreamState {
 	s := catalogue.NewState()
-	for i := range n {
-		entry := benchEntry(i)
+	for i := range catalogue.MaxRecent + n {
+		entry := benchEntry(i % n)
 		c := &pb.Change{Id: changeID(uint64(i)), Operator: "ops", Service: entry.GetService(), Entry: entry}
-		if _, err := s.Apply(uint64(i), catalogue.ChangeRecord(c)); err != nil {
-			b.Fatal(err)
+		if i >= n {
+			c.BaseRevision = uint64(i - n + 1)
+		}
+		effect, err := s.Apply(uint64(i), catalogue.ChangeRecord(c))
+		if err != nil || !effect.Result.GetAccepted() {
+			b.Fatal(effect, err)
 		}
 	}
-	return s.Encode()
+	return &pb.StreamState{Stream: platform.CatalogueStream, NextOffset: s.Next(), State: s.Encode()}
 }
 
 // forTasks runs a benchmark at each size. Run messages are not sent anywhere:
@@ -116,7 +127,7 @@
 func BenchmarkCatalogueRecord(b *testing.B) {
 	forTasks(b, func(b *testing.B, t *task, _, services int) {
 		reply := make(chan *pb.ExchangeResponse, 1)
-		revision := uint64(1)
+		revision := t.cat.State.Snapshot().Revision("service-000")
 		for i := range b.N {
 			offset := t.cat.State.Next()
 			c := &pb.Change{Id: changeID(uint64(1e9 + i)), Operator: "ops", Service: "service-000", BaseRevision: revision, Entry: benchEntry(0)}
@@ -148,14 +159,19 @@
 	})
 }
 
-// BenchmarkStart measures a start from a whole state of a peer. The heap that
-// the task then holds is reported as heap-bytes.
+// BenchmarkStart measures the heap of a task with whole states of both streams,
+// full lists of results and gone incarnations, and the encodings kept for peers,
+// without records to pass on. It is reported as heap-bytes; the time includes
+// the making of the states.
 func BenchmarkStart(b *testing.B) {
 	for _, size := range benchSizes {
 		b.Run(fmt.Sprintf("members=%d/services=%d", size.members, size.services), func(b *testing.B) {
 			for range b.N {
 				before := heap()
 				t := benchTask(b, size.members, size.services)
+				for _, s := range t.streams {
+					s.replica.State()
+				}
 				b.ReportMetric(float64(heap()-before), "heap-bytes")
 				runtime.KeepAlive(t)
 			}
--- a/node/control/fleet_test.go
+++ b/node/control/fleet_test.go
@@ -111,7 +111,8 @@
 		for _, node := range f.nodes() {
 			require.False(t, node.control.Snapshot().CatalogueKnown)
 		}
-		f.log.set(func() { f.log.down = false; f.log.rate = 100 })
+		before := 0
+		f.log.set(func() { f.log.down = false; f.log.rate = 100; f.log.peak = 0; before = f.log.appends })
 		start := time.Now()
 		for _, node := range f.nodes() {
 			for !node.control.Snapshot().CatalogueKnown || node.control.Snapshot().Catalogue.Len() == 0 {
@@ -122,6 +123,54 @@
 		require.Less(t, time.Since(start), 12*time.Second)
 		time.Sleep(time.Minute)
 		f.agreed(size)
+		f.log.set(func() {
+			t.Logf("their return took %d appends, at most %d in a second", f.log.appends-before, f.log.peak)
+			require.Less(t, f.log.appends-before, size/2)
+		})
+	})
+}
+
+// Guards against a zone that does not come back while the log is down, because
+// its nodes find no whole state at the seeds.
+func TestZoneRestartsFromSeedsWhileLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, returning = 30, 120
+		f := newFleet(t, 3)
+		f.log.retain = 60
+		defer f.stopAll()
+		for range 2 { // After the second start no node holds the first records.
+			for i := range size {
+				f.start(i)
+			}
+			time.Sleep(30 * time.Second)
+			for i := range 20 {
+				f.announce(i)
+				time.Sleep(time.Second)
+			}
+			time.Sleep(time.Minute) // A checkpoint follows when the last one is gone.
+			for i := range size {
+				f.stop(i)
+			}
+			time.Sleep(time.Second)
+		}
+		for i := range size {
+			f.start(i)
+		}
+		time.Sleep(30 * time.Second)
+		f.agreed(size)
+		f.log.set(func() { f.log.down = true })
+		start := time.Now()
+		var returned []*Control
+		for i := range returning {
+			returned = append(returned, f.start(size+i, "10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"))
+		}
+		for _, c := range returned {
+			for !c.Snapshot().MembersKnown || !c.Snapshot().CatalogueKnown {
+				<-c.Changes()
+			}
+		}
+		t.Logf("%d nodes know both states %s after their start at 3 seeds", returning, time.Since(start))
+		require.Less(t, time.Since(start), 20*time.Second)
 	})
 }
 
--- a/node/control/members.go
+++ b/node/control/members.go
@@ -10,12 +10,17 @@
 	"github.com/primrosemount/primrosemount/core/membership"
 	"github.com/primrosemount/primrosemount/core/spread"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/platform"
 )
 
 const (
 	// directAfter is the number of readers that have to fail before a node
 	// appends its registration itself.
 	directAfter = 6
+	// maxRegisterFactor bounds the wait before a registration is repeated, in
+	// units of Intervals.Register. The wait grows, so that a fleet whose
+	// registrations do not get through does not flood the log.
+	maxRegisterFactor = 15
 	// evictInterval is the time between two steps of the eviction policy.
 	evictInterval = time.Second
 )
@@ -25,6 +30,7 @@
 	join     *pb.Member
 	leave    *pb.Leave
 	dueAt    time.Time
+	sent     int
 	sentTo   string
 	failures int
 }
@@ -92,16 +98,20 @@
 	return &pb.MembersRecord{Record: &pb.MembersRecord_Join{Join: &pb.Join{Member: join}}}
 }
 
-// registerDue sends the registration until the fold shows it.
+// registerDue sends the registration until the fold shows it. A node that does
+// not know the members waits, because it knows no reader: after a restart of
+// the whole fleet each node would append its own record.
 func (t *task) registerDue(now time.Time) {
-	if now.Before(t.want.dueAt) {
+	if now.Before(t.want.dueAt) || !t.stream(platform.MembersStream).replica.Known() {
 		return
 	}
 	record := t.record()
 	if record == nil {
 		return
 	}
-	t.want.dueAt = now.Add(t.jitter(t.cfg.Intervals.Register))
+	t.want.sent++
+	wait := time.Duration(min(t.want.sent, maxRegisterFactor)) * t.cfg.Intervals.Register
+	t.want.dueAt = now.Add(t.jitter(wait))
 	t.sendRegistration(now, record)
 }
 
