--- a/operator/catalogue.go
+++ b/operator/catalogue.go
@@ -78,14 +78,15 @@
 
 // PlanFlags say what a file is compared with.
 type PlanFlags struct {
-	File    string  `arg:"positional,required" help:"catalogue file"`
-	BasedOn *uint64 `arg:"--based-on" placeholder:"OFFSET" help:"refuse to overwrite changes after this offset; by default the offset in the file's '# based-on' line"`
-	Delete  bool    `arg:"--delete" help:"delete entries that the file does not hold"`
+	File    string   `arg:"positional,required" help:"catalogue file"`
+	BasedOn *uint64  `arg:"--based-on" placeholder:"OFFSET" help:"refuse to overwrite changes after this offset; by default the offset in the file's '# based-on' line"`
+	Delete  bool     `arg:"--delete" help:"delete entries that the file does not hold"`
+	Service []string `arg:"--service,separate" placeholder:"NAME" help:"only this service; may be repeated"`
 }
 
 // load reads the file and the offset on which it is based.
 func (f *PlanFlags) load() (*pb.CatalogueFile, PlanOptions, error) {
-	options := PlanOptions{BasedOn: f.BasedOn, Delete: f.Delete}
+	options := PlanOptions{BasedOn: f.BasedOn, Delete: f.Delete, Only: f.Service}
 	file, err := settings.LoadCatalogue(f.File)
 	if err != nil {
 		return nil, options, err
@@ -121,7 +122,10 @@
 	if err != nil {
 		return ExitFailed, err
 	}
-	plan := Plan(state, file, options)
+	plan, err := Plan(state, file, options)
+	if err != nil {
+		return ExitUsage, err
+	}
 	err = c.print(out, plan, func(w io.Writer) { printPlan(w, plan) })
 	return exitOf(err), err
 }
@@ -178,8 +182,11 @@
 	if err != nil {
 		return ExitFailed, err
 	}
-	a := newApplication(client, c, state, file)
-	report := a.apply(ctx, Plan(state, file, options))
+	plan, err := Plan(state, file, options)
+	if err != nil {
+		return ExitUsage, err
+	}
+	report := newApplication(client, c, state, file).apply(ctx, plan)
 	err = c.print(out, report, func(w io.Writer) { printApplied(w, report) })
 	return applyExit(report, err), err
 }
--- a/operator/command_test.go
+++ b/operator/command_test.go
@@ -64,6 +64,12 @@
 	require.Regexp(t, `(?m)^orders +create +accepted +1 `, stdout)
 	require.Regexp(t, `(?m)^stock +create +skipped .*belongs to "warehouse-team"`, stdout)
 	require.Equal(t, uint64(1), f.source.state.Next())
+	code, stdout, _ = f.run("catalogue", "apply", "--operator", "sales-team", "--service", "price-list", example)
+	require.Equal(t, ExitOK, code)
+	require.NotContains(t, stdout, "stock")
+	code, _, stderr := f.run("catalogue", "apply", "--operator", "sales-team", "--service", "prices", example)
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, stderr, "correct --service")
 	for _, owner := range []string{"warehouse-team", "ledger-team", "sales-team"} {
 		_, _, _ = f.run("catalogue", "apply", "--operator", owner, example)
 	}
@@ -314,6 +320,7 @@
 	state, err := f.source.Catalogue(t.Context())
 	require.NoError(t, err)
 	before := proto.Clone(state)
-	Plan(state, &pb.CatalogueFile{}, PlanOptions{Delete: true})
+	_, err = Plan(state, &pb.CatalogueFile{}, PlanOptions{Delete: true})
+	require.NoError(t, err)
 	require.True(t, proto.Equal(before, state))
 }
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
@@ -42,11 +44,14 @@
 	BasedOn *uint64
 	// Delete plans the deletion of entries that the file does not hold.
 	Delete bool
+	// Only limits the plan to these services; empty means all.
+	Only []string
 }
 
 // Plan compares a file with the state of the catalogue. Entries of the file come
-// first, in their order, and deletions after them.
-func Plan(state *pb.CatalogueState, file *pb.CatalogueFile, options PlanOptions) *pb.CataloguePlan {
+// first, in their order, and deletions after them. The error names a service of
+// options.Only for which there is nothing to plan.
+func Plan(state *pb.CatalogueState, file *pb.CatalogueFile, options PlanOptions) (*pb.CataloguePlan, error) {
 	p := planner{
 		basedOn:    state.NextOffset,
 		entries:    map[string]*pb.EntryState{},
@@ -67,7 +72,21 @@
 			plan.Entries = append(plan.Entries, p.delete(present))
 		}
 	}
-	return plan
+	return plan, limit(plan, options.Only)
+}
+
+// limit removes the entries of services that are not named.
+func limit(plan *pb.CataloguePlan, only []string) error {
+	if len(only) == 0 {
+		return nil
+	}
+	for _, service := range only {
+		if !slices.ContainsFunc(plan.Entries, func(e *pb.EntryPlan) bool { return e.Service == service }) {
+			return errors.Newf("operator: the file has no service %q; correct --service, or give --delete to delete one that is in force", service)
+		}
+	}
+	plan.Entries = slices.DeleteFunc(plan.Entries, func(e *pb.EntryPlan) bool { return !slices.Contains(only, e.Service) })
+	return nil
 }
 
 // planner holds the state by service.
