--- a/core/retry/allowance.go
+++ b/core/retry/allowance.go
@@ -126,3 +126,19 @@
 	}
 	return f.Err.Retryable(f.Idempotent) && !f.UsedUp()
 }
+
+// GiveUp returns the error to pass upward when no further attempt is made after
+// the given number of retries of this call. If attempts were used up, here or
+// below, its reason is retry_bound, so that no service above repeats the call;
+// outcome and detail stay. A failure that nobody could retry stays as it is, and
+// a service above may retry it.
+func (f Failure) GiveUp(retries int) *outcome.Error {
+	usedUp := retries > 0 || f.UsedUp()
+	if f.Err == nil || !usedUp || !f.Err.Retryable(f.Idempotent) {
+		return f.Err
+	}
+	final := *f.Err
+	final.Reason = outcome.RetryBound
+	final.RetryAfter = 0
+	return &final
+}
