--- a/node/control/task.go
+++ b/node/control/task.go
@@ -119,8 +119,13 @@
 func (t *task) handle(m message) {
 	start := time.Now()
 	m.handle(t)
-	t.settle()
+	changed := t.dirty
+	// The snapshot comes before the answers, so that whoever got the result of
+	// a change or of a registration finds it in the snapshot.
 	t.publish()
+	if changed {
+		t.settle()
+	}
 	t.c.stats.spent(m.kind(), time.Since(start))
 }
 
@@ -164,11 +169,8 @@
 	s.pushFrom = before
 }
 
-// settle does what follows from the state after each message.
+// settle does what follows from a changed state.
 func (t *task) settle() {
-	if !t.dirty {
-		return
-	}
 	t.settleWaiters()
 	t.settleRegistration()
 }
