--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -50,6 +50,8 @@
 	// time after which an unanswered trial counts as failed.
 	trialTimeout = time.Second
 	trialMedians = 4
+	// trialPause is the time to the next trial after one that says nothing.
+	trialPause = 100 * time.Millisecond
 	// downRecheck is the interval of trials at a target that is reported down.
 	downRecheck = time.Second
 	// rampTime and rampStart: after a return the accepted share of samples grows
@@ -201,13 +203,14 @@
 	return e.phase.CompareAndSwap(phaseEjected, phaseTrial)
 }
 
-// releaseTrial makes a trial due again whose result says nothing.
+// releaseTrial makes a trial due again after trialPause, because its result says
+// nothing about the cause of the ejection.
 func (c *counters) releaseTrial(at int64, latency time.Duration) {
 	if c.startedBeforePhase(at, latency) {
 		return
 	}
 	if c.phase.CompareAndSwap(phaseTrial, phaseChanging) {
-		c.until.Store(at)
+		c.until.Store(at + int64(trialPause))
 		c.phase.Store(phaseEjected)
 	}
 }
@@ -258,27 +261,42 @@
 
 // decideTrial lets the target back or ejects it again.
 func (e *Endpoint) decideTrial(at int64, result Result, verdict verdict) {
+	latency := float64(result.Latency)
 	switch {
-	case verdict == verdictGood && !isSlow(float64(result.Latency), e.service.steady.load(), trialSlowFactor):
-		e.letBack(at, result)
+	case verdict == verdictGood && !isSlow(latency, e.service.steady.load(), trialSlowFactor):
+		e.letBack(at, latency)
 	case verdict == verdictGood:
 		e.eject(at, phaseTrial, CauseSlow)
 	case verdict == verdictLost:
 		e.eject(at, phaseTrial, CauseConnectionLost)
 	case verdict == verdictRefused:
-		e.eject(at, phaseTrial, CauseRefusing)
+		e.decideRefusedTrial(at, result)
 	default:
 		e.eject(at, phaseTrial, CauseFailing)
 	}
 }
 
+// decideRefusedTrial decides after a refusal, which is common during overload: it
+// proves that the connection works and says nothing about latency or failures.
+func (e *Endpoint) decideRefusedTrial(at int64, result Result) {
+	common := e.service.refused.load() >= refusedPeers
+	switch cause := Cause(e.cause.Load()); {
+	case cause == CauseConnectionLost, cause == CauseRefusing && common:
+		e.letBack(at, e.service.median.load())
+	case cause == CauseRefusing:
+		e.eject(at, phaseTrial, CauseRefusing)
+	default:
+		e.releaseTrial(at, result.Latency)
+	}
+}
+
 // letBack starts the ramp and forgets what led to the ejection.
-func (e *Endpoint) letBack(at int64, result Result) {
+func (e *Endpoint) letBack(at int64, latency float64) {
 	if !e.phase.CompareAndSwap(phaseTrial, phaseChanging) {
 		return
 	}
-	e.latency.store(float64(result.Latency))
-	e.steady.store(float64(result.Latency))
+	e.latency.store(latency)
+	e.steady.store(latency)
 	e.failed.store(0)
 	e.refused.store(0)
 	e.judged.Store(0)
--- a/core/route/evaluate.go
+++ b/core/route/evaluate.go
@@ -17,6 +17,7 @@
 		s.median.store(peers.latency)
 		s.steady.store(peers.steady)
 	}
+	s.refused.store(peers.refused)
 	s.countEjected(at)
 	for _, e := range v.close {
 		s.compare(peers, e, at)
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -54,6 +54,7 @@
 	}
 	r.Update(start.Add(time.Second), "s", targets)
 	workers.Wait()
+	require.Equal(t, []string{"s"}, r.Services())
 	r.Each("s", func(e *Endpoint) { require.Zero(t, e.Status(start).InFlight) })
 }
 
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -54,6 +55,7 @@
 	turn     atomic.Uint64 // round robin
 	median   float         // of latency, nanoseconds
 	steady   float         // of steady, nanoseconds
+	refused  float         // of refused
 	panic    atomic.Bool
 	// evaluating guards evaluate; it is never waited for.
 	evaluating  atomic.Bool
@@ -249,6 +251,11 @@
 	return (*r.index[shardOf(incarnation)].Load())[incarnation]
 }
 
+// Services returns the names of the services that have targets, in order.
+func (r *Router) Services() []string {
+	return slices.Sorted(maps.Keys(*r.services.Load()))
+}
+
 // Each calls f for each endpoint of the subset of a service.
 func (r *Router) Each(name string, f func(*Endpoint)) {
 	s := (*r.services.Load())[name]
