Decide about further attempts by retry.Call

Cause: the dispatcher repeated the decision that core/retry now offers, and told the router about ends before reports, which misjudges trials. Change: use retry.Call, report before end, pass used-up attempts upward for nested calls. The stand-in target no longer answers after its crash, which made one test flaky.

--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -306,6 +306,11 @@
 	<-t.slots
 	if !worked || !t.callAll(ctx, r, operation, request) {
 		t.recordEnd(r.Context(), execution)
+		if r.Context().Err() != nil {
+			// A target that has ended answers nothing; neither does one whose
+			// caller has gone.
+			panic(http.ErrAbortHandler)
+		}
 		http.Error(w, "failed", http.StatusBadGateway)
 		return
 	}
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -128,10 +128,10 @@
 	if refused != nil {
 		return d.Refuse(ctx, request, refused)
 	}
-	edge := d.edge(request)
-	edge.First(time.Now())
+	sender := retry.Sender{Budget: d.edge(request), Backoff: d.backoff}
+	call := retry.NewCall(sender, request.Allowance, 1)
 	attempts := &series{dispatcher: d, request: request, key: request.Key, trial: trial}
-	result := attempts.run(ctx, edge)
+	result := attempts.run(ctx, call)
 	d.observe(request, result.Response)
 	return result
 }
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -36,23 +36,37 @@
 }
 
 // run makes attempts until one is final.
-func (s *series) run(ctx context.Context, edge *retry.EdgeBudget) Result {
+func (s *series) run(ctx context.Context, call *retry.Call) Result {
 	var last *pb.CallResponse
 	for {
 		if err := s.prepare(); err != nil {
 			return s.result(s.unprepared(last, err))
 		}
-		grant := s.request.Allowance.Grant(1)
-		response := s.attempt(ctx, grant)
-		grant.Return(response.GetUnspentAllowance())
+		granted := call.Attempt(time.Now())
+		response := s.attempt(ctx, granted)
+		call.Answered(response.GetUnspentAllowance())
 		failure := ResponseError(response)
-		if failure == nil || !s.again(ctx, edge, grant, response, failure) {
+		if failure == nil {
 			return s.result(response)
 		}
+		wait, final := s.again(ctx, call, granted, response, failure)
+		if final != nil {
+			s.giveUp(response, final)
+			return s.result(response)
+		}
+		sleep(ctx, wait)
 		last = response
 	}
 }
 
+// giveUp marks a failure that this call has already repeated, so that no
+// service above repeats it. At the entry the caller gets the reason itself.
+func (s *series) giveUp(response *pb.CallResponse, final *outcome.Error) {
+	if s.request.Context.GetDepth() > 0 {
+		response.Reason = final.Reason.Proto()
+	}
+}
+
 // unprepared returns the response when no further target can be chosen: the
 // failure of the last attempt, if there was one.
 func (s *series) unprepared(last *pb.CallResponse, err *outcome.Error) *pb.CallResponse {
@@ -72,8 +86,7 @@
 	if s.prepareExecutor() != nil {
 		return nil, false
 	}
-	grant := retry.NewAllowance(0).Grant(1)
-	response := s.attempt(ctx, grant)
+	response := s.attempt(ctx, 0)
 	return response, response.GetGate() != nil && response.GetReason() != pb.Reason_REASON_EXECUTOR_GONE
 }
 
@@ -123,22 +136,23 @@
 
 // attempt sends the call to the chosen endpoint and returns its response, or
 // one made from the error of the transport.
-func (s *series) attempt(ctx context.Context, grant *retry.Grant) *pb.CallResponse {
+func (s *series) attempt(ctx context.Context, allowance uint32) *pb.CallResponse {
 	s.attempts++
 	begun := time.Now()
 	s.endpoint.Begin()
-	response := s.send(ctx, s.message(grant, begun))
+	response := s.send(ctx, s.message(allowance, begun))
 	s.settleDoubt(response)
 	now := time.Now()
+	// The report comes first, because it decides how the end is judged.
+	if response.GetGate() != nil {
+		s.endpoint.Report(now, route.ReportFromProto(response.GetGate()))
+	}
 	s.endpoint.End(now, route.Result{
 		Latency:     now.Sub(begun),
 		Outcome:     outcome.FromProto(response.GetOutcome()),
 		Reason:      outcome.Reason(response.GetReason()),
 		ErrorAnswer: response.GetStatus() >= errorStatus,
 	})
-	if response.GetGate() != nil {
-		s.endpoint.Report(now, route.ReportFromProto(response.GetGate()))
-	}
 	s.dispatcher.config.Observe(Attempt{
 		Request:  s.request,
 		Target:   s.endpoint.Target(),
@@ -148,10 +162,10 @@
 	return response
 }
 
-func (s *series) message(grant *retry.Grant, now time.Time) *pb.CallRequest {
+func (s *series) message(allowance uint32, now time.Time) *pb.CallRequest {
 	requestContext := proto.CloneOf(s.request.Context)
 	requestContext.RemainingNanos = int64(s.request.Deadline.Sub(now))
-	requestContext.RetryAllowance = grant.Count()
+	requestContext.RetryAllowance = allowance
 	return &pb.CallRequest{
 		Id: &pb.CallId{
 			Sender:   s.dispatcher.config.Self(),
@@ -215,23 +229,25 @@
 	}
 }
 
-// again decides about a further attempt, takes its price and waits.
-func (s *series) again(ctx context.Context, edge *retry.EdgeBudget, grant *retry.Grant, response *pb.CallResponse, failure *outcome.Error) bool {
-	sameKey := s.key != "" && failure.Outcome == outcome.Unknown
-	decision := retry.Failure{
-		Err:        failure,
+// again decides about a further attempt and prepares it. It returns the wait
+// before it, or the error to pass upward.
+func (s *series) again(ctx context.Context, call *retry.Call, granted uint32, response *pb.CallResponse, err *outcome.Error) (time.Duration, *outcome.Error) {
+	if s.finalForKey(err) || ctx.Err() != nil {
+		return 0, err
+	}
+	sameKey := s.key != "" && err.Outcome == outcome.Unknown
+	failure := retry.Failure{
+		Err:        err,
 		Idempotent: s.request.Idempotent || sameKey,
-		Granted:    grant.Count(),
+		Granted:    granted,
 		Unspent:    response.GetUnspentAllowance(),
 	}
-	if !decision.Retryable() || s.finalForKey(failure) || ctx.Err() != nil {
-		return false
-	}
-	if !edge.Spend(time.Now()) || !s.request.Allowance.Spend() {
-		return false
+	now := time.Now()
+	wait, final := call.Retry(now, failure, s.request.Deadline.Sub(now))
+	if final == nil {
+		s.next(sameKey)
 	}
-	s.next(sameKey)
-	return s.pause(ctx, failure)
+	return wait, final
 }
 
 // finalForKey tells that no further attempt can change the outcome of a key
@@ -257,13 +273,11 @@
 	}
 }
 
-func (s *series) pause(ctx context.Context, failure *outcome.Error) bool {
-	timer := time.NewTimer(s.dispatcher.backoff.Delay(s.attempts, failure.RetryAfter))
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
 	case <-ctx.Done():
-		return false
 	}
 }
