Tell peers the successor of a leaving node before it stops

Change: the leaving node pushes its state again after the handover, to every node that sent it a call or a control message, and entries prefer the successor.

--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -123,13 +123,13 @@
 		return outcome.New(outcome.NotRun, outcome.KeyMalformed, "the key was issued for service "+key.Service)
 	}
 	config := &s.dispatcher.config
-	if s.endpoint = config.Router.Find(key.Executor); s.endpoint != nil {
-		return nil
-	}
+	holder := key.Executor
+	// A successor is named only after it holds the whole table.
 	if successor, ok := config.Successor(key.Executor); ok {
-		if s.endpoint = config.Router.Find(successor); s.endpoint != nil {
-			return nil
-		}
+		holder = successor
+	}
+	if s.endpoint = config.Router.Find(holder); s.endpoint != nil {
+		return nil
 	}
 	return outcome.New(outcome.Unknown, outcome.ExecutorGone, "the executor of the key is not among the members")
 }
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,6 +107,9 @@
 	leaving.Close()
 	idle := waitIdle(ctx, leaving)
 	n.handOver(leaving)
+	// The peers learn the successor before this node stops to answer for its
+	// keys, also while the log is down.
+	n.pushReport(context.WithoutCancel(ctx))
 	n.leave()
 	n.drained.Store(true)
 	n.logger.Info("node: drain ended", zap.Bool("cut", !idle))
@@ -132,20 +136,21 @@
 func (n *Node) pushReport(ctx context.Context) {
 	report := n.gateReport(n.current(), "")
 	request := &pb.ProbeRequest{Sender: n.current().Incarnation(), SenderGate: report}
+	addresses := n.peerAddresses()
 	slots := make(chan struct{}, maxPushes)
-	pushed := 0
-	for _, address := range n.peerAddresses() {
+	var wait sync.WaitGroup
+	for _, address := range addresses {
 		slots <- struct{}{}
-		pushed++
-		n.spawn(func() {
+		wait.Go(func() {
 			defer func() { <-slots }()
 			ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 			defer cancel()
-			// A peer that cannot be reached learns of the drain from an answer.
+			// A peer that cannot be reached learns it from an answer.
 			_, _ = n.pool.Probe(ctx, address, request)
 		})
 	}
-	n.logger.Info("node: drain announced to peers", zap.Int("peers", pushed))
+	wait.Wait()
+	n.logger.Info("node: state pushed to peers", zap.Int("peers", len(addresses)))
 }
 
 // peerAddresses lists the nodes that called this one lately.
@@ -186,7 +191,7 @@
 // the node ends.
 func (n *Node) handOver(leaving *executor.Executor) {
 	chunks := leaving.Export()
-	for _, candidate := range n.successors() {
+	for _, candidate := range n.handoverCandidates() {
 		if n.sendTable(candidate.Address, chunks) {
 			n.successor.Store(candidate.Incarnation)
 			n.logger.Info("node: table handed over", zap.String("successor", candidate.VM), zap.Int("chunks", len(chunks)))
@@ -196,8 +201,8 @@
 	n.logger.Warn("node: no successor took the table; keys of this incarnation become unknown when the node ends")
 }
 
-// successors lists the members of the own service, those of the own zone first.
-func (n *Node) successors() []*membership.Member {
+// handoverCandidates lists the members of the own service, those of the own zone first.
+func (n *Node) handoverCandidates() []*membership.Member {
 	self := n.current().Incarnation()
 	var near, far []*membership.Member
 	for _, member := range n.control.Snapshot().Members.Service(n.settings.GetService()) {
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,7 @@
 	metrics    *telemetry.Metrics
 	cancels    *cancels
 	senders    *senders
+	successors *successors
 	numbers    *numbers
 	listeners  *listeners
 	servers    httpServers
@@ -96,12 +97,13 @@
 // Shutdown or Close ends it.
 func Start(options Options) (*Node, error) {
 	n := &Node{
-		settings: options.Settings,
-		logger:   options.Logger,
-		log:      options.Log,
-		cancels:  newCancels(),
-		senders:  newSenders(),
-		numbers:  newNumbers(),
+		settings:   options.Settings,
+		logger:     options.Logger,
+		log:        options.Log,
+		cancels:    newCancels(),
+		senders:    newSenders(),
+		successors: newSuccessors(),
+		numbers:    newNumbers(),
 	}
 	if n.log == nil {
 		settings := options.Settings.GetLog()
@@ -371,6 +373,9 @@
 
 // holder returns the incarnation that holds the keys of one that has left.
 func (n *Node) holder(incarnation uint64) (uint64, bool) {
+	if successor, ok := n.successors.of(incarnation); ok {
+		return successor, true
+	}
 	member, ok := n.control.Snapshot().Members.Holder(incarnation)
 	if !ok {
 		return 0, false
@@ -380,6 +385,7 @@
 
 // takeReport uses what a peer says about its own gate.
 func (n *Node) takeReport(incarnation uint64, report *pb.GateReport) {
+	n.successors.note(incarnation, report.GetSuccessor())
 	if endpoint := n.router.Find(incarnation); endpoint != nil {
 		endpoint.Report(time.Now(), route.ReportFromProto(report))
 	}
--- a/node/observe.go
+++ b/node/observe.go
@@ -58,6 +58,7 @@
 
 // observeAttempt takes in one attempt that the dispatcher made.
 func (n *Node) observeAttempt(a dispatch.Attempt) {
+	n.successors.note(a.Response.GetGate().GetIncarnation(), a.Response.GetGate().GetSuccessor())
 	if a.Number > 1 {
 		n.metrics.Retry(a.Request.Service)
 	}
--- a/node/senders.go
+++ b/node/senders.go
@@ -6,15 +6,16 @@
 )
 
 const (
-	// senderMemory is how long a node that sent a call counts as a sender.
-	senderMemory = 5 * time.Minute
+	// senderMemory is how long a node that sent a message counts as a sender. It
+	// is as long as peers keep idle connections.
+	senderMemory = peerIdleTimeout
 	// maxSenders bounds the remembered senders; the subset of each node keeps
 	// the real number far below.
 	maxSenders = 1024
 )
 
-// senders remembers which incarnations sent calls lately. A leaving node tells
-// them first. It is safe for concurrent use.
+// senders remembers which incarnations sent messages lately and hence may have
+// an open connection. A leaving node tells them. It is safe for concurrent use.
 type senders struct {
 	mutex sync.Mutex
 	seen  map[uint64]time.Time
@@ -22,7 +23,7 @@
 
 func newSenders() *senders { return &senders{seen: make(map[uint64]time.Time)} }
 
-// note records a call of the sender.
+// note records a message of the sender.
 func (s *senders) note(now time.Time, incarnation uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/node/serve.go
+++ b/node/serve.go
@@ -168,6 +168,9 @@
 
 // Exchange implements transport.Handler.
 func (n *Node) Exchange(ctx context.Context, request *pb.ExchangeRequest, response *pb.ExchangeResponse) error {
+	// A node with an open connection may send its first call at any time, so it
+	// has to be told of a drain too.
+	n.senders.note(time.Now(), request.GetSender())
 	answer, err := n.control.HandleExchange(ctx, request)
 	if err != nil {
 		return err
