Search for checkpoints from the end of the log; keep announcements in order

Cause: a starting node read the last 8,192 records although an hourly checkpoint is a few hundred records from the end. A node whose clock was set back lost a new announcement of its slots. Change: the search goes back 128, 512, 2,048 records and so on; a new announcement gets a time after the one in the fold. The bytes read at a start were worked out, not measured.

--- a/core/spread/replica.go
+++ b/core/spread/replica.go
@@ -16,17 +16,18 @@
 
 const (
 	// CheckpointRecords is the number of records after which a checkpoint is
-	// due. A reader that starts reads at most about this many.
+	// due, so that a starting reader needs at most about this many.
 	CheckpointRecords = 4096
-	// tailRecords is how far before the end a starting reader begins; twice
-	// the distance of checkpoints, so that it normally finds one.
-	tailRecords = 2 * CheckpointRecords
+	// firstTail is how far before the end of the log a starting reader begins;
+	// it goes back tailFactor times as far until a checkpoint is usable. Hourly
+	// checkpoints are about 560 records away in the catalogue and 90 in members.
+	firstTail  = 128
+	tailFactor = 4
+	// maxHeld bounds the records that a starting reader holds; the oldest go
+	// first, so that only older checkpoints become unusable.
+	maxHeld = 4 * CheckpointRecords
 )
 
-// maxHeld bounds the records that a starting reader holds; the oldest go
-// first, so that only older checkpoints become unusable.
-const maxHeld = 2 * tailRecords
-
 // Fold is the state of one stream.
 type Fold interface {
 	// Next returns the offset after the last folded record.
@@ -62,7 +63,7 @@
 	encoded []byte
 	// usable is the rule of checkpoints; tests replace it to check the checks.
 	usable func(covered, earliest, offset uint64) bool
-	// tail is how far before the end of the log a search begins.
+	// tail is firstTail; tests use less.
 	tail uint64
 	// covered is the offset that the best checkpoint on the log covers, and
 	// coveredAt the offset of its record.
@@ -77,14 +78,17 @@
 // search collects records until a usable checkpoint is found.
 type search struct {
 	active bool
-	whole  bool
-	held   []Record
-	next   uint64
+	// whole tells that the search began at the earliest retained record, tail
+	// how far before the end it was to begin.
+	whole bool
+	tail  uint64
+	held  []Record
+	next  uint64
 }
 
 // NewReplica returns a replica that does not know the state yet.
 func NewReplica(stream string, fold Fold) *Replica {
-	return &Replica{stream: stream, fold: fold, usable: usable, tail: tailRecords}
+	return &Replica{stream: stream, fold: fold, usable: usable, tail: firstTail}
 }
 
 // Stream returns the name of the stream.
@@ -134,7 +138,7 @@
 	}
 	moved := r.advance(records)
 	if earliest > r.Next() {
-		r.begin(false)
+		r.begin(r.tail)
 	}
 	return moved, nil
 }
@@ -208,12 +212,12 @@
 }
 
 // searchFrom collects records until there is a state from which all later
-// records are at hand. It begins near the end of the log and, if no checkpoint
-// is usable there, once more at the earliest retained record. A replica that
-// has an older state keeps it in force meanwhile.
+// records are at hand. It begins near the end of the log and goes back further
+// while no checkpoint is usable there. A replica that has an older state keeps
+// it in force meanwhile.
 func (r *Replica) searchFrom(from uint64, records []Record) (bool, error) {
 	if !r.search.active {
-		r.begin(false)
+		r.begin(r.tail)
 	}
 	if from != r.search.next && len(records) > 0 {
 		return false, nil
@@ -232,7 +236,7 @@
 		return false, nil
 	}
 	if !s.whole {
-		r.begin(true)
+		r.begin(s.tail * tailFactor)
 		return false, nil
 	}
 	return false, errors.Wrapf(ErrUnreachable, "stream %s: the log holds offsets %d to %d", r.stream, r.earliest, r.end)
@@ -272,13 +276,13 @@
 	return false
 }
 
-func (r *Replica) begin(whole bool) {
-	r.search = search{active: true, whole: whole, next: r.earliest}
-	if !whole && r.end > r.earliest+r.tail {
-		r.search.next = r.end - r.tail
-		return
+// begin starts a search this far before the end of the log.
+func (r *Replica) begin(tail uint64) {
+	r.search = search{active: true, tail: tail, next: r.earliest}
+	r.search.whole = r.end <= r.earliest+tail
+	if !r.search.whole {
+		r.search.next = r.end - tail
 	}
-	r.search.whole = true
 }
 
 // FromPosition notes the position of a peer before its records are taken. A
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -214,3 +214,24 @@
 		require.Empty(t, f.evicted)
 	})
 }
+
+// Guards against an announcement of other slots that is lost because the clock
+// of the VM was set back.
+func TestNewSlotsWithEarlierClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		defer f.stopAll()
+		c := f.start(0)
+		f.start(1)
+		time.Sleep(10 * time.Second)
+		member := fakeMember(0, 1, f.net.nodes[fakeMember(0, 1, 1).GetNodeAddress()].incarnation)
+		member.JoinedUnixNanos = -5
+		member.Slots = 7
+		require.NoError(t, c.Register(t.Context(), member))
+		time.Sleep(10 * time.Second)
+		for _, node := range f.nodes() {
+			m, _ := node.control.Snapshot().Members.Member(member.GetIncarnation())
+			require.Equal(t, uint32(7), m.Slots)
+		}
+	})
+}
--- a/node/control/members.go
+++ b/node/control/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosemount/primrosemount/core/membership"
 	"github.com/primrosemount/primrosemount/core/spread"
@@ -52,13 +53,29 @@
 		t.told = false
 		t.evictor = membership.NewEvictor(m.member.GetIncarnation(), m.member.GetAvailabilityZone())
 	}
-	t.self = m.member
-	t.want = registration{join: m.member}
+	t.self = t.ordered(m.member)
+	t.want = registration{join: t.self}
 	t.refreshed = time.Time{}
 	m.reply <- nil
 	t.registerDue(time.Now())
 }
 
+// ordered returns the announcement with a time after the one in the fold, if
+// it says something new: the clock of the VM may have been set back.
+func (t *task) ordered(member *pb.Member) *pb.Member {
+	old, ok := t.mem.State.Member(member.GetIncarnation())
+	if !ok || member.GetJoinedUnixNanos() > old.Joined {
+		return member
+	}
+	later := proto.CloneOf(member)
+	later.JoinedUnixNanos = old.Joined
+	if proto.Equal(later, old.Proto()) {
+		return member
+	}
+	later.JoinedUnixNanos++
+	return later
+}
+
 type leave struct {
 	successor uint64
 	reply     chan error
