Check the loss and return of a zone with whole nodes

Cause: the return of a zone was checked with clients that know their readers, not with nodes that have to find them. Change: a test that stops one of 6 zones for 10 minutes and starts it again. Conclusion: registrations find readers of other zones while those of the own zone are gone.

--- a/node/control/fleet_test.go
+++ b/node/control/fleet_test.go
@@ -306,6 +306,39 @@
 	})
 }
 
+// Guards against a lost zone whose members are evicted, and against nodes that
+// come back and find no reader, because those of their zone are not back either.
+func TestLostZoneComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, zones = 120, 6
+		f := newFleet(t, zones)
+		defer f.stopAll()
+		for i := range size {
+			f.start(i)
+		}
+		time.Sleep(20 * time.Second)
+		for i := 0; i < size; i += zones {
+			f.stop(i)
+		}
+		time.Sleep(10 * time.Minute)
+		require.Zero(t, f.evictions())
+		before := 0
+		f.log.set(func() { f.log.rate = 100; f.log.peak = 0; before = f.log.appends })
+		for i := 0; i < size; i += zones {
+			f.start(i)
+		}
+		time.Sleep(15 * time.Second)
+		f.agreed(size)
+		f.log.set(func() {
+			t.Logf("%d nodes came back with %d appends, at most %d in a second", size/zones, f.log.appends-before, f.log.peak)
+		})
+		time.Sleep(5 * time.Minute)
+		f.agreed(size)
+		require.Zero(t, f.evictions())
+		require.Empty(t, f.evicted)
+	})
+}
+
 // registerClient sends a join to a reader until its fold shows it.
 func registerClient(t *testing.T, reader *Control, i int) {
 	member := fakeMember(100+i, 1, uint64(1_000_000+i))
