Raise the threshold by free capacity and settle before a trial

Cause: a trace of a target with 10 slots that became ten times slower showed two faults. No request ends for a while after the onset, so the threshold fell to the lowest level, and it then rose by one level a window, because the rise was a share of the little demand that was admitted. A trial of the limit could also begin while fast requests of the onset still ended, and came to the wrong verdict. Change: one window sheds at most half of the admitted demand; a rise is a share of the free capacity; the demand of levels above the threshold is averaged without bias; the limit lets samples settle before the window that a trial compares with, repeats a trial during which the ratio rose by half, and makes no trial while the limit is not in use. Traces of the threshold are added. The replay sums the best goodput in a fixed order.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -12,12 +12,14 @@
 //
 // Reaction. The gate admits levels up to a threshold. While the standing delay
 // exceeds the target delay, the threshold falls to where the counted demand of
-// the admitted levels fits the rate of starts. While it is low, the threshold
-// rises by half of the free capacity per window, so a gate that served a tenth
-// of its demand is open again after a few windows; an idle gate reopens even
-// without offers. Inside the queue better levels start first, and newest first
-// within a level while overloaded, because the newest request has the most time
-// left. A request that cannot meet its deadline is refused at once.
+// the admitted levels fits the rate that limit and service time allow, by at
+// most half of the admitted demand per window. While the delay is low, the
+// threshold rises by half of the free capacity per service time, so a gate that
+// served a tenth of its demand is open again after some windows; an idle gate
+// reopens even without offers. Inside the queue better levels start first, and
+// newest first within a level while overloaded, because the newest request has
+// the most time left. A request that cannot meet its deadline is refused at
+// once.
 //
 // Order of classes. The queue never holds a level above the threshold: when the
 // threshold falls, what is above it is evicted. A full queue evicts its worst
--- a/core/gate/threshold.go
+++ b/core/gate/threshold.go
@@ -19,13 +19,17 @@
 	// lowerGain is the share of the surplus that is shed while the queue still
 	// has room, so that one window of noise does not idle the slots.
 	lowerGain = 0.5
-	// raiseGain is the share of the free capacity that one raise hands out.
+	// steepestFall is the largest share of the admitted demand that one window
+	// sheds. Right after a target became slow no request ends for a while, and
+	// the rate of starts says little.
+	steepestFall = 0.5
+	// raiseGain is the share of the free capacity that raises hand out within
+	// one service time. Requests that a raise admits are seen in flight only
+	// after that time, so a higher gain would overshoot.
 	raiseGain = 0.5
-	// leastRaise keeps the threshold probing when all slots are in use.
+	// leastRaise is the share of the capacity by which the threshold keeps
+	// probing when all slots are in use.
 	leastRaise = 0.02
-	// mostRaise bounds one raise, so that a wave of callers that had been
-	// refused does not arrive within one window.
-	mostRaise = 1.0
 	// busyLevels and idleLevels bound one raise in levels, for levels whose
 	// demand is not known. Idle gates reopen fully within six windows.
 	busyLevels = 16
@@ -33,11 +37,11 @@
 	// idleUse is the use of slots below which a gate is idle.
 	idleUse = 0.75
 	// demandWeight is the weight of the newest window in the demand of levels
-	// that callers send.
+	// that are admitted, shedWeight in that of other levels. Callers that know
+	// the threshold do not send these, so what was seen before it fell is
+	// remembered longer: half of it remains after 14 windows.
 	demandWeight = 0.4
-	// demandDecay is the factor per window on the remembered demand of levels
-	// above the threshold: half of it remains after 14 windows.
-	demandDecay = 0.95
+	shedWeight   = 0.05
 	// lowestThreshold always admits some critical requests, because a gate that
 	// admits nothing learns nothing.
 	lowestThreshold = outcome.Level(outcome.Critical) * outcome.Cohorts
@@ -54,6 +58,11 @@
 	lackedRoom bool
 	// use is the mean share of the limit that was in use.
 	use float64
+	// capacity is the rate that limit and service time allow, in requests per
+	// second; infinite while the service time is not known.
+	capacity float64
+	// service is the mean service time.
+	service time.Duration
 }
 
 // threshold controls the highest admitted level. It counts the demand of each
@@ -77,7 +86,7 @@
 	case w.excess > 1 || w.lackedRoom:
 		t.lower(w)
 	case w.excess < calmExcess:
-		t.raise(w.use)
+		t.raise(w)
 	}
 }
 
@@ -87,7 +96,8 @@
 	factor := 1 - drainGain*(w.excess-1)
 	factor = math.Min(1, math.Max(lowestFactor, factor))
 	allowed := factor * w.starts / seconds(w.duration)
-	surplus := sum(t.demand[:t.level+1]) - allowed
+	demand := sum(t.demand[:t.level+1])
+	surplus := math.Min(demand-allowed, steepestFall*demand)
 	if !w.lackedRoom {
 		surplus *= lowerGain
 	}
@@ -98,14 +108,13 @@
 }
 
 // raise moves up by a part of the free capacity, at least one level.
-func (t *threshold) raise(use float64) {
-	factor := raiseGain * (1/math.Max(use, 0.01) - 1)
-	factor = math.Min(mostRaise, math.Max(leastRaise, factor))
+func (t *threshold) raise(w load) {
+	gain := raiseGain * math.Min(1, seconds(w.duration)/seconds(w.service))
+	room := w.capacity * math.Max(leastRaise, gain*(1-w.use))
 	most := busyLevels
-	if use < idleUse {
+	if w.use < idleUse {
 		most = idleLevels
 	}
-	room := factor * sum(t.demand[:t.level+1])
 	for step := 0; step < most && t.level < outcome.MaxLevel; step++ {
 		room -= t.demand[t.level+1]
 		if room < 0 && step > 0 {
@@ -118,12 +127,12 @@
 // remember merges the offers of the window into the demand.
 func (t *threshold) remember(duration time.Duration) {
 	for level := range t.demand {
-		rate := t.seen[level] / seconds(duration)
-		if outcome.Level(level) > t.level && rate < t.demand[level] {
-			t.demand[level] = math.Max(rate, demandDecay*t.demand[level])
-			continue
+		weight := demandWeight
+		if outcome.Level(level) > t.level {
+			weight = shedWeight
 		}
-		t.demand[level] += demandWeight * (rate - t.demand[level])
+		rate := t.seen[level] / seconds(duration)
+		t.demand[level] += weight * (rate - t.demand[level])
 	}
 }
 
--- a/core/gate/trace_test.go
+++ b/core/gate/trace_test.go
@@ -22,9 +22,12 @@
 	gate *Gate
 	now  time.Time
 	// ends holds the running requests of the command "run" in order of end.
-	ends []runningRequest
-	next uint64
-	seed uint64
+	ends    []runningRequest
+	levels  map[uint64]outcome.Level
+	started map[outcome.Class]int
+	highest int
+	next    uint64
+	seed    uint64
 }
 
 type runningRequest struct {
@@ -37,7 +40,7 @@
 // movement, deadline refusals, ramp-up and drain.
 func TestTraces(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		r := &traceRunner{t: t, now: time.Unix(1000, 0), next: 1 << 32, seed: 1}
+		r := &traceRunner{t: t, now: time.Unix(1000, 0), next: 1 << 32, seed: 1, levels: map[uint64]outcome.Level{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return r.command(d)
 		})
@@ -112,51 +115,59 @@
 }
 
 // run offers requests of all classes in turn at a steady rate to a target with
-// a constant service time, and reports what happened.
+// a constant service time. It prints the threshold and whether the stated bounds
+// hold: the least share of critical requests that started, in percent, the most
+// of sheddable ones, and the least use of the capacity.
 func (r *traceRunner) run(d *datadriven.TestData) string {
-	length, service := durationArg(d, "for"), durationArg(d, "service")
+	service := durationArg(d, "service")
 	gap := time.Second / time.Duration(intArg(d, "rate"))
-	started, reasons := map[outcome.Class]int{}, map[string]int{}
-	levels := map[uint64]outcome.Level{}
-	offered, highest := 0, 0
-	end := r.now.Add(length)
-	for ; r.now.Before(end); r.now = r.now.Add(gap) {
-		r.finish(r.now, service, started, reasons, levels)
-		r.next++
-		r.seed = r.seed*6364136223846793005 + 1442695040888963407
-		class := outcome.Class(r.next%3) + outcome.Critical
-		level := outcome.LevelOf(class, uint32(r.seed>>40))
+	begin, offered := r.now, 0
+	r.started, r.highest = map[outcome.Class]int{}, 0
+	for end := r.now.Add(durationArg(d, "for")); r.now.Before(end); r.now = r.now.Add(gap) {
+		r.finish(service)
+		r.offerOne(service)
 		offered++
-		levels[r.next] = level
-		switch dec := r.gate.Offer(r.now, Request{ID: r.next, Level: level, Deadline: r.now.Add(time.Second)}); dec.Kind {
-		case Start:
-			started[class]++
-			r.ends = append(r.ends, runningRequest{r.next, r.now, r.now.Add(service)})
-		case Refuse:
-			reasons[dec.Reason.String()]++
-		}
-		highest = max(highest, r.gate.InFlight())
+		r.highest = max(r.highest, r.gate.InFlight())
+	}
+	capacity := float64(r.gate.Limit()) * float64(r.now.Sub(begin)) / float64(service)
+	total := r.started[outcome.Critical] + r.started[outcome.Normal] + r.started[outcome.Sheddable]
+	critical := 300 * r.started[outcome.Critical] / offered
+	sheddable := 300 * r.started[outcome.Sheddable] / offered
+	use := 100 * float64(total) / capacity
+	return fmt.Sprintf("admitted class: %s\nall levels: %v\ncritical: %v\nsheddable: %v\nuse: %v\nat most in flight: %d\n",
+		r.gate.Threshold().Class(), r.gate.Threshold() == outcome.MaxLevel,
+		critical >= intArg(d, "critical"), sheddable <= intArg(d, "sheddable"),
+		use >= float64(intArg(d, "use")), r.highest)
+}
+
+// offerOne offers the next request.
+func (r *traceRunner) offerOne(service time.Duration) {
+	r.next++
+	r.seed = r.seed*6364136223846793005 + 1442695040888963407
+	class := outcome.Class(r.next%3) + outcome.Critical
+	level := outcome.LevelOf(class, uint32(r.seed>>40))
+	r.levels[r.next] = level
+	request := Request{ID: r.next, Level: level, Deadline: r.now.Add(time.Second)}
+	if r.gate.Offer(r.now, request).Kind == Start {
+		r.began(r.next, r.now, service)
 	}
-	threshold := r.gate.Threshold()
-	total := started[outcome.Critical] + started[outcome.Normal] + started[outcome.Sheddable]
-	return fmt.Sprintf("admitted class: %s\nstarted of critical: %d %%\nstarted of sheddable: %d %%\nuse of capacity: %d %%\nin flight at most %d\n",
-		threshold.Class(), 300*started[outcome.Critical]/offered, 300*started[outcome.Sheddable]/offered,
-		100*total/int(float64(r.gate.Limit())*length.Seconds()/service.Seconds()), highest)
+}
+
+func (r *traceRunner) began(id uint64, at time.Time, service time.Duration) {
+	r.started[r.levels[id].Class()]++
+	r.ends = append(r.ends, runningRequest{id, at, at.Add(service)})
 }
 
 // finish ends what is due and starts what waits.
-func (r *traceRunner) finish(now time.Time, service time.Duration, started map[outcome.Class]int, reasons map[string]int, levels map[uint64]outcome.Level) {
-	for len(r.ends) > 0 && !r.ends[0].end.After(now) {
+func (r *traceRunner) finish(service time.Duration) {
+	for len(r.ends) > 0 && !r.ends[0].end.After(r.now) {
 		done := r.ends[0]
 		r.ends = r.ends[1:]
 		r.gate.Done(done.end, done.id, Sample{Latency: done.end.Sub(done.start)})
 		for _, e := range r.gate.Poll(done.end) {
-			if e.Kind == Refuse {
-				reasons[e.Reason.String()]++
-				continue
+			if e.Kind == Start {
+				r.began(e.ID, done.end, service)
 			}
-			started[levels[e.ID].Class()]++
-			r.ends = append(r.ends, runningRequest{e.ID, done.end, done.end.Add(service)})
 		}
 	}
 }
--- a/core/gate/window.go
+++ b/core/gate/window.go
@@ -54,6 +54,8 @@
 	w := load{
 		duration:   age,
 		starts:     math.Max(float64(g.window.starts), g.expectedStarts(age)),
+		capacity:   float64(g.limiter.Limit()) / (g.service.mean / float64(time.Second)),
+		service:    time.Duration(g.service.mean),
 		lackedRoom: g.window.lackedRoom > 0,
 		use:        float64(g.inFlight) / float64(g.limiter.Limit()),
 	}
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -14,14 +14,17 @@
 // full, so they do not drift upward under sustained load. Refusals by the
 // target are the second signal.
 //
-// Reaction. A ratio above Config.Tolerance may have two causes. Either the
-// target is past its knee, or its own work became slower at any concurrency,
-// for example because of a disk. The limiter finds out by a trial: it cuts the
-// limit and compares the ratio before and after. If the ratio falls with the
-// concurrency, the cut stays. If it does not, the earlier limit is restored and
-// the slower time becomes the expected one, until a faster one is seen. While
-// the ratio is low and the limit is in use, the limit grows by a quarter each
-// window, so a limit that is ten times too low recovers within a second.
+// Reaction. A ratio above Config.Tolerance while the limit is in use may have
+// two causes. Either the target is past its knee, or its own work became slower
+// at any concurrency, for example because of a disk. The limiter finds out by a
+// trial: it halves the concurrency and compares the ratio before and after. If
+// the ratio falls with the concurrency, the cut stays, and goes on in proportion
+// while the ratio is too high. If it does not, the earlier limit is restored and
+// the slower time is accepted until a faster one is seen. A verdict needs as many
+// samples as the noise that was measured demands. An accepted slowdown is put to
+// trial again after some time, because conditions may change. While the ratio is
+// low and the limit is in use, the limit grows by a quarter each window, so a
+// limit that is ten times too low recovers within ten windows.
 //
 // Slow downstream services. A request that waits for a deep service holds a
 // slot but does not load the target. By Little's law the target needs more
@@ -87,6 +90,8 @@
 	// trialCut is the factor of a trial. A smaller change of concurrency takes
 	// longer to tell from noise: at 0.7 a trial costs half as much again.
 	trialCut = 0.5
+	// changedRatio is the rise of the ratio during a trial that makes it void.
+	changedRatio = 1.5
 	// furtherCut bounds the cut that follows a trial.
 	furtherCut = 0.25
 	// refusalCut is the factor after a refusal by the target.
@@ -199,7 +204,9 @@
 	trial    trial
 	// suspected tells that the last window was too slow. A trial starts after
 	// two such windows, because the ratio of the first one was selected for
-	// being high, and any later ratio would look like a fall.
+	// being high, and any later ratio would look like a fall. Samples settle
+	// between the two, because at the onset of a slowdown the fast ones end
+	// first.
 	suspected bool
 	lastTrial time.Time
 	recheck   time.Duration
@@ -424,8 +431,11 @@
 		l.cutAfterRefusal(now)
 	case l.trial.active:
 		l.judge(now)
+	case l.tooSlow() && !l.limitInUse():
+		l.suspected = false
 	case l.tooSlow() && !l.suspected:
 		l.suspected = true
+		l.settle(now)
 	case l.tooSlow() || l.recheckDue(now):
 		l.startTrial(now)
 	default:
@@ -473,10 +483,16 @@
 
 // judge ends a trial. The cut stays if concurrency was the cause. If that is
 // sure and the ratio is still above the tolerance, the cut goes on in proportion.
+// If the ratio rose a lot, conditions changed and the trial is made again.
 func (l *Limiter) judge(now time.Time) {
 	caused, sure := l.ratio() <= l.boundary(), l.verdictSure()
-	before, inFlight := l.trial.limit, l.trial.inFlight
+	before, inFlight, ratio := l.trial.limit, l.trial.inFlight, l.trial.ratio
 	l.trial = trial{}
+	if l.ratio() > changedRatio*ratio {
+		l.suspected = true
+		l.restore(now, before)
+		return
+	}
 	if caused {
 		l.slowdown = math.Max(1, l.slowdown*math.Min(1, l.ratio()))
 		l.recheck = recheck
--- a/internal/experiment/best.go
+++ b/internal/experiment/best.go
@@ -93,18 +93,24 @@
 	return math.Max(0, highest)
 }
 
-// best returns the highest rate of whole requests of each class for an offered
-// rate of each root. More important classes are served first. Within a class
-// all roots get the same share, until a service is used up; roots that do not
-// need that service go on.
-func (c capacity) best(offered map[*rootSpec]float64) map[outcome.Class]float64 {
+// offer is an offered rate of one root, in requests per second.
+type offer struct {
+	spec *rootSpec
+	rate float64
+}
+
+// best returns the highest rate of whole requests of each class for the offered
+// rates. More important classes are served first. Within a class all roots get
+// the same share, until a service is used up; roots that do not need that
+// service go on.
+func (c capacity) best(offered []offer) map[outcome.Class]float64 {
 	left := c.available()
 	good := map[outcome.Class]float64{}
 	for class := outcome.Critical; class <= outcome.Sheddable; class++ {
-		open := map[*rootSpec]float64{}
-		for spec, rate := range offered {
-			if spec.class == class {
-				open[spec] = rate
+		var open []offer
+		for _, o := range offered {
+			if o.spec.class == class {
+				open = append(open, o)
 			}
 		}
 		good[class] = c.fill(open, left)
@@ -113,33 +119,37 @@
 }
 
 // fill serves the roots of one class and takes their needs from what is left.
-func (c capacity) fill(open map[*rootSpec]float64, left need) float64 {
+func (c capacity) fill(open []offer, left need) float64 {
 	good, served := 0.0, 0.0
 	for len(open) > 0 && served < 1 {
 		total := need{make([]float64, len(left.slots)), make([]float64, len(left.slots))}
 		count := 0.0
-		for spec, rate := range open {
-			total.addScaled(c.of(spec.op), rate)
-			count += rate
+		for _, o := range open {
+			total.addScaled(c.of(o.spec.op), o.rate)
+			count += o.rate
 		}
 		share := left.fits(total, 1-served)
 		left.addScaled(total, -share)
 		good += share * count
 		served += share
-		c.closeFull(open, left)
+		open = c.stillOpen(open, left)
 	}
 	return good
 }
 
-// closeFull drops the roots that need a service that is used up.
-func (c capacity) closeFull(open map[*rootSpec]float64, left need) {
+// stillOpen returns the roots that need no service that is used up.
+func (c capacity) stillOpen(open []offer, left need) []offer {
 	const nothing = 1e-9
-	for spec := range open {
-		n := c.of(spec.op)
+	var rest []offer
+	for _, o := range open {
+		n := c.of(o.spec.op)
+		full := false
 		for i := range n.slots {
-			if n.slots[i] > 0 && (left.slots[i] < nothing || left.processors[i] < nothing) {
-				delete(open, spec)
-			}
+			full = full || (n.slots[i] > 0 && (left.slots[i] < nothing || left.processors[i] < nothing))
+		}
+		if !full {
+			rest = append(rest, o)
 		}
 	}
+	return rest
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -232,26 +232,22 @@
 // goodput fills in what concerns the time of the trigger.
 func (j job) goodput(roots []*root, row *Row) {
 	offered, good, best := map[outcome.Class]float64{}, map[outcome.Class]float64{}, map[outcome.Class]float64{}
-	bins := map[time.Duration]map[*rootSpec]float64{}
 	var latencies []time.Duration
+	bins := bins{}
 	for _, q := range roots {
 		if !j.scenario.measured(q.arrival) {
 			continue
 		}
+		offered[q.spec.class]++
+		bins.add(q)
 		if q.good {
 			good[q.spec.class]++
 			latencies = append(latencies, q.latency)
 		}
-		bin := q.arrival.Truncate(bestBin)
-		if bins[bin] == nil {
-			bins[bin] = map[*rootSpec]float64{}
-		}
-		bins[bin][q.spec] += 1 / bestBin.Seconds()
-		offered[q.spec.class]++
 	}
-	for at, rates := range bins {
-		c := capacity{graph: &j.graph, scenario: &j.scenario, at: at}
-		for class, rate := range c.best(rates) {
+	for _, b := range bins {
+		c := capacity{graph: &j.graph, scenario: &j.scenario, at: b.at}
+		for class, rate := range c.best(b.offered) {
 			best[class] += rate * bestBin.Seconds()
 		}
 	}
@@ -259,6 +255,30 @@
 	row.P99Seconds = percentile99(latencies)
 }
 
+// bins counts the offered root requests of each bestBin in order of time.
+type bins []bin
+
+type bin struct {
+	at      time.Duration
+	offered []offer
+}
+
+// add counts a root request. Root requests come in order of arrival.
+func (b *bins) add(q *root) {
+	at := q.arrival.Truncate(bestBin)
+	if len(*b) == 0 || (*b)[len(*b)-1].at != at {
+		*b = append(*b, bin{at: at})
+	}
+	last := &(*b)[len(*b)-1]
+	for i := range last.offered {
+		if last.offered[i].spec == q.spec {
+			last.offered[i].rate += 1 / bestBin.Seconds()
+			return
+		}
+	}
+	last.offered = append(last.offered, offer{q.spec, 1 / bestBin.Seconds()})
+}
+
 func percentile99(values []time.Duration) float64 {
 	if len(values) == 0 {
 		return 0
