--- /dev/null
+++ b/cmd/primrosemount/experiment.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/primrosemount/primrosemount/internal/experiment"
+)
+
+type experimentCommand struct {
+	Seed     uint64        `arg:"--seed" default:"1" help:"seed of arrivals and of all random choices"`
+	Users    []string      `arg:"--user,separate" help:"only this user's call graph; may be repeated"`
+	Cases    []string      `arg:"--case,separate" help:"only this case; may be repeated"`
+	Policies []string      `arg:"--policy,separate" help:"only this policy; may be repeated"`
+	Shortest time.Duration `arg:"--trigger" help:"cut triggers to this length; 0 is the full length"`
+	JSON     bool          `arg:"--json" help:"print one JSON object"`
+}
+
+// run replays arrivals through the decision core under several policies.
+func (c *experimentCommand) run() int {
+	report, err := experiment.Run(experiment.Options{
+		Seed:     c.Seed,
+		Users:    c.Users,
+		Cases:    c.Cases,
+		Policies: c.Policies,
+		Shortest: c.Shortest,
+	})
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	if c.JSON {
+		err = json.NewEncoder(os.Stdout).Encode(report)
+	} else {
+		err = report.WriteTable(os.Stdout)
+	}
+	if err != nil {
+		return fail(exitFailed, err)
+	}
+	return exitOK
+}
--- a/cmd/primrosemount/main.go
+++ b/cmd/primrosemount/main.go
@@ -21,6 +21,8 @@
 type arguments struct {
 	Node *nodeCommand `arg:"subcommand:node" help:"run the node beside a target"`
 	Demo *demoCommand `arg:"subcommand:demo" help:"run a small fleet with an overload, a drain and a crash"`
+	// Experiment compares policies by replay.
+	Experiment *experimentCommand `arg:"subcommand:experiment" help:"replay overload cases under several policies and compare them"`
 	operator.Commands
 }
 
--- a/transport/codec.go
+++ b/transport/codec.go
@@ -25,7 +25,10 @@
 const (
 	// frameOverheadBytes is the room for headers and fields around a body.
 	frameOverheadBytes = 256 << 10
-	bufferBytes        = 8 << 10
+	// controlMessageBytes bounds control messages; the largest one carries a
+	// whole member table and the catalogue to a node that starts.
+	controlMessageBytes = 4 << 20
+	bufferBytes         = 8 << 10
 	// writeTimeout ends a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
 )
@@ -46,7 +49,7 @@
 		conn:    conn,
 		reader:  bufio.NewReaderSize(conn, bufferBytes),
 		writer:  bufio.NewWriterSize(conn, bufferBytes),
-		options: protodelim.UnmarshalOptions{MaxSize: maxBodyBytes + frameOverheadBytes},
+		options: protodelim.UnmarshalOptions{MaxSize: max(maxBodyBytes, controlMessageBytes) + frameOverheadBytes},
 	}
 }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -122,7 +122,7 @@
 func TestOversizedFrameEndsTheConnection(t *testing.T) {
 	address, _ := startServer(t, &echo{})
 	pool := newTestPool(t)
-	body := make([]byte, testBodyBytes+frameOverheadBytes+1)
+	body := make([]byte, controlMessageBytes+frameOverheadBytes+1)
 	_, err := pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(1), Body: body})
 	require.ErrorIs(t, err, ErrAnswerLost)
 	require.Eventually(t, func() bool { return pool.Connections() == 0 }, time.Second, time.Millisecond,
