Drop answers and old records before a full at-most-once table refuses keys

Cause: a full table refused every new key until a record was due, up to the start window plus the retention.

Change: a full table drops answers first (outcome and status stay), down to a guaranteed quarter of the bound, then refusals, then records whose keys are older than the protected age (1 minute, Config.ProtectedAge), then the other answers. Dropping a record raises both watermarks, so its key never starts again and gets unknown (key_expired). A chunk of a handover drops no record, and a chunk that is refused drops nothing.

Conclusion: bookings go on under pressure of memory; what is lost first is the repetition of old answers, then old outcomes.

--- a/core/once/bench_test.go
+++ b/core/once/bench_test.go
@@ -25,6 +25,27 @@
 	}
 }
 
+// BenchmarkBeginFinishFull measures new keys of a table that is full of whole
+// answers and must drop some for each key; calls come at the rate of 25 a
+// second.
+func BenchmarkBeginFinishFull(b *testing.B) {
+	table := newTable(Config{MaxBytes: pressureBytes})
+	keys := make([]string, b.N+pressureCalls)
+	for i := range keys {
+		keys[i] = ownKey(pressureTime(i), uint64(i))
+	}
+	result := completed(string(make([]byte, pressureAnswer)))
+	for i, key := range keys {
+		if i == pressureCalls {
+			b.ReportAllocs()
+			b.ResetTimer()
+		}
+		table.Begin(pressureTime(i), key, contentA, testRetention)
+		table.Finish(pressureTime(i), key, result)
+	}
+	b.ReportMetric(float64(table.Bytes())/(1<<20), "MiB")
+}
+
 func BenchmarkReplay(b *testing.B) {
 	table := newTable(Config{})
 	key := ownKey(testEpoch, 1)
--- a/core/once/doc.go
+++ b/core/once/doc.go
@@ -16,8 +16,8 @@
 //
 //   - floor: a key without a record that was issued at or before the floor is
 //     never started. The floor rises when a refusal is given or dropped without
-//     a record; independently of it, a key older than the start window is never
-//     started.
+//     a record, and when a record is dropped for lack of memory; independently
+//     of it, a key older than the start window is never started.
 //   - forgotten: the latest issue time of a dropped record whose operation may
 //     have run. A key without a record that was issued later than this has
 //     provably never been started by this table.
@@ -29,11 +29,18 @@
 //  2. A refusal with outcome not run is final: the key is in the table as not
 //     run, or can never be started because of a watermark, the start window or
 //     the closing of the table. A refusal that is not final has outcome unknown.
-//  3. A record that may have run is dropped only when its key is older than the
-//     start window, and dropping it raises forgotten.
+//  3. A record that may have run is dropped only when it is due and its key is
+//     older than the start window, or for lack of memory when its key is older
+//     than the protected age. Dropping it raises forgotten, and for lack of
+//     memory also the floor. A record that is running is never dropped.
 //  4. An adopted table never starts a key. Absence from it is proof only if all
 //     of its chunks have arrived.
 //
+// Memory. When the table is full, it makes room in this order: answers, oldest
+// first, while they occupy more than a quarter of the bound (outcome and status
+// stay); refusals; records that may have run and whose key is older than the
+// protected age; the other answers. Only then it refuses new keys.
+//
 // The types of this package are not safe for concurrent use; one task owns a
 // table.
 package once
--- a/core/once/handover.go
+++ b/core/once/handover.go
@@ -77,7 +77,7 @@
 	if detail != "" {
 		return &pb.HandoverResponse{Detail: detail}
 	}
-	if !t.makeRoom(at, chunkBytes+sizeOf(records)) {
+	if !t.makeRoomForChunk(at, chunkBytes+sizeOf(records)) {
 		return &pb.HandoverResponse{Detail: "the at-most-once table of the successor is full; choose another successor"}
 	}
 	// Making room may have dropped an adoption that was due.
@@ -312,7 +312,8 @@
 		}
 		l.records[r.id] = r
 		l.settle(r)
-		t.bytes += recordBytes + r.result.answerBytes()
+		t.bytes += recordBytes
+		t.holdAnswer(r)
 	}
 }
 
--- a/core/once/ledger.go
+++ b/core/once/ledger.go
@@ -34,7 +34,10 @@
 	// the operation runs it is the retention that was asked for.
 	until   int64
 	running bool
-	result  *Result
+	// dropped is true once the record is no longer in its ledger.
+	dropped bool
+	// result is replaced and never changed, because earlier decisions share it.
+	result *Result
 }
 
 // ledger holds the records of one incarnation: the own one of a table, or one
@@ -78,15 +81,26 @@
 // dropKept removes the record that is due first.
 func (l *ledger) dropKept() *record {
 	r := heap.Pop(&l.kept).(*record)
+	r.dropped = true
 	delete(l.records, r.id)
 	l.forgotten = max(l.forgotten, r.id.issued)
 	return r
 }
 
+// dropKeptEarly removes the record that is due first before its time. Its key
+// may be younger than the start window, so only the watermarks keep the key
+// from starting again.
+func (l *ledger) dropKeptEarly() *record {
+	r := l.dropKept()
+	l.floor = max(l.floor, r.id.issued)
+	return r
+}
+
 // dropRefused removes the refusal that is due first and raises the floor, so
 // that the key still can't start.
 func (l *ledger) dropRefused() *record {
 	r := heap.Pop(&l.refused).(*record)
+	r.dropped = true
 	delete(l.records, r.id)
 	l.floor = max(l.floor, r.id.issued)
 	return r
--- a/core/once/result.go
+++ b/core/once/result.go
@@ -21,7 +21,7 @@
 	Headers []*pb.Header
 	Body    []byte
 	// BodyOmitted is true if the operation completed and its answer was too
-	// large to keep. Only Outcome and Status are valid then.
+	// large to keep, or was dropped for lack of memory. Only Outcome and Status are valid then.
 	BodyOmitted bool
 }
 
--- a/core/once/table.go
+++ b/core/once/table.go
@@ -20,6 +20,9 @@
 	DefaultMaxBytes = 16 << 20
 	// DefaultMaxAnswerBytes bounds one kept answer.
 	DefaultMaxAnswerBytes = 256 << 10
+	// DefaultProtectedAge is the age of a key below which its record is never
+	// dropped for lack of memory. Retries after a lost answer come within it.
+	DefaultProtectedAge = time.Minute
 	// DefaultChunkBytes bounds the answers in one chunk of a handover.
 	DefaultChunkBytes = 256 << 10
 	// DefaultMaxAdopted bounds the incarnations that one table answers for.
@@ -31,6 +34,10 @@
 	// answerReserveBytes is set aside for the answer of a running operation, so
 	// that typical answers still fit when the table is nearly full.
 	answerReserveBytes = 1 << 10
+	// answerShare is the part of MaxBytes, as a divisor, up to which answers
+	// have precedence over old records. Without it, the records of a fast
+	// service fill the table and no answer is kept even for a moment.
+	answerShare = 4
 )
 
 // Config describes a table. Zero values select the defaults.
@@ -45,8 +52,11 @@
 	MaxRetention   time.Duration
 	MaxBytes       int64
 	MaxAnswerBytes int64
-	ChunkBytes     int64
-	MaxAdopted     int
+	// ProtectedAge is the age of a key below which its record is never dropped
+	// for lack of memory.
+	ProtectedAge time.Duration
+	ChunkBytes   int64
+	MaxAdopted   int
 }
 
 func orDefault[T int | int64 | time.Duration](value, otherwise T) T {
@@ -62,6 +72,7 @@
 	c.MaxRetention = orDefault(c.MaxRetention, DefaultMaxRetention)
 	c.MaxBytes = orDefault(c.MaxBytes, DefaultMaxBytes)
 	c.MaxAnswerBytes = orDefault(c.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	c.ProtectedAge = orDefault(c.ProtectedAge, DefaultProtectedAge)
 	c.ChunkBytes = orDefault(c.ChunkBytes, DefaultChunkBytes)
 	c.MaxAdopted = orDefault(c.MaxAdopted, DefaultMaxAdopted)
 	return c
@@ -77,9 +88,12 @@
 	own     *ledger
 	adopted map[uint64]*ledger
 	// order lists the adopted incarnations in the order of adoption.
-	order   []uint64
-	bytes   int64
-	running int
+	order []uint64
+	// bytes is the charge of everything; answers is the part of kept answers.
+	bytes, answers int64
+	running        int
+	// answered lists the records with an answer, oldest first.
+	answered answerQueue
 }
 
 // New returns an empty table. now must carry a monotonic reading in production,
@@ -284,28 +298,18 @@
 	return r, nil
 }
 
+// full returns the refusal of a full table. The wait that it suggests ends when
+// the record that is due first may be dropped.
 func (t *Table) full(at int64) *outcome.Error {
 	err := outcome.New(outcome.NotRun, outcome.Overloaded, "the at-most-once table of the target is full; use a new key")
 	if len(t.own.kept) > 0 {
-		err.RetryAfter = time.Duration(max(t.own.kept[0].until-at, 0))
+		first := t.own.kept[0]
+		free := min(first.until, first.id.issued+int64(t.config.ProtectedAge))
+		err.RetryAfter = time.Duration(max(free-at, 0))
 	}
 	return err
 }
 
-// makeRoom reports whether need bytes fit. It drops refusals if necessary, and
-// never a record whose operation may have run.
-func (t *Table) makeRoom(at, need int64) bool {
-	if t.bytes+need <= t.config.MaxBytes {
-		return true
-	}
-	t.expire(at)
-	for t.bytes+need > t.config.MaxBytes && len(t.own.refused) > 0 {
-		t.own.dropRefused()
-		t.bytes -= recordBytes
-	}
-	return t.bytes+need <= t.config.MaxBytes
-}
-
 func (t *Table) stopRunning(r *record) {
 	r.running = false
 	t.running--
@@ -327,15 +331,15 @@
 		r.result = &Result{Outcome: outcome.Unknown, Reason: result.Reason}
 	}
 	l.settle(r)
+	t.holdAnswer(r)
 }
 
+// keepAnswer returns the result as it is kept, with or without its answer.
 func (t *Table) keepAnswer(at int64, result Result) *Result {
 	size := result.answerBytes()
-	if size > t.config.MaxAnswerBytes || !t.makeRoom(at, size) {
+	if size > t.config.MaxAnswerBytes || !t.makeRoomForAnswer(at, size) {
 		result = result.withoutAnswer()
-		size = 0
 	}
-	t.bytes += size
 	return &result
 }
 
@@ -347,15 +351,14 @@
 	t.order = slices.DeleteFunc(t.order, func(executor uint64) bool {
 		return t.dropAdopted(at, executor)
 	})
+	t.answered.trim()
 }
 
 func (t *Table) expireLedger(at int64, l *ledger) {
 	for len(l.kept) > 0 && l.kept[0].until <= at {
-		r := l.dropKept()
-		t.bytes -= recordBytes + r.result.answerBytes()
+		t.release(l.dropKept())
 	}
 	for len(l.refused) > 0 && l.refused[0].until <= at {
-		l.dropRefused()
-		t.bytes -= recordBytes
+		t.release(l.dropRefused())
 	}
 }
