Answer a completed operation without its answer as a problem

Cause: when the answer of a key was no longer kept, the node sent an empty body with the status of the target, which a caller takes for a short success.

Change: CallResponse gets body_omitted, set by the executor together with reason too_large; the entry answers 410 with problem details, outcome completed, reason too_large and a remedy that fits. The entry accepts the reason alone as well, because the copy of the response in node/serve.go does not carry the field yet.

Result: internal/faults TestOmittedAnswerIsAProblem over sockets, at the executor's node and at another entry: status 410, and the operation ran once. The behaviour before was read from the code, not run.

--- /dev/null
+++ b/internal/faults/omitted_test.go
@@ -0,0 +1,48 @@
+package faults
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/core/once"
+	"github.com/primrosemount/primrosemount/wire"
+)
+
+// Guards against an operation whose answer is no longer kept and that is
+// answered as a short success, which a caller takes for the whole answer.
+func TestOmittedAnswerIsAProblem(t *testing.T) {
+	const answerBytes = once.DefaultMaxAnswerBytes + 1
+	running := startFleet(t, orders(time.Millisecond, answerBytes, "a"), entries("a"))
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	own := running.Of(serviceName)[0].Node.CallersAddress()
+	other := running.Of("front")[0].Node.CallersAddress()
+	keys, err := issueKeys(client, other, 1)
+	require.NoError(t, err)
+
+	first, err := post(context.Background(), client, other, bookPath, "large", keys[0])
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, first.status, string(first.body))
+	require.Greater(t, len(first.body), answerBytes)
+
+	for _, address := range []string{own, other} {
+		again, err := post(context.Background(), client, address, bookPath, "large", keys[0])
+		require.NoError(t, err)
+		require.Equal(t, http.StatusGone, again.status, string(again.body))
+		require.Equal(t, wire.ProblemType, again.header.Get("Content-Type"))
+		require.Equal(t, "completed", again.problem.Outcome)
+		require.Equal(t, "too_large", again.problem.Reason)
+		require.NotEmpty(t, again.problem.Detail)
+		require.Equal(t, remedyOfOmitted, again.problem.Remedy)
+		require.NotEmpty(t, again.problem.RequestID)
+		require.Empty(t, again.header.Get(wire.NextKeyHeader))
+	}
+	require.Equal(t, 1, running.Ledger.Begun(execution("large")))
+}
+
+// remedyOfOmitted is what a caller is told to do; a smaller body would not help.
+const remedyOfOmitted = "do not repeat the operation; read its state"
--- a/node/executor/response.go
+++ b/node/executor/response.go
@@ -48,7 +48,9 @@
 		BodyLength: uint64(len(result.Body)),
 	}
 	if result.BodyOmitted {
-		response.Detail = "the operation completed; its answer was too large to keep"
+		response.BodyOmitted = true
+		response.Reason = outcome.TooLarge.Proto()
+		response.Detail = "the operation completed and its answer is no longer kept; read the state of the operation"
 	}
 	return response
 }
--- a/node/httpapi/api.go
+++ b/node/httpapi/api.go
@@ -146,6 +146,11 @@
 }
 
 func (a *API) answer(w http.ResponseWriter, policy policy, request *dispatch.Request, result dispatch.Result) {
+	if omitted(result.Response) {
+		w.Header().Set(wire.ReplayedHeader, "true")
+		a.fail(w, omittedProblem(result.Response), request.Context.GetRootId())
+		return
+	}
 	err := dispatch.ResponseError(result.Response)
 	if err == nil {
 		writeAnswer(w, result.Response)
--- a/node/httpapi/respond.go
+++ b/node/httpapi/respond.go
@@ -20,6 +20,9 @@
 
 // statusOf maps reasons to HTTP statuses.
 func statusOf(err *outcome.Error) int {
+	if err.Outcome == outcome.Completed {
+		return http.StatusGone
+	}
 	switch err.Reason {
 	case outcome.BadRequest, outcome.KeyMalformed:
 		return http.StatusBadRequest
@@ -66,7 +69,7 @@
 		Outcome:   err.Outcome.String(),
 		Reason:    err.Reason.String(),
 		RequestID: err.RequestID,
-		Remedy:    err.Reason.Remedy(),
+		Remedy:    remedyOf(err),
 	})
 	if marshalErr != nil {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -82,6 +85,35 @@
 	_, _ = w.Write(body)
 }
 
+// remedyOfOmitted is the remedy when the operation ran and its answer is gone.
+const remedyOfOmitted = "do not repeat the operation; read its state"
+
+func remedyOf(err *outcome.Error) string {
+	if err.Outcome == outcome.Completed {
+		return remedyOfOmitted
+	}
+	return err.Reason.Remedy()
+}
+
+// omitted reports whether the operation completed and its answer is no longer
+// kept. The reason says the same to nodes that don't pass the field on.
+func omitted(response *pb.CallResponse) bool {
+	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED {
+		return false
+	}
+	return response.GetBodyOmitted() || response.GetReason() == pb.Reason_REASON_TOO_LARGE
+}
+
+// omittedProblem returns what a caller is told instead of an answer that is no
+// longer kept. It is a literal, because outcome.New takes no completed outcome.
+func omittedProblem(response *pb.CallResponse) *outcome.Error {
+	return &outcome.Error{
+		Outcome: outcome.Completed,
+		Reason:  outcome.TooLarge,
+		Detail:  response.GetDetail(),
+	}
+}
+
 // retryAfterSeconds rounds up, because the header has whole seconds.
 func retryAfterSeconds(wait time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
