Observe every root request once, and explain call chains and idle targets in full

The walk of an explanation dropped answers without entries, never asked the nodes that the own answer named when it asked all others, and followed a chain only downwards. The burn report left out a node that is not a member yet. The counters of the control task and the expiry of the certificate were not exported.

A node that a request did not enter asks all members. Peers note a drain that they are told of, and an explanation of a target says when the catalogue drains it or it is not a member. Gate and TLS lines have their part.

--- a/core/journal/journal.go
+++ b/core/journal/journal.go
@@ -82,7 +82,9 @@
 	Ordinary Rank = iota
 	// Notable entries are refusals, and decisions about targets.
 	Notable
-	// Important entries are refused critical requests and unknown outcomes.
+	// Important entries are refused critical requests and unknown outcomes,
+	// except those by a fault of the caller, which could otherwise push the
+	// others out at will.
 	Important
 
 	ranks = 3
@@ -91,6 +93,8 @@
 // RankOf returns the rank of an entry.
 func RankOf(e Entry) Rank {
 	switch {
+	case e.Reason.CallersFault():
+		return Notable
 	case e.Outcome == outcome.Unknown:
 		return Important
 	case e.Outcome == outcome.NotRun && e.Class == outcome.Critical:
--- a/core/outcome/reason.go
+++ b/core/outcome/reason.go
@@ -87,3 +87,15 @@
 		return false
 	}
 }
+
+// CallersFault tells that a request failed by what its caller sent or by how
+// much it sent, so that the service could not have answered it.
+func (r Reason) CallersFault() bool {
+	switch r {
+	case NotAllowed, UnknownService, UnknownOperation, BadRequest, TooLarge,
+		CallerLimit, RetryBound, KeyMalformed, KeyConflict:
+		return true
+	default:
+		return false
+	}
+}
--- a/node/httpapi/api.go
+++ b/node/httpapi/api.go
@@ -44,13 +44,17 @@
 
 // Observation is one whole request as the entry saw it.
 type Observation struct {
-	RootID    []byte
+	RootID []byte
+	// Service and Operation are names of the catalogue, or UnknownName.
 	Service   string
 	Operation string
-	Class     outcome.Class
-	Response  *pb.CallResponse
-	Latency   time.Duration
-	Attempts  int
+	// Class is Normal if the operation is unknown.
+	Class    outcome.Class
+	Response *pb.CallResponse
+	// Latency is the time from the end of the body to the outcome, so that a
+	// slow upload does not count; 0 for a request that was not passed on.
+	Latency  time.Duration
+	Attempts int
 }
 
 // Config configures an API.
@@ -62,7 +66,8 @@
 	FindRunning func(token string) *executor.Running
 	// OwnService is the service of the target beside the node.
 	OwnService string
-	// Observe is told of each root request; it must not block.
+	// Observe is told of each root request once, when it ends; it must not
+	// block.
 	Observe func(Observation)
 	// MaxBodyBytes bounds bodies whatever the catalogue allows.
 	MaxBodyBytes int64
@@ -84,12 +89,12 @@
 func (a *API) Call(w http.ResponseWriter, r *http.Request, caller Caller, service, operation string) {
 	policy, err := a.resolve(caller.Name, service, operation)
 	if err != nil {
-		a.refuse(w, r, err)
+		a.refuseRoot(w, r, policy, err)
 		return
 	}
 	release, err := a.callers.enter(caller.identity(), service, policy.service.Limits.InProgressPerCaller)
 	if err != nil {
-		a.refuse(w, r, err)
+		a.refuseRoot(w, r, policy, err)
 		return
 	}
 	defer release()
@@ -101,7 +106,7 @@
 func (a *API) callRoot(w http.ResponseWriter, r *http.Request, caller Caller, policy policy) {
 	headers, body, err := a.read(r, policy)
 	if err != nil {
-		a.refuse(w, r, err)
+		a.refuseRoot(w, r, policy, err)
 		return
 	}
 	root := headers.rootID
@@ -120,7 +125,10 @@
 	}
 	request.Allowance, err = a.resends.Admit(time.Now(), claimOf(caller, headers, root), policy.service.Retry.Allowance)
 	if err != nil {
-		a.answer(w, policy, request, a.config.Dispatcher.Refuse(r.Context(), request, err))
+		begun := time.Now()
+		result := a.config.Dispatcher.Refuse(r.Context(), request, err)
+		a.observe(policy, request, result, time.Since(begun))
+		a.answer(w, policy, request, result)
 		return
 	}
 	a.finishRoot(r.Context(), w, policy, request)
@@ -129,15 +137,7 @@
 func (a *API) finishRoot(ctx context.Context, w http.ResponseWriter, policy policy, request *dispatch.Request) {
 	begun := time.Now()
 	result := a.config.Dispatcher.Do(ctx, request)
-	a.config.Observe(Observation{
-		RootID:    request.Context.GetRootId(),
-		Service:   request.Service,
-		Operation: request.Operation,
-		Class:     policy.operation.Class,
-		Response:  result.Response,
-		Latency:   time.Since(begun),
-		Attempts:  result.Attempts,
-	})
+	a.observe(policy, request, result, time.Since(begun))
 	w.Header().Set(wire.AllowanceHeader, strconv.FormatUint(uint64(request.Allowance.Left()), 10))
 	if result.Key != "" {
 		w.Header().Set(wire.KeyHeader, result.Key)
@@ -165,13 +165,18 @@
 	}
 }
 
-// refuse answers a request that was not passed on. With a key in the request an
-// earlier attempt may have run, so nothing is said to be not run.
+// refuse answers a request that was not passed on.
 func (a *API) refuse(w http.ResponseWriter, r *http.Request, err *outcome.Error) {
+	boundOutcome(r, err)
+	WriteProblem(w, err)
+}
+
+// boundOutcome sets the outcome of a refusal at the entry. With a key in the
+// request an earlier attempt may have run, so nothing is said to be not run.
+func boundOutcome(r *http.Request, err *outcome.Error) {
 	if r.Header.Get(wire.KeyHeader) != "" {
 		err.Outcome = outcome.Unknown
 	}
-	WriteProblem(w, err)
 }
 
 func (a *API) fail(w http.ResponseWriter, err *outcome.Error, root []byte) {
@@ -184,11 +189,15 @@
 // without it is a root request of the target's service.
 func (a *API) CallFromTarget(w http.ResponseWriter, r *http.Request, service, operation string) {
 	policy, err := a.resolve(a.config.OwnService, service, operation)
+	token := r.Header.Get(wire.CallHeader)
+	if err != nil && token == "" {
+		a.refuseRoot(w, r, policy, err)
+		return
+	}
 	if err != nil {
 		WriteProblem(w, err)
 		return
 	}
-	token := r.Header.Get(wire.CallHeader)
 	if token == "" {
 		a.callRoot(w, r, Caller{Name: a.config.OwnService}, policy)
 		return
--- a/node/httpapi/policy.go
+++ b/node/httpapi/policy.go
@@ -23,19 +23,31 @@
 	return p.operation.Deadline
 }
 
+// known returns what the catalogue holds of a refused operation.
+func known(service *catalogue.Service, operation string) policy {
+	if service == nil {
+		return policy{}
+	}
+	op, _ := service.Operation(operation)
+	return policy{service: service, operation: op}
+}
+
 // resolve finds the policy of an operation and checks that the caller may call.
+// With an error, the policy holds what the catalogue knows.
 func (a *API) resolve(caller, service, operation string) (policy, *outcome.Error) {
 	found, err := a.resolveService(caller, service)
 	if err != nil {
-		return policy{}, err
+		return known(found, operation), err
 	}
 	op, ok := found.Operation(operation)
 	if !ok {
-		return policy{}, outcome.New(outcome.NotRun, outcome.UnknownOperation, "service "+service+" has no operation "+operation)
+		return policy{service: found}, outcome.New(outcome.NotRun, outcome.UnknownOperation, "service "+service+" has no operation "+operation)
 	}
 	return policy{service: found, operation: op}, nil
 }
 
+// resolveService finds a service and checks that the caller may call. The
+// service is also returned with the error not_allowed.
 func (a *API) resolveService(caller, service string) (*catalogue.Service, *outcome.Error) {
 	snapshot := a.config.Catalogue()
 	if snapshot == nil {
@@ -46,7 +58,7 @@
 		return nil, outcome.New(outcome.NotRun, outcome.UnknownService, "the catalogue has no service "+service)
 	}
 	if !snapshot.Allowed(found, caller) {
-		return nil, outcome.New(outcome.NotRun, outcome.NotAllowed, "the caller may not call service "+service)
+		return found, outcome.New(outcome.NotRun, outcome.NotAllowed, "the caller may not call service "+service)
 	}
 	return found, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -218,7 +218,7 @@
 		Incarnation:   incarnation,
 		KeyTableBytes: int64(n.settings.GetBounds().GetKeyTableBytes()),
 		Operations:    n.operations,
-		Logger:        n.logger,
+		Logger:        telemetry.Named(n.logger, telemetry.PartGate),
 	})
 }
 
@@ -268,7 +268,9 @@
 	n.spawn(n.followMembers)
 	n.spawn(n.keepHouse)
 	if n.trust.source != nil {
-		n.spawn(func() { n.trust.source.Watch(n.ctx, tlsconfig.ReloadInterval, n.logger) })
+		n.spawn(func() {
+			n.trust.source.Watch(n.ctx, tlsconfig.ReloadInterval, telemetry.Named(n.logger, telemetry.PartTLS))
+		})
 	}
 	n.spawn(func() { n.logEnd("transport", n.server.Serve(n.listeners.nodes)) })
 	n.serveHTTP()
@@ -382,6 +384,7 @@
 func (n *Node) takeReport(incarnation uint64, report *pb.GateReport) {
 	if endpoint := n.router.Find(incarnation); endpoint != nil {
 		endpoint.Report(time.Now(), route.ReportFromProto(report))
+		n.observeReport(endpoint.Target(), report)
 	}
 }
 
--- a/node/observe.go
+++ b/node/observe.go
@@ -10,6 +10,7 @@
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/route"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/node/control"
 	"github.com/primrosemount/primrosemount/node/dispatch"
 	"github.com/primrosemount/primrosemount/node/httpapi"
 	"github.com/primrosemount/primrosemount/node/observation"
@@ -24,7 +25,10 @@
 	ended := outcome.FromProto(o.Response.GetOutcome())
 	reason := outcome.Reason(o.Response.GetReason())
 	n.metrics.Request(o.Service, o.Class, ended, reason, o.Latency)
-	n.observer.Count(o.Service, o.Class, n.good(o))
+	// A caller's own fault is neither good nor bad for the service.
+	if !reason.CallersFault() {
+		n.observer.Count(o.Service, o.Class, n.good(o))
+	}
 	n.observer.Record(journal.Entry{
 		Part:      string(telemetry.PartEntry),
 		Root:      observation.RootID(o.RootID),
@@ -34,10 +38,19 @@
 		Outcome:   ended,
 		Reason:    reason,
 		Class:     o.Class,
-		Detail:    strconv.Itoa(o.Attempts) + " attempts in " + o.Latency.String(),
+		Detail:    rootDetail(o),
 	})
 }
 
+// rootDetail tells the attempts of a request that was passed on, and the cause
+// of a refusal at the entry.
+func rootDetail(o httpapi.Observation) string {
+	if o.Attempts == 0 {
+		return o.Response.GetDetail()
+	}
+	return strconv.Itoa(o.Attempts) + " attempts in " + o.Latency.String()
+}
+
 // good tells whether a whole request meets the objective of its service.
 func (n *Node) good(o httpapi.Observation) bool {
 	if o.Response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED || o.Response.GetStatus() >= http.StatusInternalServerError {
@@ -106,6 +119,29 @@
 	})
 }
 
+// observeReport notes that a leaving node told of its drain.
+func (n *Node) observeReport(target route.Target, report *pb.GateReport) {
+	if !report.GetDraining() {
+		return
+	}
+	n.observer.Record(journal.Entry{
+		Part:    string(telemetry.PartPeers),
+		Service: n.serviceOf(target),
+		Target:  target.VM,
+		Event:   "told of its drain",
+		Reason:  outcome.Draining,
+	})
+}
+
+// serviceOf returns the service of a target that is still a member.
+func (n *Node) serviceOf(target route.Target) string {
+	member, ok := n.control.Snapshot().Members.Member(target.Incarnation)
+	if !ok {
+		return ""
+	}
+	return member.Service
+}
+
 // observeOwn notes an event in the life of this node.
 func (n *Node) observeOwn(event, detail string) {
 	n.observer.Record(journal.Entry{
@@ -150,9 +186,34 @@
 	if err := n.metrics.ObserveStreams(n.streamSamples); err != nil {
 		return err
 	}
+	if err := n.metrics.ObserveControl(n.controlSamples); err != nil {
+		return err
+	}
+	if n.trust.source != nil {
+		if err := n.metrics.ObserveCertificate(n.trust.source.Expiry); err != nil {
+			return err
+		}
+	}
 	return n.metrics.ObserveJournal(n.observer.Dropped)
 }
 
+func (n *Node) controlSamples() []telemetry.ControlSample {
+	kinds := control.Kinds()
+	samples := make([]telemetry.ControlSample, 0, len(kinds))
+	for _, kind := range kinds {
+		count := n.control.Stats().Get(kind)
+		samples = append(samples, telemetry.ControlSample{
+			Kind:       kind.String(),
+			Messages:   count.Messages,
+			Errors:     count.Errors,
+			BytesIn:    count.BytesIn,
+			BytesOut:   count.BytesOut,
+			Processing: count.Processing,
+		})
+	}
+	return samples
+}
+
 func (n *Node) gateSample() telemetry.GateSample {
 	state := n.current().State()
 	return telemetry.GateSample{
--- a/node/source.go
+++ b/node/source.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/primrosemount/primrosemount/core/burn"
+	"github.com/primrosemount/primrosemount/core/journal"
 	"github.com/primrosemount/primrosemount/core/membership"
+	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/node/control"
 	"github.com/primrosemount/primrosemount/operator"
 	"github.com/primrosemount/primrosemount/platform"
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 const (
@@ -93,13 +97,21 @@
 	return result, nil
 }
 
-// Burn implements operator.Source.
+// Burn implements operator.Source. The own counters are always in the report,
+// because a node serves callers before its target has made it a member.
 func (s *source) Burn(ctx context.Context) (*pb.BurnReport, error) {
-	members := s.everyone()
+	own, err := s.node.observer.Burn(ctx)
+	if err != nil {
+		return nil, err
+	}
+	members := s.others()
 	responses := askAll(ctx, members, func(ctx context.Context, member *membership.Member) (*pb.BurnResponse, error) {
 		return s.node.pool.Burn(ctx, member.Address, &pb.BurnRequest{})
 	})
-	counters, coverage := burn.Merge(s.node.control.Snapshot().Members.Len(), responses)
+	// More members than one question reaches count as asked, so that the report
+	// shows the gap.
+	asked := max(s.node.control.Snapshot().Members.Len(), len(members)+1)
+	counters, coverage := burn.Merge(asked, append(responses, own))
 	return &pb.BurnReport{
 		NodesAsked:    uint32(coverage.Asked),
 		NodesAnswered: uint32(coverage.Answered),
@@ -108,6 +120,12 @@
 	}, nil
 }
 
+// others lists the members on other VMs, up to the bound of one question.
+func (s *source) others() []*membership.Member {
+	own := s.node.settings.GetVm()
+	return slices.DeleteFunc(s.everyone(), func(member *membership.Member) bool { return member.VM == own })
+}
+
 // everyone lists the members, up to the bound of one question.
 func (s *source) everyone() []*membership.Member {
 	var members []*membership.Member
@@ -119,25 +137,77 @@
 }
 
 // Explain implements operator.Source. It asks this node and then, round by
-// round, the nodes of the targets that the answers name. If this node knows
-// nothing of a request, it asks all nodes up to the bound.
+// round, the nodes of the targets that the answers name. If this node is not
+// where the request entered, it asks all nodes up to the bound, because its
+// journal names only the calls behind it.
 func (s *source) Explain(ctx context.Context, request *pb.ExplainRequest) (*pb.ExplainReport, error) {
 	own, err := s.node.observer.Explain(ctx, request)
 	if err != nil {
 		return nil, err
 	}
+	if entry := s.memberEntry(request.GetTarget()); entry != nil {
+		own.Entries = append(own.Entries, entry)
+	}
 	report := &pb.ExplainReport{NodesAsked: 1, Answers: []*pb.ExplainResponse{own}}
 	walk := &explainWalk{source: s, request: request, report: report, asked: map[string]bool{own.GetNode(): true}}
-	next := walk.named(own)
-	if request.GetTarget() != "" || len(own.GetEntries()) == 0 {
-		next = walk.unasked(s.everyone())
-	}
+	next := walk.first(own)
 	for round := 0; len(next) > 0 && round < maxExplainRounds; round++ {
 		next = walk.step(ctx, next)
 	}
 	return report, nil
 }
 
+// entered tells that a request came from its caller to the answering node.
+func entered(answer *pb.ExplainResponse) bool {
+	return slices.ContainsFunc(answer.GetEntries(), func(entry *pb.JournalEntry) bool {
+		return entry.GetPart() == string(telemetry.PartEntry)
+	})
+}
+
+// memberEntry tells what the state in force says about the work of a VM; nil if
+// nothing there keeps work from it. Journals do not hold this, because it lasts.
+func (s *source) memberEntry(vm string) *pb.JournalEntry {
+	if vm == "" {
+		return nil
+	}
+	entry := journal.Entry{
+		Time:   time.Now(),
+		Part:   string(telemetry.PartRouter),
+		Target: vm,
+		Event:  "gets no work",
+	}
+	member := s.memberOf(vm)
+	switch {
+	case member == nil:
+		entry.Reason = outcome.NoTarget
+		entry.Detail = "the VM is not in the member table: its target has not announced itself, has left or was evicted"
+	case s.drains(member):
+		entry.Service = member.Service
+		entry.Reason = outcome.Draining
+		entry.Detail = "draining_vms of the catalogue names the VM"
+	default:
+		return nil
+	}
+	return entry.Proto(s.node.settings.GetVm())
+}
+
+// memberOf returns the member on a VM, or nil.
+func (s *source) memberOf(vm string) *membership.Member {
+	var found *membership.Member
+	s.node.control.Snapshot().Members.All(func(member *membership.Member) bool {
+		if member.VM == vm {
+			found = member
+		}
+		return found == nil
+	})
+	return found
+}
+
+func (s *source) drains(member *membership.Member) bool {
+	service, ok := s.node.control.Snapshot().Catalogue.Service(member.Service)
+	return ok && service.Draining(member.VM)
+}
+
 // explainWalk follows a request from node to node.
 type explainWalk struct {
 	source  *source
@@ -146,7 +216,16 @@
 	asked   map[string]bool
 }
 
-// step asks the members and returns those that their answers name.
+// first returns the members to ask after the own node.
+func (w *explainWalk) first(own *pb.ExplainResponse) []*membership.Member {
+	if w.request.GetTarget() != "" || !entered(own) {
+		return w.unasked(w.source.everyone())
+	}
+	return w.named(own)
+}
+
+// step asks the members and returns those that their answers name. An answer
+// without entries is kept, because the report counts the nodes that answered.
 func (w *explainWalk) step(ctx context.Context, members []*membership.Member) []*membership.Member {
 	w.report.NodesAsked += uint32(len(members))
 	answers := askAll(ctx, members, func(ctx context.Context, member *membership.Member) (*pb.ExplainResponse, error) {
@@ -154,9 +233,7 @@
 	})
 	var next []*membership.Member
 	for _, answer := range answers {
-		if len(answer.GetEntries()) > 0 {
-			w.report.Answers = append(w.report.Answers, answer)
-		}
+		w.report.Answers = append(w.report.Answers, answer)
 		next = append(next, w.named(answer)...)
 	}
 	return next
--- a/node/trust.go
+++ b/node/trust.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/primrosemount/primrosemount/node/httpapi"
+	"github.com/primrosemount/primrosemount/telemetry"
 	"github.com/primrosemount/primrosemount/transport/tlsconfig"
 )
 
@@ -18,7 +19,7 @@
 // loadTrust reads the certificate files that the settings name.
 func (n *Node) loadTrust() error {
 	if n.settings.GetTls() == nil {
-		n.logger.Warn("tls: no keys in the settings, so only loopback is served")
+		telemetry.Named(n.logger, telemetry.PartTLS).Warn("no keys in the settings, so only loopback is served")
 		return nil
 	}
 	source, err := tlsconfig.Load(n.settings.GetTls())
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -53,6 +53,18 @@
 	NextOffset uint64
 }
 
+// ControlSample is what one kind of control message has cost since the start.
+type ControlSample struct {
+	// Kind is one of a fixed set of names.
+	Kind     string
+	Messages uint64
+	Errors   uint64
+	// BytesIn and BytesOut are encoded payload.
+	BytesIn    uint64
+	BytesOut   uint64
+	Processing time.Duration
+}
+
 // Metrics holds the instruments of a node. It is safe for concurrent use.
 type Metrics struct {
 	registry  *prometheus.Registry
@@ -263,6 +275,47 @@
 	return err
 }
 
+// ObserveControl registers the source of the counters of control messages.
+func (m *Metrics) ObserveControl(sample func() []ControlSample) error {
+	return errors.Join(
+		m.controlCounter("primrosemount.control.messages", "{message}", "Control messages.", sample,
+			func(s ControlSample) uint64 { return s.Messages }),
+		m.controlCounter("primrosemount.control.errors", "{message}", "Control messages that failed.", sample,
+			func(s ControlSample) uint64 { return s.Errors }),
+		m.controlCounter("primrosemount.control.received", "By", "Payload of control messages received.", sample,
+			func(s ControlSample) uint64 { return s.BytesIn }),
+		m.controlCounter("primrosemount.control.sent", "By", "Payload of control messages sent.", sample,
+			func(s ControlSample) uint64 { return s.BytesOut }),
+		m.controlTime(sample),
+	)
+}
+
+func (m *Metrics) controlCounter(name, unit, description string, sample func() []ControlSample, value func(ControlSample) uint64) error {
+	_, err := m.meter.Int64ObservableCounter(name,
+		metric.WithUnit(unit),
+		metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, s := range sample() {
+				o.Observe(int64(value(s)), metric.WithAttributes(attribute.String("kind", s.Kind)))
+			}
+			return nil
+		}))
+	return err
+}
+
+func (m *Metrics) controlTime(sample func() []ControlSample) error {
+	_, err := m.meter.Float64ObservableCounter("primrosemount.control.processing",
+		metric.WithUnit("s"),
+		metric.WithDescription("Time that the control task spent on messages."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for _, s := range sample() {
+				o.Observe(s.Processing.Seconds(), metric.WithAttributes(attribute.String("kind", s.Kind)))
+			}
+			return nil
+		}))
+	return err
+}
+
 // ObserveStreams registers the source of the offsets of the log's streams.
 func (m *Metrics) ObserveStreams(sample func() []StreamSample) error {
 	_, err := m.meter.Int64ObservableGauge("primrosemount.stream.next_offset",
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -42,6 +42,9 @@
 	require.NoError(t, m.ObserveCertificate(func() time.Time { return time.Unix(12, 0) }))
 	require.NoError(t, m.ObserveJournal(func() uint64 { return 5 }))
 	require.NoError(t, m.ObserveStreams(func() []StreamSample { return []StreamSample{{"members", 4}} }))
+	require.NoError(t, m.ObserveControl(func() []ControlSample {
+		return []ControlSample{{Kind: "tick", Messages: 3, Errors: 1, BytesIn: 8, BytesOut: 9, Processing: 2 * time.Second}}
+	}))
 	got := scrape(t, m)
 	for _, want := range []string{
 		`primrosemount_requests_total{class="critical",outcome="not_run",reason="overloaded",service="orders"} 1`,
@@ -54,6 +57,11 @@
 		`primrosemount_certificate_expiry_seconds 12`,
 		`primrosemount_journal_dropped_total 5`,
 		`primrosemount_stream_next_offset{stream="members"} 4`,
+		`primrosemount_control_messages_total{kind="tick"} 3`,
+		`primrosemount_control_errors_total{kind="tick"} 1`,
+		`primrosemount_control_received_bytes_total{kind="tick"} 8`,
+		`primrosemount_control_sent_bytes_total{kind="tick"} 9`,
+		`primrosemount_control_processing_seconds_total{kind="tick"} 2`,
 		`go_goroutines`,
 	} {
 		require.Contains(t, got, want)
