Test TLS over a real fleet, and end slow and silent peers

Cause: no test ran a fleet with keys. A new test with slow peers found that a node that stops waited for half-sent requests until its context ended (20.0 s in TestSlowPeersHoldNothingUp), and that silent connections kept the slots of the listener for nodes for good (a bound of 4 was not free after 10 s in TestSilentPeersGiveTheirSlotsBack). A caller that did not read its answer was not bounded in time.

Change: a connection between nodes has to bring its first frame within 5 s and the rest of a frame within 10 s. The fleet has an option for bounds.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,9 @@
 	// TLS is the content of the tls section of the settings, by service; empty
 	// means plain connections.
 	TLS func(service string) string
+	// Bounds is the content of the bounds section of the settings; empty means
+	// the defaults.
+	Bounds string
 }
 
 // Instance is one target VM: a node and the target beside it.
@@ -176,6 +179,10 @@
 	if f.config.TLS != nil {
 		tls = "tls: " + f.config.TLS(instance.Service.Entry.GetService())
 	}
+	bounds := ""
+	if f.config.Bounds != "" {
+		bounds = "bounds: " + f.config.Bounds
+	}
 	return fmt.Sprintf(`
 vm: %s
 availability_zone: %s
@@ -185,7 +192,8 @@
 log: {url: "%s", timeout: 1s, poll_interval: 100ms}
 seeds: [%s]
 %s
-`, instance.VM, instance.Zone, instance.Service.Entry.GetService(), f.logServer.URL, f.seeds(), tls)
+%s
+`, instance.VM, instance.Zone, instance.Service.Entry.GetService(), f.logServer.URL, f.seeds(), tls, bounds)
 }
 
 // maxSeeds bounds the seeds of a new node.
--- a/node/http.go
+++ b/node/http.go
@@ -37,6 +37,7 @@
 	callers   *http.Server
 	target    *http.Server
 	operators *http.Server
+	whole     wholeRequests
 }
 
 // all returns the servers.
@@ -70,7 +71,8 @@
 // serveHTTP starts the servers.
 func (n *Node) serveHTTP() {
 	n.spawn(func() { n.logEnd("callers", ignoreClosed(n.servers.callers.Serve(n.callerListener()))) })
-	n.spawn(func() { n.logEnd("target", ignoreClosed(n.servers.target.Serve(n.listeners.target))) })
+	target := boundedListener{Listener: n.listeners.target, timeout: answerTimeout}
+	n.spawn(func() { n.logEnd("target", ignoreClosed(n.servers.target.Serve(target))) })
 	operators := n.trust.listen(n.listeners.operators, tlsconfig.RoleOperator)
 	n.spawn(func() { n.logEnd("operators", ignoreClosed(n.servers.operators.Serve(operators))) })
 }
@@ -84,7 +86,7 @@
 
 func (n *Node) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           n.servers.whole.track(handler),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
@@ -182,11 +184,9 @@
 }
 
 // shutdownHTTP waits for the answers in progress. What the context cuts is
-// reported by the drain.
+// reported by the drain. Requests that never arrive in whole are not waited for.
 func (n *Node) shutdownHTTP(ctx context.Context) {
-	for _, server := range n.servers.all() {
-		_ = server.Shutdown(ctx)
-	}
+	n.servers.whole.stop(ctx, n.servers.all())
 }
 
 func (n *Node) closeHTTP() {
--- a/node/trust.go
+++ b/node/trust.go
@@ -43,8 +43,10 @@
 	return t.source.Server(role)
 }
 
-// listen wraps a listener whose peers need a certificate of the role.
+// listen wraps a listener whose peers need a certificate of the role and have
+// to read what is written to them.
 func (t *trust) listen(listener net.Listener, role tlsconfig.Role) net.Listener {
+	listener = boundedListener{Listener: listener, timeout: answerTimeout}
 	if t.source == nil {
 		return listener
 	}
--- a/transport/codec.go
+++ b/transport/codec.go
@@ -28,6 +28,11 @@
 	bufferBytes        = 8 << 10
 	// writeTimeout ends a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
+	// firstFrameTimeout ends an accepted connection on which nothing comes. Nodes
+	// dial only when they have a call to send.
+	firstFrameTimeout = 5 * time.Second
+	// frameTimeout ends a connection whose peer stops within a frame.
+	frameTimeout = 10 * time.Second
 )
 
 // ErrNotAMessage marks a body that is not a schema message.
@@ -50,6 +55,25 @@
 	}
 }
 
+// await waits for the first byte of a frame and then bounds the rest of the
+// frame. A wait of 0 has no bound.
+func (f *frames) await(wait time.Duration) error {
+	if err := f.setReadTimeout(wait); err != nil {
+		return err
+	}
+	if _, err := f.reader.Peek(1); err != nil {
+		return err
+	}
+	return f.setReadTimeout(frameTimeout)
+}
+
+func (f *frames) setReadTimeout(timeout time.Duration) error {
+	if timeout == 0 {
+		return f.conn.SetReadDeadline(time.Time{})
+	}
+	return f.conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
 func (f *frames) read(m proto.Message) error {
 	return f.options.UnmarshalFrom(f.reader, m)
 }
@@ -81,6 +105,8 @@
 	// broken is set when a body could not be read: the position in the stream is
 	// lost and the connection ends with the next header.
 	broken bool
+	// used is set after the first frame; later ones may come after a long time.
+	used bool
 }
 
 var _ rpc.ServerCodec = (*serverCodec)(nil)
@@ -89,6 +115,9 @@
 	if c.broken {
 		return io.EOF
 	}
+	if err := c.awaitFrame(); err != nil {
+		return cleanEOF(err)
+	}
 	var header pb.RpcRequestHeader
 	if err := c.frames.read(&header); err != nil {
 		return cleanEOF(err)
@@ -98,6 +127,14 @@
 	return nil
 }
 
+func (c *serverCodec) awaitFrame() error {
+	if c.used {
+		return c.frames.await(0)
+	}
+	c.used = true
+	return c.frames.await(firstFrameTimeout)
+}
+
 func (c *serverCodec) ReadRequestBody(body any) error {
 	err := c.readBody(body)
 	c.broken = err != nil
