--- a/node/node.go
+++ b/node/node.go
@@ -220,7 +220,7 @@
 		Incarnation:   incarnation,
 		KeyTableBytes: int64(n.settings.GetBounds().GetKeyTableBytes()),
 		Operations:    n.operations,
-		Logger:        n.logger,
+		Logger:        telemetry.Named(n.logger, telemetry.PartGate),
 	})
 }
 
@@ -270,7 +270,9 @@
 	n.spawn(n.followMembers)
 	n.spawn(n.keepHouse)
 	if n.trust.source != nil {
-		n.spawn(func() { n.trust.source.Watch(n.ctx, tlsconfig.ReloadInterval, n.logger) })
+		n.spawn(func() {
+			n.trust.source.Watch(n.ctx, tlsconfig.ReloadInterval, telemetry.Named(n.logger, telemetry.PartTLS))
+		})
 	}
 	n.spawn(func() { n.logEnd("transport", n.server.Serve(n.listeners.nodes)) })
 	n.serveHTTP()
@@ -388,6 +390,7 @@
 	n.successors.note(incarnation, report.GetSuccessor())
 	if endpoint := n.router.Find(incarnation); endpoint != nil {
 		endpoint.Report(time.Now(), route.ReportFromProto(report))
+		n.observeReport(endpoint.Target(), report)
 	}
 }
 
--- a/node/trust.go
+++ b/node/trust.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/primrosemount/primrosemount/node/httpapi"
+	"github.com/primrosemount/primrosemount/telemetry"
 	"github.com/primrosemount/primrosemount/transport/tlsconfig"
 )
 
@@ -18,7 +19,7 @@
 // loadTrust reads the certificate files that the settings name.
 func (n *Node) loadTrust() error {
 	if n.settings.GetTls() == nil {
-		n.logger.Warn("tls: no keys in the settings, so only loopback is served")
+		telemetry.Named(n.logger, telemetry.PartTLS).Warn("no keys in the settings, so only loopback is served")
 		return nil
 	}
 	source, err := tlsconfig.Load(n.settings.GetTls())
@@ -42,8 +43,10 @@
 	return t.source.Server(role)
 }
 
-// listen wraps a listener whose peers need a certificate of the role.
+// listen wraps a listener whose peers need a certificate of the role and have
+// to read what is written to them.
 func (t *trust) listen(listener net.Listener, role tlsconfig.Role) net.Listener {
+	listener = boundedListener{Listener: listener, timeout: answerTimeout}
 	if t.source == nil {
 		return listener
 	}
