Let no trial of the limit shed critical requests

Cause: in the demo, critical bookings failed although their demand fits the capacity of the slowed service. The limiter halved the limit of each lawn target for 1 to 2.5 s to learn whether concurrency caused the delay, and the threshold fell into the critical class; seen in a trace of limits, queues and thresholds every 250 ms. Ruled out: the longest wait in the queue (0.8 s instead of 0.25 s changed nothing). Change: the gate forbids trials while its threshold is within the critical class; an active one ends without a verdict. The lawn service of the demo now has 10 slots; 3 were too few for its queue.

--- a/core/gate/window.go
+++ b/core/gate/window.go
@@ -7,6 +7,9 @@
 	"github.com/primrosemount/primrosemount/core/outcome"
 )
 
+// worstCritical is the level of the critical class that is shed first.
+const worstCritical = outcome.Level(outcome.Critical)*outcome.Cohorts + outcome.Cohorts - 1
+
 // tick converts the time and closes the window if it is due. A time before the
 // latest one is taken as the latest one.
 func (g *Gate) tick(now time.Time) time.Duration {
@@ -44,6 +47,9 @@
 		return
 	}
 	g.threshold.adjust(w)
+	// A trial of the limiter halves the capacity for some service times, which
+	// would shed critical requests that the target can take.
+	g.limiter.AllowTrials(g.epoch.Add(at), g.threshold.level > worstCritical)
 	for g.queue.length > 0 && g.queue.worst() > g.threshold.level {
 		g.evict(at, g.queue.buckets[g.queue.worst()].head)
 	}
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -202,6 +202,8 @@
 	table    [operations]expected
 	window   window
 	trial    trial
+	// noTrials forbids cuts that only serve to learn.
+	noTrials bool
 	// suspected tells that the last window was too slow. A trial starts after
 	// two such windows, because the ratio of the first one was selected for
 	// being high, and any later ratio would look like a fall. Samples settle
@@ -436,7 +438,7 @@
 	case l.tooSlow() && !l.suspected:
 		l.suspected = true
 		l.settle(now)
-	case l.tooSlow() || l.recheckDue(now):
+	case (l.tooSlow() || l.recheckDue(now)) && !l.noTrials:
 		l.startTrial(now)
 	default:
 		l.suspected = false
@@ -462,6 +464,29 @@
 	l.cutTo(now, trialCut*math.Min(l.limit, inFlight))
 }
 
+// AllowTrials tells whether a trial may cut the limit now. The owner forbids
+// trials while they would cost requests of the most important class. A trial
+// that is active then ends without a verdict: its limit is restored and the
+// slowdown is accepted until the next recheck.
+func (l *Limiter) AllowTrials(now time.Time, allowed bool) {
+	l.noTrials = !allowed
+	if allowed || !l.trial.active {
+		return
+	}
+	before, ratio := l.trial.limit, l.trial.ratio
+	l.trial = trial{}
+	l.acceptSlowdown(now, ratio)
+	l.restore(now, before)
+	l.window = window{start: now}
+}
+
+// acceptSlowdown makes the slower time the expected one until the recheck.
+func (l *Limiter) acceptSlowdown(now time.Time, ratio float64) {
+	l.slowdown = math.Max(1, l.slowdown*ratio)
+	l.recheck = max(2*l.recheck, trialShare*now.Sub(l.lastTrial))
+	l.recheck = min(l.recheck, longestRecheck)
+}
+
 // boundary returns the ratio between the two verdicts of a trial: half of the
 // fall that own times proportional to concurrency would show.
 func (l *Limiter) boundary() float64 {
@@ -502,9 +527,7 @@
 		}
 		return
 	}
-	l.slowdown = math.Max(1, l.slowdown*l.ratio())
-	l.recheck = max(2*l.recheck, trialShare*now.Sub(l.lastTrial))
-	l.recheck = min(l.recheck, longestRecheck)
+	l.acceptSlowdown(now, l.ratio())
 	l.restore(now, before)
 }
 
--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -91,8 +91,8 @@
 			Entry: entry("lawn-availability", []string{"season-calendar"},
 				&pb.Operation{Name: "check", Idempotent: true, Class: pb.Class_CLASS_SHEDDABLE}),
 			Zones:      []string{"a", "b", "c"},
-			Slots:      3,
-			Operations: []target.Operation{{Name: "check", Work: 15 * time.Millisecond}},
+			Slots:      10,
+			Operations: []target.Operation{{Name: "check", Work: 50 * time.Millisecond}},
 		},
 		{
 			Entry: entry("dues", []string{"season-calendar"},
