--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -19,8 +19,8 @@
 // Reaction. For each case and policy the report gives the goodput during the
 // trigger relative to the best, the same by class, the share of own work that
 // was spent on requests that failed, the highest number of attempts of one root
-// request, and the time from the end of the trigger to 95 % of the share of
-// good requests before it.
+// request, and the time from the end of the trigger until 95 % as many requests
+// as before it are good at the first attempt.
 package experiment
 
 import (
@@ -312,27 +312,30 @@
 )
 
 // recovery returns the seconds from the end of the trigger to the start of the
-// first window of arrivals of which as many are good as before, times 0.95.
+// first window of arrivals of which as many are good as before, times 0.95. Only
+// requests that are good at the first attempt count, because a request that is
+// sent again says little about the time of its arrival.
 func recovery(roots []*root, s *scenario) float64 {
-	before := goodShare(roots, warmUp/2, warmUp)
+	before := firstTimeShare(roots, warmUp/2, warmUp)
 	last := s.end() + afterwards - patience - recoveryWindow
 	for at := s.end(); at <= last; at += recoveryStep {
-		if goodShare(roots, at, at+recoveryWindow) >= recoveredShare*before {
+		if firstTimeShare(roots, at, at+recoveryWindow) >= recoveredShare*before {
 			return (at - s.end()).Seconds()
 		}
 	}
 	return -1
 }
 
-// goodShare returns the share of good requests among the arrivals of a time.
-func goodShare(roots []*root, from, to time.Duration) float64 {
+// firstTimeShare returns the share of requests that are good at the first
+// attempt among the arrivals of a time.
+func firstTimeShare(roots []*root, from, to time.Duration) float64 {
 	all, good := 0.0, 0.0
 	for _, q := range roots {
 		if q.arrival < from || q.arrival >= to {
 			continue
 		}
 		all++
-		if q.good {
+		if q.good && q.resends == 0 {
 			good++
 		}
 	}
