--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,8 @@
 	// TLS is the content of the tls section of the settings, by service; empty
 	// means plain connections.
 	TLS func(service string) string
+	// Unobserved keeps calls out of metrics, journal and burn counters.
+	Unobserved bool
 	// Bounds is the content of the bounds section of the settings; empty means
 	// the defaults.
 	Bounds string
@@ -138,9 +140,10 @@
 		return nil, err
 	}
 	instance.Node, err = node.Start(node.Options{
-		Settings:  parsed,
-		Logger:    f.config.Logger.With(zap.String("vm", instance.VM)),
-		Intervals: f.config.Intervals,
+		Settings:   parsed,
+		Logger:     f.config.Logger.With(zap.String("vm", instance.VM)),
+		Intervals:  f.config.Intervals,
+		Unobserved: f.config.Unobserved,
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/node/memory_test.go
@@ -0,0 +1,152 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/internal/fleet"
+	"github.com/primrosemount/primrosemount/internal/standin/logservice"
+	"github.com/primrosemount/primrosemount/internal/standin/target"
+	"github.com/primrosemount/primrosemount/operator"
+)
+
+const (
+	memoryCalls = 1000
+	// controlBytes is the goal for the control work of a node at the size in two
+	// years; see docs/design.md, section 1.4.
+	controlBytes = 32_000_000
+	// settleTime lets the runtime return memory of the start.
+	settleTime = 2 * time.Second
+)
+
+// Guards against a node whose own memory exceeds what is planned for the
+// control work even in a fleet of one, and reports the figures.
+func TestMemoryOfAnIdleNode(t *testing.T) {
+	log := httptest.NewServer(logservice.New(logservice.Config{}).Handler())
+	defer log.Close()
+	service := twoTiers(0)[0]
+	addresses := freeAddresses(t, 4)
+	process := startProcess(t, addresses, log.URL)
+	client, err := operator.NewClient("http://"+addresses[3], nil, testTime)
+	require.NoError(t, err)
+	defer client.Close()
+	require.Eventually(t, func() bool { return addEntry(t, client, service.Entry) }, testTime, 50*time.Millisecond)
+	started, err := target.Start(target.Config{
+		Service:    "orders",
+		Slots:      service.Slots,
+		NodeURL:    "http://" + addresses[1],
+		Operations: service.Operations,
+		Ledger:     target.NewLedger(),
+	})
+	require.NoError(t, err)
+	defer started.Crash()
+	called := func() bool {
+		return post(t, addresses[0], "/v1/services/orders/note", "x", nil).status == http.StatusOK
+	}
+	require.Eventually(t, called, testTime, 50*time.Millisecond)
+
+	time.Sleep(settleTime)
+	before := memoryOf(t, process)
+	for range memoryCalls {
+		called()
+	}
+	after := memoryOf(t, process)
+	time.Sleep(settleTime)
+	later := memoryOf(t, process)
+	t.Logf("idle: %v; after %d calls: %v; %s later: %v", before, memoryCalls, after, settleTime, later)
+	require.Less(t, before.anonymous, controlBytes)
+}
+
+func addEntry(t *testing.T, client *operator.Client, entry *pb.Entry) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	change := &pb.Change{
+		Id:               make([]byte, 16),
+		Operator:         fleet.Operator,
+		Service:          entry.GetService(),
+		Entry:            entry,
+		CreatedUnixNanos: time.Now().UnixNano(),
+	}
+	result, err := client.SubmitChange(ctx, change)
+	return err == nil && result.GetAccepted()
+}
+
+// freeAddresses returns loopback addresses that nothing listens on.
+func freeAddresses(t *testing.T, count int) []string {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// startProcess builds the binary and starts a node; it returns its process id.
+func startProcess(t *testing.T, addresses []string, logURL string) int {
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "primrosemount")
+	output, err := exec.Command("go", "build", "-o", binary, "../cmd/primrosemount").CombinedOutput()
+	require.NoError(t, err, string(output))
+	settings := fmt.Sprintf(`vm: orders-a-1
+availability_zone: zone-a
+region: north
+service: orders
+listen: {callers: %q, target: %q, nodes: %q, operators: %q}
+log: {url: %q, timeout: 3s, poll_interval: 500ms}
+bounds: {header_bytes: 32KiB, body_bytes: 1MiB, caller_connections: 2000, key_table_bytes: 12MiB, journal_entries: 4096}
+`, addresses[0], addresses[1], addresses[2], addresses[3], logURL)
+	file := filepath.Join(dir, "node.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
+	command := exec.Command(binary, "node", "--config", file)
+	require.NoError(t, command.Start())
+	t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGKILL)
+		_ = command.Wait()
+	})
+	return command.Process.Pid
+}
+
+// memory holds sizes in bytes.
+type memory struct{ resident, anonymous int }
+
+// String gives MiB.
+func (m memory) String() string {
+	const mebibyte = 1 << 20
+	return fmt.Sprintf("VmRSS %.1f MiB, RssAnon %.1f MiB", float64(m.resident)/mebibyte, float64(m.anonymous)/mebibyte)
+}
+
+func memoryOf(t *testing.T, process int) memory {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
+	require.NoError(t, err)
+	return memory{resident: statusBytes(t, status, "VmRSS:"), anonymous: statusBytes(t, status, "RssAnon:")}
+}
+
+// statusBytes reads a line of /proc/PID/status, which is in kB of 1024 bytes.
+func statusBytes(t *testing.T, status []byte, name string) int {
+	for line := range strings.Lines(string(status)) {
+		fields := strings.Fields(line)
+		if len(fields) >= 2 && fields[0] == name {
+			kilobytes, err := strconv.Atoi(fields[1])
+			require.NoError(t, err)
+			return kilobytes * 1024
+		}
+	}
+	require.Fail(t, "no line "+name)
+	return 0
+}
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,9 @@
 	Logger *zap.Logger
 	// Intervals of the control task; zero fields get the defaults.
 	Intervals control.Intervals
+	// Unobserved keeps calls out of metrics, journal and burn counters. It is
+	// for measuring what these cost.
+	Unobserved bool
 }
 
 // Node is one running node. It is safe for concurrent use.
@@ -87,6 +90,7 @@
 	drained    atomic.Bool
 	successor  atomic.Uint64
 	joined     atomic.Bool
+	unobserved bool
 	background sync.WaitGroup
 	stop       context.CancelFunc
 	ctx        context.Context
@@ -102,6 +106,8 @@
 		cancels:  newCancels(),
 		senders:  newSenders(),
 		numbers:  newNumbers(),
+
+		unobserved: options.Unobserved,
 	}
 	if n.log == nil {
 		settings := options.Settings.GetLog()
--- a/node/observe.go
+++ b/node/observe.go
@@ -22,6 +22,9 @@
 
 // observeRoot takes in one whole request as the entry saw it.
 func (n *Node) observeRoot(o httpapi.Observation) {
+	if n.unobserved {
+		return
+	}
 	ended := outcome.FromProto(o.Response.GetOutcome())
 	reason := outcome.Reason(o.Response.GetReason())
 	n.metrics.Request(o.Service, o.Class, ended, reason, o.Latency)
@@ -71,6 +74,9 @@
 
 // observeAttempt takes in one attempt that the dispatcher made.
 func (n *Node) observeAttempt(a dispatch.Attempt) {
+	if n.unobserved {
+		return
+	}
 	if a.Number > 1 {
 		n.metrics.Retry(a.Request.Service)
 	}
@@ -90,6 +96,9 @@
 
 // observeServed notes what the gate beside the own target answered.
 func (n *Node) observeServed(request *pb.CallRequest, response *pb.CallResponse) {
+	if n.unobserved {
+		return
+	}
 	n.observer.Record(journal.Entry{
 		Part:      string(telemetry.PartGate),
 		Root:      observation.RootID(request.GetContext().GetRootId()),
--- /dev/null
+++ b/transport/fuzz_test.go
@@ -0,0 +1,95 @@
+package transport
+
+import (
+	"bytes"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// fuzzBodyBytes is small, so that the fuzzer finds frames beyond the bound.
+const fuzzBodyBytes = 1 << 10
+
+// memoryConn is a connection whose peer has sent everything already.
+type memoryConn struct {
+	net.Conn
+	input  *bytes.Reader
+	output bytes.Buffer
+}
+
+func (c *memoryConn) Read(into []byte) (int, error)    { return c.input.Read(into) }
+func (c *memoryConn) Write(data []byte) (int, error)   { return c.output.Write(data) }
+func (c *memoryConn) Close() error                     { return nil }
+func (c *memoryConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *memoryConn) SetWriteDeadline(time.Time) error { return nil }
+
+func framesOf(data []byte) (*frames, *memoryConn) {
+	conn := &memoryConn{input: bytes.NewReader(data)}
+	return newFrames(conn, fuzzBodyBytes), conn
+}
+
+// FuzzRequestFrames guards against bytes of a peer that panic the server's
+// codec, make it read beyond its bound or without end, and against requests
+// that change when they are written again.
+func FuzzRequestFrames(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		received, _ := framesOf(data)
+		codec := &serverCodec{frames: received}
+		// Each frame takes at least one byte, so the stream ends.
+		for range len(data) + 1 {
+			var header rpc.Request
+			if codec.ReadRequestHeader(&header) != nil {
+				return
+			}
+			request := &pb.CallRequest{}
+			if codec.ReadRequestBody(request) != nil {
+				require.Error(t, codec.ReadRequestHeader(&header), "the position in the stream is lost")
+				return
+			}
+			require.LessOrEqual(t, len(request.GetBody()), fuzzBodyBytes+frameOverheadBytes)
+			requireSameRequest(t, header, request)
+		}
+		require.Fail(t, "more frames than bytes")
+	})
+}
+
+// requireSameRequest writes a request as a client does and reads it again.
+func requireSameRequest(t *testing.T, header rpc.Request, request *pb.CallRequest) {
+	writer, conn := framesOf(nil)
+	client := &clientCodec{frames: writer}
+	require.NoError(t, client.WriteRequest(&header, &outgoing{message: request}))
+	reader, _ := framesOf(conn.output.Bytes())
+	server := &serverCodec{frames: reader}
+	var again rpc.Request
+	require.NoError(t, server.ReadRequestHeader(&again))
+	require.Equal(t, header.ServiceMethod, again.ServiceMethod)
+	require.Equal(t, header.Seq, again.Seq)
+	copied := &pb.CallRequest{}
+	require.NoError(t, server.ReadRequestBody(copied))
+	require.True(t, proto.Equal(request, copied))
+}
+
+// FuzzResponseFrames guards against bytes of a peer that panic the client's
+// codec or make it read without end.
+func FuzzResponseFrames(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		received, _ := framesOf(data)
+		codec := &clientCodec{frames: received}
+		for range len(data) + 1 {
+			var header rpc.Response
+			if codec.ReadResponseHeader(&header) != nil {
+				return
+			}
+			if codec.ReadResponseBody(&pb.CallResponse{}) != nil {
+				return
+			}
+		}
+		require.Fail(t, "more frames than bytes")
+	})
+}
