--- a/node/http.go
+++ b/node/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -17,6 +18,7 @@
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/node/httpapi"
 	"github.com/primrosemount/primrosemount/operator"
+	"github.com/primrosemount/primrosemount/telemetry"
 	"github.com/primrosemount/primrosemount/transport/tlsconfig"
 	"github.com/primrosemount/primrosemount/wire"
 )
@@ -62,9 +64,9 @@
 	if err != nil {
 		return err
 	}
-	n.servers.callers = n.newServer(n.politeClose(callers))
-	n.servers.target = n.newServer(n.targetHandler())
-	n.servers.operators = n.newServer(operators)
+	n.servers.callers = n.newServer(telemetry.PartEntry, n.politeClose(callers))
+	n.servers.target = n.newServer(telemetry.PartEgress, n.targetHandler())
+	n.servers.operators = n.newServer(telemetry.PartOperators, operators)
 	return nil
 }
 
@@ -84,8 +86,9 @@
 	return n.trust.listen(bounded, tlsconfig.RoleService)
 }
 
-func (n *Node) newServer(handler http.Handler) *http.Server {
+func (n *Node) newServer(part telemetry.Part, handler http.Handler) *http.Server {
 	return &http.Server{
+		ErrorLog:          log.New(errorLog{telemetry.Named(n.logger, part)}, "", 0),
 		Handler:           n.servers.whole.track(handler),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
--- a/node/peers.go
+++ b/node/peers.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 )
 
 const (
@@ -52,6 +54,16 @@
 	return c.Conn.Write(data)
 }
 
+// errorLog writes the lines of an HTTP server, such as refused handshakes. The
+// message is always the same, so that the bound of repeated lines applies.
+type errorLog struct{ logger *zap.Logger }
+
+// Write logs one line.
+func (l errorLog) Write(line []byte) (int, error) {
+	l.logger.Warn("a connection failed", zap.String("detail", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
 // errStopping ends the reading of a body that arrives after its server has
 // decided to close.
 var errStopping = errors.New("node: the node stops; send the request to another node")
