Check histories of keyed bookings over real sockets under seeded faults

Cause: the history check of core/once runs in simulated time; nothing checked the whole path over sockets under combined faults.

Change: internal/faults runs 24 seeded schedules on a fleet with a TCP relay in front of each node (cut before, within and after a request, lost and delayed answers), target crash and return, node crash and return, and drains, while six callers book with keys, retry through other entries and deliver requests twice at once. Each key is checked with porcupine against the ledger of the targets. internal/fleet gets the option Advertise for the relay. TestDrainUnderLoadWithLogDown checks a drain under load while the log is down.

The order of the stop in node/http.go needs a change.

--- /dev/null
+++ b/internal/faults/drain_test.go
@@ -0,0 +1,127 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/internal/fleet"
+	"github.com/primrosemount/primrosemount/internal/standin/logservice"
+	"github.com/primrosemount/primrosemount/internal/standin/target"
+	"github.com/primrosemount/primrosemount/wire"
+)
+
+const (
+	// drainGoal is the time after which a leaving target gets no new work.
+	drainGoal = 2 * time.Second
+	slowName  = "slow"
+	slowPath  = wire.ServicesPath + serviceName + "/" + slowName
+	// slowWork is the mean duration of the slow operation; the stand-in takes at
+	// least half of it, so that the target still works after drainGoal.
+	slowWork     = 5 * time.Second
+	slowDeadline = time.Minute
+	// slowHead is how long before the drain the slow operations start.
+	slowHead    = 200 * time.Millisecond
+	loadCallers = 8
+)
+
+// ordersWithSlow adds an operation that is in progress throughout a drain.
+func ordersWithSlow() fleet.Service {
+	service := orders(workTime, fillerBytes, "a", "b", "c")
+	service.Entry.Deadline = durationpb.New(slowDeadline)
+	service.Entry.Limits.Drain = durationpb.New(slowDeadline)
+	service.Entry.Operations = append(service.Entry.Operations, &pb.Operation{Name: slowName, Class: pb.Class_CLASS_CRITICAL})
+	service.Operations = append(service.Operations, target.Operation{Name: slowName, Work: slowWork})
+	return service
+}
+
+// load is steady load of one operation through the entries.
+type load struct {
+	mutex  sync.Mutex
+	count  int
+	failed []string
+}
+
+func (l *load) note(got answer, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.count++
+	if err != nil {
+		l.failed = append(l.failed, err.Error())
+	} else if got.status != http.StatusOK {
+		l.failed = append(l.failed, string(got.body))
+	}
+}
+
+// run books through the address until stop is closed.
+func (l *load) run(client *http.Client, address string, caller int, stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+			l.note(post(context.Background(), client, address, bookPath, fmt.Sprintf("load%d-%d", caller, n), ""))
+		}
+	}
+}
+
+// Guards against new work at a target that announced its drain 2 s before,
+// while the log is down and under steady load, and against requests that are
+// cut or refused meanwhile.
+func TestDrainUnderLoadWithLogDown(t *testing.T) {
+	running := startFleet(t, ordersWithSlow(), entries("a", "b"))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: loadCallers}}
+	defer client.CloseIdleConnections()
+	fronts := running.Of("front")
+	leaving := running.Of(serviceName)[0]
+	running.Log.SetFaults(logservice.Faults{Down: true})
+
+	stop := make(chan struct{})
+	work := &load{}
+	var wait sync.WaitGroup
+	for n := range loadCallers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			work.run(client, fronts[n%len(fronts)].Node.CallersAddress(), n, stop)
+		}()
+	}
+	time.Sleep(time.Second)
+	slow := &load{}
+	for n := range 3 * len(running.Of(serviceName)) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			slow.note(post(context.Background(), client, fronts[0].Node.CallersAddress(), slowPath, fmt.Sprintf("slow%d", n), ""))
+		}()
+	}
+	time.Sleep(slowHead)
+	before := leaving.Target.Received()
+	require.NotZero(t, before)
+
+	begun := time.Now()
+	drained := make(chan error, 1)
+	go func() { drained <- leaving.Target.Drain(context.Background()) }()
+	time.Sleep(drainGoal - time.Since(begun))
+	received := leaving.Target.Received()
+	require.NotZero(t, leaving.Target.Running(), "the target must still work, or the check shows nothing")
+	require.NoError(t, <-drained)
+	taken := time.Since(begun)
+	close(stop)
+	wait.Wait()
+
+	t.Logf("drain took %s; received %d before, %d in the first %s, %d after; %d other requests, %d slow ones",
+		taken.Round(time.Millisecond), before, received-before, drainGoal, leaving.Target.Received()-received, work.count, slow.count)
+	require.Greater(t, taken, drainGoal)
+	require.Equal(t, received, leaving.Target.Received())
+	require.Empty(t, running.Ledger.Cut())
+	require.Empty(t, work.failed)
+	require.Empty(t, slow.failed)
+}
--- /dev/null
+++ b/internal/faults/relay_test.go
@@ -0,0 +1,257 @@
+package faults
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// fault is what a relay does with the next bytes of a connection.
+type fault int
+
+const (
+	pass fault = iota
+	// cutBefore closes the connection before the request passes.
+	cutBefore
+	// cutWithin lets half of the bytes pass and closes the connection.
+	cutWithin
+	// cutAfter lets the request pass and closes the connection before the answer.
+	cutAfter
+	// loseAnswer swallows all answers for a while and closes the connection.
+	loseAnswer
+	// delayAnswer holds all answers back for a while.
+	delayAnswer
+)
+
+var (
+	requestFaults = []fault{cutBefore, cutWithin, cutAfter}
+	answerFaults  = []fault{loseAnswer, delayAnswer}
+)
+
+const (
+	relayBufferBytes = 64 << 10
+	// settleTime lets the bytes before a cut reach the other side.
+	settleTime = 5 * time.Millisecond
+	maxDelay   = 250 * time.Millisecond
+)
+
+// relay passes the TCP connections of other nodes on to one node and plays
+// faults. It is safe for concurrent use.
+type relay struct {
+	listener net.Listener
+
+	mutex       sync.Mutex
+	random      *rand.Rand
+	target      string
+	share       float64
+	played      map[fault]int
+	connections map[net.Conn]struct{}
+	closed      bool
+	wait        sync.WaitGroup
+}
+
+func newRelay(seed uint64) (*relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{
+		listener:    listener,
+		random:      rand.New(rand.NewPCG(seed, 2)),
+		played:      make(map[fault]int),
+		connections: make(map[net.Conn]struct{}),
+	}
+	r.wait.Add(1)
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+// setTarget names the node behind the relay.
+func (r *relay) setTarget(address string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.target = address
+}
+
+// setShare sets the share of reads that meet a fault.
+func (r *relay) setShare(share float64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.share = share
+}
+
+func (r *relay) draw(from []fault) fault {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.random.Float64() >= r.share {
+		return pass
+	}
+	drawn := from[r.random.IntN(len(from))]
+	r.played[drawn]++
+	return drawn
+}
+
+func (r *relay) delay() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return time.Duration(r.random.Int64N(int64(maxDelay)))
+}
+
+func (r *relay) accept() {
+	defer r.wait.Done()
+	for {
+		caller, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.serve(caller)
+	}
+}
+
+// serve starts the two directions of a connection.
+func (r *relay) serve(caller net.Conn) {
+	r.mutex.Lock()
+	target := r.target
+	r.mutex.Unlock()
+	node, err := net.Dial("tcp", target)
+	if err != nil || !r.register(caller, node) {
+		_ = caller.Close()
+		return
+	}
+	go r.pump(caller, node, r.passRequest)
+	go r.pump(node, caller, r.passAnswer)
+}
+
+func (r *relay) register(caller, node net.Conn) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.closed {
+		_ = node.Close()
+		return false
+	}
+	r.connections[caller] = struct{}{}
+	r.connections[node] = struct{}{}
+	r.wait.Add(2)
+	return true
+}
+
+// pump passes bytes until one side ends or a fault cuts the connection.
+func (r *relay) pump(from, to net.Conn, step func(to net.Conn, data []byte) bool) {
+	defer r.wait.Done()
+	defer r.end(from, to)
+	buffer := make([]byte, relayBufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !step(to, buffer[:n]) || err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) end(connections ...net.Conn) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, connection := range connections {
+		_ = connection.Close()
+		delete(r.connections, connection)
+	}
+}
+
+func (r *relay) passRequest(to net.Conn, data []byte) bool {
+	switch r.draw(requestFaults) {
+	case cutBefore:
+		return false
+	case cutWithin:
+		_, _ = to.Write(data[:len(data)/2])
+		time.Sleep(settleTime)
+		return false
+	case cutAfter:
+		_, _ = to.Write(data)
+		time.Sleep(settleTime)
+		return false
+	default:
+		_, err := to.Write(data)
+		return err == nil
+	}
+}
+
+func (r *relay) passAnswer(to net.Conn, data []byte) bool {
+	switch r.draw(answerFaults) {
+	case loseAnswer:
+		time.Sleep(r.delay())
+		return false
+	case delayAnswer:
+		time.Sleep(r.delay())
+	}
+	_, err := to.Write(data)
+	return err == nil
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.mutex.Lock()
+	r.closed = true
+	for connection := range r.connections {
+		_ = connection.Close()
+	}
+	r.mutex.Unlock()
+	r.wait.Wait()
+}
+
+// relays holds the relays of a fleet, one in front of each node. It is safe for
+// concurrent use.
+type relays struct {
+	mutex sync.Mutex
+	seed  uint64
+	share float64
+	all   []*relay
+}
+
+// advertise puts a relay in front of a new node.
+func (r *relays) advertise(string) (string, func(string), error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	added, err := newRelay(r.seed + uint64(len(r.all)))
+	if err != nil {
+		return "", nil, err
+	}
+	added.setShare(r.share)
+	r.all = append(r.all, added)
+	return added.address(), added.setTarget, nil
+}
+
+// setShare sets the share of faults of present and future relays.
+func (r *relays) setShare(share float64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.share = share
+	for _, each := range r.all {
+		each.setShare(share)
+	}
+}
+
+// played counts the faults so far.
+func (r *relays) played() map[fault]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	sum := make(map[fault]int)
+	for _, each := range r.all {
+		each.mutex.Lock()
+		for which, n := range each.played {
+			sum[which] += n
+		}
+		each.mutex.Unlock()
+	}
+	return sum
+}
+
+func (r *relays) close() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, each := range r.all {
+		each.close()
+	}
+}
--- /dev/null
+++ b/internal/faults/schedule_test.go
@@ -0,0 +1,388 @@
+package faults
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/once"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/internal/fleet"
+)
+
+var (
+	scheduleSeed = flag.Uint64("faults.seed", 0, "run only the schedule with this seed")
+	scheduleRuns = flag.Uint64("faults.runs", 24, "number of schedules")
+)
+
+const (
+	callers = 6
+	// parallelFleets bounds the load of the machine.
+	parallelFleets = 4
+	// calmTime lies before the first and after the last event of a schedule.
+	calmTime = 300 * time.Millisecond
+	maxPause = 300 * time.Millisecond
+	// returnTime is how long a crashed target stays away.
+	returnTime = 150 * time.Millisecond
+	drainTime  = 10 * time.Second
+	// settleTries and settlePause bound the attempts after the faults.
+	settleTries  = 25
+	settlePause  = 100 * time.Millisecond
+	workTime     = 10 * time.Millisecond
+	definiteGoal = 0.99
+	// scheduleTimeout bounds one schedule.
+	scheduleTimeout = time.Minute
+)
+
+// schedule is one run of a fleet under faults.
+type schedule struct {
+	seed    uint64
+	broken  breakage
+	random  *rand.Rand
+	fleet   *fleet.Fleet
+	service fleet.Service
+	relays  *relays
+	history *history
+
+	mutex sync.Mutex
+	// crashedEntries and faulty hold the VMs whose node crashed, and the
+	// incarnations whose node or target crashed.
+	crashedEntries map[string]bool
+	faulty         map[uint64]bool
+	seen           map[string]int
+}
+
+func newSchedule(seed uint64, broken breakage) *schedule {
+	s := &schedule{
+		seed:           seed,
+		broken:         broken,
+		random:         rand.New(rand.NewPCG(seed, 1)),
+		service:        orders(workTime, fillerBytes, "a", "b", "c"),
+		crashedEntries: make(map[string]bool),
+		faulty:         make(map[uint64]bool),
+		seen:           make(map[string]int),
+	}
+	s.relays = &relays{seed: seed * 1000}
+	return s
+}
+
+func (s *schedule) start(ctx context.Context) error {
+	s.history = newHistory()
+	running, err := fleet.Start(ctx, fleet.Config{
+		Services:  []fleet.Service{s.service, entries("a", "b")},
+		Seed:      s.seed,
+		Logger:    zap.NewNop(),
+		Advertise: s.relays.advertise,
+	})
+	s.fleet = running
+	return err
+}
+
+// run plays the faults while callers book, settles what is open, and ends.
+func (s *schedule) run(ctx context.Context) error {
+	defer s.relays.close()
+	if err := s.start(ctx); err != nil {
+		return err
+	}
+	defer s.fleet.Close()
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for n := range callers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s.newCaller(n).run(stop)
+		}()
+	}
+	err := s.play(ctx)
+	close(stop)
+	wait.Wait()
+	s.settle()
+	for which, n := range s.relays.played() {
+		s.seen[fmt.Sprintf("relay fault %d", which)] += n
+	}
+	return err
+}
+
+// play lets the faults happen one after the other.
+func (s *schedule) play(ctx context.Context) error {
+	time.Sleep(calmTime)
+	s.relays.setShare([]float64{0, 0.01, 0.05}[s.random.IntN(3)])
+	events := []func(context.Context) error{s.crashTarget, s.crashNode, s.drain, s.drain}
+	for range 1 + s.random.IntN(2) {
+		if err := events[s.random.IntN(len(events))](ctx); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(s.random.Int64N(int64(maxPause))))
+	}
+	s.relays.setShare(0)
+	time.Sleep(calmTime)
+	return nil
+}
+
+func (s *schedule) pick() *fleet.Instance {
+	running := s.fleet.Of(serviceName)
+	return running[s.random.IntN(len(running))]
+}
+
+// markFaulty notes that an executor may have lost outcomes.
+func (s *schedule) markFaulty(instance *fleet.Instance, event string, nodeToo bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.seen[event]++
+	s.faulty[instance.Node.Status().Incarnation] = true
+	if nodeToo {
+		s.crashedEntries[instance.VM] = true
+	}
+}
+
+func (s *schedule) crashed(instance *fleet.Instance) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.crashedEntries[instance.VM]
+}
+
+func (s *schedule) crashTarget(context.Context) error {
+	instance := s.pick()
+	s.markFaulty(instance, "target crash", false)
+	instance.Target.Crash()
+	time.Sleep(returnTime)
+	return s.fleet.StartTarget(instance)
+}
+
+func (s *schedule) crashNode(context.Context) error {
+	instance := s.pick()
+	s.markFaulty(instance, "node crash", true)
+	s.fleet.Crash(instance)
+	_, err := s.fleet.Add(&s.service, instance.Zone)
+	return err
+}
+
+func (s *schedule) drain(ctx context.Context) error {
+	instance := s.pick()
+	s.mutex.Lock()
+	s.seen["drain"]++
+	s.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, drainTime)
+	defer cancel()
+	if err := s.fleet.Retire(ctx, instance); err != nil {
+		return err
+	}
+	_, err := s.fleet.Add(&s.service, instance.Zone)
+	return err
+}
+
+// settle asks again for the outcomes that are unknown, now without faults.
+func (s *schedule) settle() {
+	var wait sync.WaitGroup
+	for n, b := range s.history.bookings {
+		if len(b.keys) == 0 {
+			continue
+		}
+		last := b.keys[len(b.keys)-1]
+		if last.final != outcome.Unknown || s.isFaulty(last.key) {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s.settleKey(s.newCaller(callers+n), last)
+		}()
+	}
+	wait.Wait()
+}
+
+func (s *schedule) settleKey(c *caller, use *keyUse) {
+	for range settleTries {
+		if use.final = c.send(c.entry(), use, use.key); use.final != outcome.Unknown {
+			return
+		}
+		time.Sleep(settlePause)
+	}
+}
+
+func (s *schedule) isFaulty(key string) bool {
+	parsed, err := once.ParseKey(key)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return err != nil || s.faulty[parsed.Executor]
+}
+
+// definite counts the bookings whose executors were healthy, and those of them
+// that ended with a definite outcome.
+func (s *schedule) definite() (definite, healthy int, open []string) {
+	for _, b := range s.history.bookings {
+		if len(b.keys) == 0 {
+			continue
+		}
+		last := b.keys[len(b.keys)-1]
+		if s.isFaulty(last.key) {
+			continue
+		}
+		healthy++
+		if last.final == outcome.Unknown {
+			open = append(open, last.key)
+			continue
+		}
+		definite++
+	}
+	return definite, healthy, open
+}
+
+// totals sums up all schedules. It is safe for concurrent use.
+type totals struct {
+	mutex                         sync.Mutex
+	schedules, bookings, attempts int
+	definite, healthy             int
+	taken                         time.Duration
+	seen                          map[string]int
+	// lines describe the schedules; failures and cuts start with the command
+	// that repeats the schedule.
+	lines, failures, cuts []string
+}
+
+func (t *totals) add(s *schedule, err error) {
+	if s.fleet == nil {
+		t.fail(s, err)
+		return
+	}
+	definite, healthy, open := s.definite()
+	fault := s.history.fault(s.fleet.Ledger)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.schedules++
+	t.bookings += len(s.history.bookings)
+	t.attempts += s.history.attempts
+	t.definite += definite
+	t.healthy += healthy
+	for what, n := range s.seen {
+		t.seen[what] += n
+	}
+	t.lines = append(t.lines, fmt.Sprintf("seed %d: %d of %d definite, events %v, open %v", s.seed, definite, healthy, s.seen, open))
+	if err != nil {
+		t.failures = append(t.failures, s.again()+": "+err.Error())
+	}
+	if fault != "" {
+		t.failures = append(t.failures, s.again()+": "+fault)
+	}
+	for _, cut := range s.history.cuts {
+		t.cuts = append(t.cuts, s.again()+": "+cut)
+	}
+}
+
+func (t *totals) fail(s *schedule, err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.failures = append(t.failures, s.again()+": "+err.Error())
+}
+
+// again returns the command that repeats the schedule.
+func (s *schedule) again() string {
+	return fmt.Sprintf("go test ./internal/faults -run 'TestSchedules|TestPlannedStops' -faults.seed=%d", s.seed)
+}
+
+func seeds() []uint64 {
+	if *scheduleSeed != 0 {
+		return []uint64{*scheduleSeed}
+	}
+	var all []uint64
+	for seed := uint64(1); seed <= *scheduleRuns; seed++ {
+		all = append(all, seed)
+	}
+	return all
+}
+
+// allSchedules runs every schedule once for all tests.
+var allSchedules = sync.OnceValue(func() *totals {
+	begun := time.Now()
+	sum := &totals{seen: make(map[string]int)}
+	slots := make(chan struct{}, parallelFleets)
+	var wait sync.WaitGroup
+	for _, seed := range seeds() {
+		slots <- struct{}{}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			defer func() { <-slots }()
+			s := newSchedule(seed, intact)
+			err := s.runWithin(scheduleTimeout)
+			sum.add(s, err)
+		}()
+	}
+	wait.Wait()
+	sum.taken = time.Since(begun)
+	return sum
+})
+
+func (s *schedule) runWithin(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return s.run(ctx)
+}
+
+// Guards against double executions, false not run, wrong or foreign answers,
+// executions cut by planned stops, and outcomes lost although the executor was
+// healthy, under faults on real sockets.
+func TestSchedules(t *testing.T) {
+	sum := allSchedules()
+	for _, line := range sum.lines {
+		t.Log(line)
+	}
+	share := float64(sum.definite) / float64(max(sum.healthy, 1))
+	t.Logf("%d schedules in %s: %d bookings, %d attempts, %d of %d with a healthy executor definite (%.4f), %d cuts at entries",
+		sum.schedules, sum.taken.Round(time.Millisecond), sum.bookings, sum.attempts, sum.definite, sum.healthy, share, len(sum.cuts))
+	t.Logf("events: %v", sum.seen)
+	require.Empty(t, sum.failures)
+	require.GreaterOrEqual(t, share, definiteGoal)
+	if *scheduleSeed == 0 {
+		requireVariety(t, sum.seen)
+	}
+}
+
+// Guards against an entry that accepts the connection of a caller during its
+// planned stop and closes it without an answer.
+func TestPlannedStopsCutNoRequest(t *testing.T) {
+	require.Empty(t, allSchedules().cuts)
+}
+
+// requireVariety guards against schedules that no longer reach the cases that
+// they are there for.
+func requireVariety(t *testing.T, seen map[string]int) {
+	t.Helper()
+	for _, event := range []string{"target crash", "node crash", "drain"} {
+		require.NotZero(t, seen[event], event)
+	}
+	for _, which := range append(requestFaults, answerFaults...) {
+		require.NotZero(t, seen[fmt.Sprintf("relay fault %d", which)], which)
+	}
+}
+
+// Guards against a check that can't fail: each protection that is broken on
+// purpose must be noticed.
+func TestBrokenProtectionIsNoticed(t *testing.T) {
+	broken := map[string]breakage{
+		"new key on resend":  newKeyOnResend,
+		"unknown as not run": unknownAsNotRun,
+		"answer of another":  foreignAnswer,
+	}
+	for name, which := range broken {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= *scheduleRuns; seed++ {
+				s := newSchedule(seed, which)
+				require.NoError(t, s.runWithin(scheduleTimeout))
+				if fault := s.history.fault(s.fleet.Ledger); fault != "" {
+					t.Logf("noticed at seed %d: %s", seed, fault)
+					return
+				}
+			}
+			t.Fatal("not noticed")
+		})
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,10 @@
 	// TLS is the content of the tls section of the settings, by service; empty
 	// means plain connections.
 	TLS func(service string) string
+	// Advertise returns the address under which the other nodes know the node of
+	// a VM, and a function that is told where it really listens; nil means that
+	// nodes are known by their own address.
+	Advertise func(vm string) (address string, listening func(address string), err error)
 }
 
 // Instance is one target VM: a node and the target beside it.
@@ -130,7 +134,11 @@
 	f.sequence++
 	name := service.Entry.GetService()
 	instance := &Instance{VM: fmt.Sprintf("%s-%s-%d", name, zone, f.sequence), Zone: zone, Service: service}
-	parsed, err := settings.ParseNode([]byte(f.nodeYAML(instance)))
+	advertised, listening, err := f.advertise(instance.VM)
+	if err != nil {
+		return nil, err
+	}
+	parsed, err := settings.ParseNode([]byte(f.nodeYAML(instance) + advertised))
 	if err != nil {
 		return nil, err
 	}
@@ -142,6 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
+	listening(instance.Node.NodesAddress())
 	if err := f.StartTarget(instance); err != nil {
 		instance.Node.Close()
 		return nil, err
@@ -152,6 +161,18 @@
 	return instance, nil
 }
 
+// advertise returns the setting of the advertised address of a VM.
+func (f *Fleet) advertise(vm string) (setting string, listening func(address string), err error) {
+	if f.config.Advertise == nil {
+		return "", func(string) {}, nil
+	}
+	address, listening, err := f.config.Advertise(vm)
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("advertise: %q\n", address), listening, nil
+}
+
 // StartTarget starts a target beside the node of the instance.
 func (f *Fleet) StartTarget(instance *Instance) error {
 	service := instance.Service
