--- a/node/http.go
+++ b/node/http.go
@@ -40,6 +40,8 @@
 	target    *http.Server
 	operators *http.Server
 	whole     wholeRequests
+	// calling are the connections of callers.
+	calling *connections
 }
 
 // all returns the servers.
@@ -64,7 +66,9 @@
 	if err != nil {
 		return err
 	}
+	n.servers.calling = newConnections()
 	n.servers.callers = n.newServer(telemetry.PartEntry, n.politeClose(callers))
+	n.servers.callers.ConnState = n.servers.calling.follow
 	n.servers.target = n.newServer(telemetry.PartEgress, n.targetHandler())
 	n.servers.operators = n.newServer(telemetry.PartOperators, operators)
 	return nil
@@ -189,6 +193,9 @@
 // shutdownHTTP waits for the answers in progress. What the context cuts is
 // reported by the drain. Requests that never arrive in whole are not waited for.
 func (n *Node) shutdownHTTP(ctx context.Context) {
+	// The error of a second Close of the listener is of no interest.
+	_ = n.listeners.callers.Close()
+	n.servers.calling.await(ctx)
 	n.servers.whole.stop(ctx, n.servers.all())
 }
 
