Name holders of the state to starting nodes; read the log in few of them

Cause: nodes that started while the log was down knew only their seeds, and a seed passes on 8 whole states a second. Nodes that started while the log was up each read it from the start.

Change: ExchangeResponse names up to 8 members that probably know the state. Independent fleets of tests run in parallel; no bound or seed of an earlier test has changed. The fixture of TestZoneRestartsFromSeedsWhileLogIsDown now runs with 480 nodes as well.

--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -137,6 +137,7 @@
 
 // Guards against a change that does not take effect everywhere within seconds.
 func TestChangeTakesEffectEverywhere(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		f.log.delay = 20 * time.Millisecond
@@ -167,6 +168,7 @@
 // Guards against a node that cannot start, or claims a catalogue that it does
 // not have, while the log is down.
 func TestStartsFromSeedsWhileLogIsDown(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2)
 		defer f.stopAll()
@@ -197,6 +199,7 @@
 // Guards against a dead node that stays in the table, and against an eviction
 // that hits more than this node.
 func TestDeadNodeIsEvictedOnce(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		defer f.stopAll()
@@ -218,6 +221,7 @@
 // Guards against an announcement of other slots that is lost because the clock
 // of the VM was set back.
 func TestNewSlotsWithEarlierClock(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1)
 		defer f.stopAll()
--- a/node/control/exchange.go
+++ b/node/control/exchange.go
@@ -95,18 +95,21 @@
 	if now.Before(t.links.due) {
 		return
 	}
-	t.links.due = now.Add(t.jitter(t.cfg.Intervals.Exchange))
 	address, incarnation, ok := t.nextPeer(now)
+	t.links.due = now.Add(t.nextExchange())
 	if ok {
 		t.exchange(address, incarnation, t.request(), 0)
 	}
 }
 
-// nextPeer returns a partner, now and then any member, or a seed while the
-// node does not know the members or has no partner that answers.
+// nextPeer returns a partner, now and then any member. While the node lacks a
+// state it prefers holders of it, then seeds.
 func (t *task) nextPeer(now time.Time) (string, uint64, bool) {
 	l := &t.links
 	l.count++
+	if holder, ok := t.takeHolder(now); ok {
+		return holder, 0, true
+	}
 	if t.lacksState() && l.count%2 == 0 {
 		if seed, ok := t.nextSeed(now); ok {
 			return seed, 0, true
@@ -226,6 +229,7 @@
 		t.suspect(now, m.incarnation)
 	}
 	t.take(m.response.GetPositions(), m.response.GetRecords(), m.response.GetStates())
+	t.hurry(now, m.response.GetStateHolders())
 	t.followUp(m)
 }
 
@@ -335,6 +339,8 @@
 	response := &pb.ExchangeResponse{Responder: t.self.GetIncarnation()}
 	response.RegistrationsAccepted = t.accept(now, m.request.GetRegistrations())
 	t.fill(response, m.request, now)
+	t.nameHolders(response, m.request)
+	t.noteServed(response, m.request.GetSenderAddress())
 	response.Positions = t.positions()
 	t.c.stats.message(KindExchangeIn, proto.Size(m.request), proto.Size(response), nil)
 	m.reply <- response
--- a/node/control/fake_test.go
+++ b/node/control/fake_test.go
@@ -35,6 +35,10 @@
 	inRate  int
 	appends int
 	peak    int
+	// old are the ends of the streams at the call of mark, oldRead the bytes of
+	// records below them that each address has read since.
+	old     map[string]uint64
+	oldRead map[string]int
 }
 
 type fakeStream struct {
@@ -172,7 +176,45 @@
 		<-ctx.Done()
 		return platform.Batch{}, platform.ErrUnavailable
 	}
-	return l.fakeLog.Read(ctx, stream, from, limit)
+	batch, err := l.fakeLog.Read(ctx, stream, from, limit)
+	l.set(func() { l.countOld(l.address, stream, batch) })
+	return batch, err
+}
+
+// mark starts the count of bytes that are read of the present records, and
+// returns the size of those that are retained.
+func (l *fakeLog) mark() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.old = map[string]uint64{}
+	l.oldRead = map[string]int{}
+	total := 0
+	for name, s := range l.streams {
+		l.old[name] = s.next()
+		for _, record := range s.records {
+			total += len(record)
+		}
+	}
+	return total
+}
+
+// readersOfOld returns the number of addresses that have read records from
+// before the mark, and the bytes of those.
+func (l *fakeLog) readersOfOld() (readers, bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range l.oldRead {
+		bytes += n
+	}
+	return len(l.oldRead), bytes
+}
+
+func (l *fakeLog) countOld(address, stream string, batch platform.Batch) {
+	for _, r := range batch.Records {
+		if r.Offset < l.old[stream] {
+			l.oldRead[address] += len(r.Data)
+		}
+	}
 }
 
 // fakeNet connects the control tasks of one test.
--- a/node/control/fleet_test.go
+++ b/node/control/fleet_test.go
@@ -17,6 +17,7 @@
 // Guards against a partition after which some nodes miss records, against
 // evictions during it, and against changes that do not spread among hundreds.
 func TestPartitionOfHundreds(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const size = 300
 		f := newFleet(t, 6)
@@ -54,6 +55,7 @@
 // Guards against nodes that lose the state during an outage of the log, and
 // against a slow return to normal.
 func TestHourOfLogOutage(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const size = 40
 		f := newFleet(t, 4)
@@ -88,6 +90,7 @@
 // Guards against nodes that claim a state which nobody can know, and against a
 // fleet that does not come back by itself.
 func TestWholeFleetRestartsWhileLogIsDown(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const size = 200
 		f := newFleet(t, 4)
@@ -130,53 +133,10 @@
 	})
 }
 
-// Guards against a zone that does not come back while the log is down, because
-// its nodes find no whole state at the seeds.
-func TestZoneRestartsFromSeedsWhileLogIsDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const size, returning = 30, 120
-		f := newFleet(t, 3)
-		f.log.retain = 60
-		defer f.stopAll()
-		for range 2 { // After the second start no node holds the first records.
-			for i := range size {
-				f.start(i)
-			}
-			time.Sleep(30 * time.Second)
-			for i := range 20 {
-				f.announce(i)
-				time.Sleep(time.Second)
-			}
-			time.Sleep(time.Minute) // A checkpoint follows when the last one is gone.
-			for i := range size {
-				f.stop(i)
-			}
-			time.Sleep(time.Second)
-		}
-		for i := range size {
-			f.start(i)
-		}
-		time.Sleep(30 * time.Second)
-		f.agreed(size)
-		f.log.set(func() { f.log.down = true })
-		start := time.Now()
-		var returned []*Control
-		for i := range returning {
-			returned = append(returned, f.start(size+i, "10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"))
-		}
-		for _, c := range returned {
-			for !c.Snapshot().MembersKnown || !c.Snapshot().CatalogueKnown {
-				<-c.Changes()
-			}
-		}
-		t.Logf("%d nodes know both states %s after their start at 3 seeds", returning, time.Since(start))
-		require.Less(t, time.Since(start), 20*time.Second)
-	})
-}
-
 // Guards against a paused node that keeps an evicted incarnation, and against
 // a false eviction that leads to further evictions.
 func TestFalseEvictionDoesNotMultiply(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const size = 30
 		f := newFleet(t, 3)
@@ -220,6 +180,7 @@
 
 // Guards against a leave that is lost, and a successor that is not found.
 func TestLeaveNamesSuccessor(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2)
 		defer f.stopAll()
@@ -248,6 +209,7 @@
 // Guards against a stream whose checkpoint the log has dropped, so that no
 // new node could start.
 func TestCheckpointsFollowRetention(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		f.log.retain = 30
@@ -278,6 +240,7 @@
 // The 1,600 returning nodes are clients that register as a node does, at the
 // readers of other zones, because those of the own zone are not back.
 func TestZoneReturnsWithin100AppendsASecond(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const returning = 1600
 		f := newFleet(t, 6)
@@ -309,6 +272,7 @@
 // Guards against a lost zone whose members are evicted, and against nodes that
 // come back and find no reader, because those of their zone are not back either.
 func TestLostZoneComesBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const size, zones = 120, 6
 		f := newFleet(t, zones)
--- a/node/control/log.go
+++ b/node/control/log.go
@@ -29,7 +29,7 @@
 // pollLog starts the reads that are due.
 func (t *task) pollLog(now time.Time) {
 	for _, s := range t.streams {
-		if !s.reading && !now.Before(s.readAt) {
+		if !s.reading && !now.Before(s.readAt) && !t.leavesLogAlone(s, now) {
 			t.read(s)
 		}
 	}
--- /dev/null
+++ b/node/control/start_test.go
@@ -0,0 +1,204 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// sharedSeeds are seeds that all starting nodes have in common.
+var sharedSeeds = []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}
+
+// Guards against a zone that does not come back while the log is down, because
+// its nodes find no whole state at the seeds, and against a time until then
+// that grows with the number of starting nodes.
+func TestZoneRestartsFromSeedsWhileLogIsDown(t *testing.T) {
+	t.Parallel()
+	for _, returning := range []int{120, 480} {
+		t.Run(fmt.Sprint(returning), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { restartFromSeeds(t, returning) })
+		})
+	}
+}
+
+func restartFromSeeds(t *testing.T, returning int) {
+	const size = 30
+	f := newFleet(t, 3)
+	f.log.retain = 60
+	defer f.stopAll()
+	f.dropFirstRecords(size)
+	f.log.set(func() { f.log.down = true })
+	start := time.Now()
+	var returned []*Control
+	for i := range returning {
+		returned = append(returned, f.start(size+i, sharedSeeds...))
+	}
+	awaitStates(returned)
+	t.Logf("%d nodes know both states %s after their start at 3 seeds", returning, time.Since(start))
+	require.Less(t, time.Since(start), 20*time.Second)
+}
+
+// dropFirstRecords restarts the fleet until no node holds the first records.
+func (f *fleet) dropFirstRecords(size int) {
+	for range 2 {
+		for i := range size {
+			f.start(i)
+		}
+		time.Sleep(30 * time.Second)
+		for i := range 20 {
+			f.announce(i)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Minute) // A checkpoint follows when the last one is gone.
+		for i := range size {
+			f.stop(i)
+		}
+		time.Sleep(time.Second)
+	}
+	for i := range size {
+		f.start(i)
+	}
+	time.Sleep(30 * time.Second)
+	f.agreed(size)
+}
+
+// awaitStates waits until all nodes know both streams.
+func awaitStates(nodes []*Control) {
+	for _, c := range nodes {
+		for {
+			changed := c.Changes()
+			if view := c.Snapshot(); view.MembersKnown && view.CatalogueKnown {
+				break
+			}
+			<-changed
+		}
+	}
+}
+
+// Guards against a start of the whole fleet in which every node reads the log
+// from the start, with seeds that all share and with seeds of each node.
+func TestFleetStartReadsLogInFewNodes(t *testing.T) {
+	t.Parallel()
+	shared := func(int) []string { return sharedSeeds }
+	own := func(i int) []string {
+		var seeds []string
+		for k := range 3 {
+			seeds = append(seeds, fakeMember((i*7+k*101+1)%fleetStartSize, 6, 1).GetNodeAddress())
+		}
+		return seeds
+	}
+	for name, seeds := range map[string]func(int) []string{"shared": shared, "own": own} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { startFleet(t, seeds) })
+		})
+	}
+}
+
+const (
+	// fleetStartSize is the number of nodes that start together.
+	fleetStartSize = 300
+	// writers is the number of nodes that fill the log before that.
+	writers = 60
+	// maxStartReaders is twice the number of readers in 6 zones.
+	maxStartReaders = 36
+)
+
+func startFleet(t *testing.T, seeds func(i int) []string) {
+	f := newFleet(t, 6)
+	defer f.stopAll()
+	for i := range writers {
+		f.start(i)
+	}
+	time.Sleep(20 * time.Second)
+	f.ordinaryDay(3 * time.Minute)
+	for i := range writers {
+		f.stop(i)
+	}
+	time.Sleep(time.Second) // Messages of the old processes must not reach the new ones.
+	size := f.log.mark()
+	start := time.Now()
+	var started []*Control
+	for i := range fleetStartSize {
+		started = append(started, f.start(i, seeds(i)...))
+	}
+	awaitStates(started)
+	elapsed := time.Since(start)
+	readers, read := f.log.readersOfOld()
+	t.Logf("%d nodes know both states after %s; %d of them read old records of the log of %d B, %d B in all", fleetStartSize, elapsed, readers, size, read)
+	require.LessOrEqual(t, readers, maxStartReaders)
+	require.Less(t, elapsed, 12*time.Second)
+	time.Sleep(30 * time.Second)
+	f.agreed(fleetStartSize)
+}
+
+// Guards against a node that never learns the state because its peers do not answer.
+func TestStartReadsLogWhenNoPeerAnswers(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer f.stopAll()
+		f.start(0)
+		time.Sleep(10 * time.Second)
+		f.net.mu.Lock()
+		f.net.cut = func(_, _ string) bool { return true }
+		f.net.mu.Unlock()
+		start := time.Now()
+		alone := f.start(1, "10.0.0.1:7000")
+		awaitStates([]*Control{alone})
+		require.Less(t, time.Since(start), 12*time.Second)
+	})
+}
+
+// Guards against answers to starting nodes that grow with the fleet, that name
+// the starting node itself, or that go to nodes which need no holders.
+func TestNamedHoldersAreBounded(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.stopAll()
+		for i := range 30 {
+			f.start(i)
+		}
+		time.Sleep(20 * time.Second)
+		seed := f.net.nodes[sharedSeeds[0]].control
+		for i := range 100 {
+			sender := fakeMember(i, 3, 1).GetNodeAddress()
+			request := &pb.ExchangeRequest{SenderAddress: sender, WantState: true}
+			response, err := seed.HandleExchange(t.Context(), request)
+			require.NoError(t, err)
+			require.NotEmpty(t, response.GetStateHolders())
+			require.LessOrEqual(t, len(response.GetStateHolders()), 8)
+			require.NotContains(t, response.GetStateHolders(), sender)
+			require.NotContains(t, response.GetStateHolders(), sharedSeeds[0])
+
+			request.Positions = response.GetPositions()
+			response, err = seed.HandleExchange(t.Context(), request)
+			require.NoError(t, err)
+			require.Empty(t, response.GetStateHolders())
+		}
+	})
+}
+
+// Guards against starting nodes that read the log together: of 9,600 nodes few
+// may read before the state of the first has spread.
+func TestStartDelaysAreSpread(t *testing.T) {
+	const nodes = 9600
+	early := 0
+	for i := range nodes {
+		delay := startDelay(float64(i) / nodes)
+		require.GreaterOrEqual(t, delay, time.Duration(0))
+		require.LessOrEqual(t, delay, startWait)
+		if delay < startWait/4 {
+			early++
+		}
+	}
+	require.NotZero(t, early)
+	require.LessOrEqual(t, early, maxStartReaders)
+}
--- a/node/control/task.go
+++ b/node/control/task.go
@@ -36,6 +36,7 @@
 	batcher  *membership.Batcher
 	evictor  *membership.Evictor
 	links    links
+	start    start
 	want     registration
 	waiters  []*awaitResult
 	leaving  []chan error
@@ -101,6 +102,7 @@
 
 func (t *task) run(ctx context.Context) {
 	t.ctx = ctx
+	t.planStart(time.Now())
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	t.handle(tick{})
--- a/node/control/traffic_test.go
+++ b/node/control/traffic_test.go
@@ -23,27 +23,33 @@
 // Guards against control traffic that grows with the fleet or exceeds the
 // budget. The figures are encoded messages, without TLS, TCP and RPC headers.
 func TestTrafficOfAnOrdinaryDay(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{60, 150, 300} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, 6)
-			defer f.stopAll()
-			for i := range size {
-				f.start(i)
-			}
-			time.Sleep(20 * time.Second)
-			before := f.usage()
-			const seconds = 120
-			f.ordinaryDay(seconds * time.Second)
-			after := f.usage()
-			for role, reader := range map[string]bool{"node": false, "reader": true} {
-				bytes, messages, worst := perSecond(before, after, reader, seconds)
-				t.Logf("%d nodes, %s: %.0f B/s and %.1f messages/s on average, at most %.0f B/s", size, role, bytes, messages, worst)
-				require.Less(t, worst, float64(trafficBudget))
-			}
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { measureOrdinaryDay(t, size) })
 		})
 	}
 }
 
+func measureOrdinaryDay(t *testing.T, size int) {
+	f := newFleet(t, 6)
+	defer f.stopAll()
+	for i := range size {
+		f.start(i)
+	}
+	time.Sleep(20 * time.Second)
+	before := f.usage()
+	const seconds = 120
+	f.ordinaryDay(seconds * time.Second)
+	after := f.usage()
+	for role, reader := range map[string]bool{"node": false, "reader": true} {
+		bytes, messages, worst := perSecond(before, after, reader, seconds)
+		t.Logf("%d nodes, %s: %.0f B/s and %.1f messages/s on average, at most %.0f B/s", size, role, bytes, messages, worst)
+		require.Less(t, worst, float64(trafficBudget))
+	}
+}
+
 // ordinaryDay submits changes and announcements at the rates of section 1.4.
 func (f *fleet) ordinaryDay(d time.Duration) {
 	node := f.nodes()[0].control
