Wait for the end of accepting before a planned stop; name the requests that a cut drain aborts

An aborted drain logs the root ids of the calls in progress, as the design says; the flag for omitted bodies travels to the entry; log lines hold the message of an error without stack traces.

--- a/node/control/log.go
+++ b/node/control/log.go
@@ -11,6 +11,7 @@
 	"github.com/primrosemount/primrosemount/core/spread"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/platform"
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 const (
@@ -88,7 +89,7 @@
 	t.logDown = down
 	t.dirty = true
 	if down {
-		t.logger.Warn("control: the log does not answer", zap.Error(err))
+		t.logger.Warn("control: the log does not answer", telemetry.ErrorField(err))
 		return
 	}
 	t.logger.Info("control: the log answers again")
@@ -118,7 +119,7 @@
 		return
 	}
 	s.warned = err.Error()
-	t.logger.Warn("control: the records of the log do not suffice", zap.Error(err))
+	t.logger.Warn("control: the records of the log do not suffice", telemetry.ErrorField(err))
 }
 
 // nextRead returns the time until the next read of a stream.
@@ -188,7 +189,7 @@
 		return
 	}
 	t.appendAt = now.Add(t.jitter(appendBackoff))
-	t.logger.Warn("control: append of registrations", zap.Error(m.err))
+	t.logger.Warn("control: append of registrations", telemetry.ErrorField(m.err))
 	if !errors.Is(m.err, platform.ErrRefused) {
 		return
 	}
@@ -258,6 +259,6 @@
 func (m checkpointAppended) handle(t *task) {
 	m.s.checkpointing = false
 	if m.err != nil {
-		t.logger.Warn("control: append of a checkpoint", zap.String("stream", m.s.name), zap.Error(m.err))
+		t.logger.Warn("control: append of a checkpoint", zap.String("stream", m.s.name), telemetry.ErrorField(m.err))
 	}
 }
--- a/node/control/task.go
+++ b/node/control/task.go
@@ -12,6 +12,7 @@
 	"github.com/primrosemount/primrosemount/core/spread"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/platform"
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 const (
@@ -179,13 +180,13 @@
 
 func (t *task) catalogueEffect(effect catalogue.Effect) {
 	if effect.Skipped != nil {
-		t.logger.Warn("control: skipped a catalogue record", zap.Error(effect.Skipped))
+		t.logger.Warn("control: skipped a catalogue record", telemetry.ErrorField(effect.Skipped))
 	}
 }
 
 func (t *task) membersEffect(effect membership.Effect) {
 	if effect.Skipped != nil {
-		t.logger.Warn("control: skipped a members record", zap.Error(effect.Skipped))
+		t.logger.Warn("control: skipped a members record", telemetry.ErrorField(effect.Skipped))
 	}
 	for _, d := range effect.Gone {
 		if d.Evicted {
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -289,6 +289,21 @@
 	}
 }
 
+// InProgress returns the root ids, in hexadecimal, of at most limit calls that
+// are queued or run.
+func (e *Executor) InProgress(limit int) []string {
+	l := &listing{limit: limit, reply: make(chan []string, 1)}
+	if !e.send(l) {
+		return nil
+	}
+	select {
+	case ids := <-l.reply:
+		return ids
+	case <-e.ctx.Done():
+		return nil
+	}
+}
+
 // Close makes the executor accept no new call. Running calls end as usual.
 func (e *Executor) Close() {
 	c := &closing{applied: make(chan struct{})}
--- a/node/executor/task.go
+++ b/node/executor/task.go
@@ -307,6 +307,23 @@
 	e.reply <- chunks
 }
 
+// listing asks for the identifiers of the present calls.
+type listing struct {
+	limit int
+	reply chan []string
+}
+
+func (l *listing) apply(t *task, _ time.Time) {
+	ids := make([]string, 0, min(l.limit, len(t.calls)))
+	for _, p := range t.calls {
+		if len(ids) == l.limit {
+			break
+		}
+		ids = append(ids, hexID(p.call.Request.GetContext().GetRootId()))
+	}
+	l.reply <- ids
+}
+
 // adoption is one chunk of the table of another incarnation.
 type adoption struct {
 	request *pb.HandoverRequest
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -11,11 +11,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosemount/primrosemount/internal/fleet"
 	"github.com/primrosemount/primrosemount/internal/standin/logservice"
 	"github.com/primrosemount/primrosemount/internal/standin/target"
+	"github.com/primrosemount/primrosemount/node"
 	"github.com/primrosemount/primrosemount/node/control"
 	"github.com/primrosemount/primrosemount/wire"
 )
@@ -231,3 +234,32 @@
 	t.Logf("%d nodes, %d changes: p50 %s, highest %s", len(running.Instances()), changes, taken[changes/2], taken[changes-1])
 	require.Less(t, taken[changes-1], goal)
 }
+
+// Guards against a drain that is cut without a word about the requests that it
+// aborts.
+func TestCutDrainNamesRequests(t *testing.T) {
+	core, logs := observer.New(zap.WarnLevel)
+	running, err := fleet.Start(testContext(t), fleet.Config{Services: twoTiers(5 * time.Second), Logger: zap.New(core)})
+	require.NoError(t, err)
+	t.Cleanup(running.Close)
+	address := running.Of("ledger")[0].Node.CallersAddress()
+	done := make(chan answer, 1)
+	go func() { done <- post(t, address, "/v1/services/orders/note", "slow", nil) }()
+	var busy *fleet.Instance
+	require.Eventually(t, func() bool {
+		for _, instance := range running.Of("orders") {
+			if instance.Target.Running() > 0 {
+				busy = instance
+			}
+		}
+		return busy != nil
+	}, 2*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, busy.Node.Shutdown(ctx), node.ErrDrainCut)
+	got := <-done
+	require.Equal(t, "unknown", got.problem.Outcome, string(got.body))
+	named := logs.FilterMessage("node: the drain aborts a request").All()
+	require.Len(t, named, 1)
+	require.Equal(t, got.header.Get(wire.RootHeader), named[0].ContextMap()["request_id"])
+}
--- a/node/http.go
+++ b/node/http.go
@@ -42,6 +42,8 @@
 	whole     wholeRequests
 	// calling are the connections of callers.
 	calling *connections
+	// callersEnded is closed when no more connection of callers is accepted.
+	callersEnded chan struct{}
 }
 
 // all returns the servers.
@@ -67,6 +69,7 @@
 		return err
 	}
 	n.servers.calling = newConnections()
+	n.servers.callersEnded = make(chan struct{})
 	n.servers.callers = n.newServer(telemetry.PartEntry, n.politeClose(callers))
 	n.servers.callers.ConnState = n.servers.calling.follow
 	n.servers.target = n.newServer(telemetry.PartEgress, n.targetHandler())
@@ -76,7 +79,10 @@
 
 // serveHTTP starts the servers.
 func (n *Node) serveHTTP() {
-	n.spawn(func() { n.logEnd("callers", ignoreClosed(n.servers.callers.Serve(n.callerListener()))) })
+	n.spawn(func() {
+		defer close(n.servers.callersEnded)
+		n.logEnd("callers", ignoreClosed(n.servers.callers.Serve(n.callerListener())))
+	})
 	target := boundedListener{Listener: n.listeners.target, timeout: answerTimeout}
 	n.spawn(func() { n.logEnd("target", ignoreClosed(n.servers.target.Serve(target))) })
 	operators := n.trust.listen(n.listeners.operators, tlsconfig.RoleOperator)
@@ -102,7 +108,7 @@
 }
 
 func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -195,6 +201,7 @@
 func (n *Node) shutdownHTTP(ctx context.Context) {
 	// The error of a second Close of the listener is of no interest.
 	_ = n.listeners.callers.Close()
+	<-n.servers.callersEnded
 	n.servers.calling.await(ctx)
 	n.servers.whole.stop(ctx, n.servers.all())
 }
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/primrosemount/primrosemount/core/membership"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/node/executor"
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 const (
@@ -30,6 +32,8 @@
 	idleCheckInterval = 10 * time.Millisecond
 	// maxPushes bounds the peers that are told of a drain at one time.
 	maxPushes = 32
+	// maxReportedCuts bounds the aborted requests that are named in the log.
+	maxReportedCuts = 64
 	// maxEarlierExecutors bounds the earlier incarnations that a node keeps.
 	maxEarlierExecutors = 3
 )
@@ -76,7 +80,7 @@
 		return
 	}
 	if err := n.control.Register(ctx, n.member(n.current().Incarnation())); err != nil {
-		n.logger.Warn("node: the registration was not taken over; it is repeated with the next announcement", errorField(err))
+		n.logger.Warn("node: the registration was not taken over; it is repeated with the next announcement", telemetry.ErrorField(err))
 		return
 	}
 	n.joined.Store(true)
@@ -89,7 +93,7 @@
 	}
 	n.spawn(func() {
 		if err := n.drain(n.ctx); err != nil {
-			n.logger.Warn("node: the drain was cut", errorField(err))
+			n.logger.Warn("node: the drain was cut", telemetry.ErrorField(err))
 		}
 	})
 }
@@ -106,6 +110,9 @@
 	sleep(ctx, drainGrace)
 	leaving.Close()
 	idle := waitIdle(ctx, leaving)
+	if !idle {
+		n.reportCut(leaving)
+	}
 	n.handOver(leaving)
 	// The peers learn the successor before this node stops to answer for its
 	// keys, also while the log is down.
@@ -120,6 +127,14 @@
 	return nil
 }
 
+// reportCut names the requests that the end of the drain aborts.
+func (n *Node) reportCut(leaving *executor.Executor) {
+	for _, id := range leaving.InProgress(maxReportedCuts) {
+		n.logger.Warn("node: the drain aborts a request", zap.String("request_id", id))
+	}
+	n.observeOwn("drain aborted requests", strconv.Itoa(leaving.State().InProgress)+" in progress")
+}
+
 func (n *Node) drainLimit() time.Duration {
 	service, err := n.ownService()
 	if err != nil {
@@ -242,7 +257,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := n.control.Leave(ctx, n.successor.Load()); err != nil {
-		n.logger.Warn("node: the leave record is not in the log yet", errorField(err))
+		n.logger.Warn("node: the leave record is not in the log yet", telemetry.ErrorField(err))
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -291,13 +291,9 @@
 	}()
 }
 
-// errorField holds the message of an error without the stack traces that
-// zap.Error would add.
-func errorField(err error) zap.Field { return zap.String("error", err.Error()) }
-
 func (n *Node) logEnd(part string, err error) {
 	if err != nil && n.ctx.Err() == nil {
-		n.logger.Error("node: a part ended", zap.String("part", part), errorField(err))
+		n.logger.Error("node: a part ended", zap.String("part", part), telemetry.ErrorField(err))
 	}
 }
 
--- a/node/observe.go
+++ b/node/observe.go
@@ -59,6 +59,9 @@
 	if o.Response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED || o.Response.GetStatus() >= http.StatusInternalServerError {
 		return false
 	}
+	if o.Response.GetBodyOmitted() {
+		return false
+	}
 	service, ok := n.control.Snapshot().Catalogue.Service(o.Service)
 	return !ok || service.Objective.Latency == 0 || o.Latency <= service.Objective.Latency
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -43,6 +43,7 @@
 	into.UnspentAllowance = from.GetUnspentAllowance()
 	into.RetryAfterNanos = from.GetRetryAfterNanos()
 	into.Replayed = from.GetReplayed()
+	into.BodyOmitted = from.GetBodyOmitted()
 }
 
 // refuse answers a call that did not reach an executor; its allowance is
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -97,3 +97,7 @@
 func Named(logger *zap.Logger, part Part) *zap.Logger {
 	return logger.Named(string(part))
 }
+
+// ErrorField holds the message of an error. zap.Error would add the stack
+// traces that cockroachdb/errors keeps, which are pages long.
+func ErrorField(err error) zap.Field { return zap.String("error", err.Error()) }
