--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,3 +29,31 @@
 	_, err = conn.Write(make([]byte, 64<<20))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a request that is cancelled because its answer takes longer
+// than the bound on the arrival of requests.
+func TestArrivalBoundDoesNotCancelTheWork(t *testing.T) {
+	const bound = 100 * time.Millisecond
+	var requests wholeRequests
+	handler := requests.track(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		select {
+		case <-r.Context().Done():
+			err = r.Context().Err()
+		case <-time.After(3 * bound):
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}))
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ReadTimeout = bound
+	server.Start()
+	defer server.Close()
+	for _, body := range []string{"", "content"} {
+		response, err := http.Post(server.URL, "text/plain", strings.NewReader(body))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode, "body %q", body)
+	}
+}
