--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosemount/primrosemount/internal/freeport"
 	"github.com/primrosemount/primrosemount/internal/standin/target"
 	"github.com/primrosemount/primrosemount/wire"
 )
@@ -99,10 +99,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := freeport.Addresses(1)
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return addresses[0]
 }
 
 func (c *cluster) add(vm, zone, service string, operations ...string) *instance {
--- a/node/memory_test.go
+++ b/node/memory_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +18,7 @@
 
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/internal/fleet"
+	"github.com/primrosemount/primrosemount/internal/freeport"
 	"github.com/primrosemount/primrosemount/internal/standin/logservice"
 	"github.com/primrosemount/primrosemount/internal/standin/target"
 	"github.com/primrosemount/primrosemount/operator"
@@ -92,13 +92,8 @@
 
 // freeAddresses returns loopback addresses that nothing listens on.
 func freeAddresses(t *testing.T, count int) []string {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
+	addresses, err := freeport.Addresses(count)
+	require.NoError(t, err)
 	return addresses
 }
 
