Drain by the catalogue in full; share one question to the executor's task

Change: the node starts its drain, other nodes keep its endpoint for keys and send no new work, and a VM that is taken off the list joins again.

--- a/cmd/primrosemount/node.go
+++ b/cmd/primrosemount/node.go
@@ -28,14 +28,18 @@
 	if err != nil {
 		return fail(exitUsage, err)
 	}
-	logger, err := telemetry.NewLogger(parsed.GetLogLevel())
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return fail(exitFailed, err)
+	}
+	logger, err := telemetry.NewLogger(parsed.GetLogLevel(), telemetry.WithSuppressed(metrics.SuppressedLine))
 	if err != nil {
 		return fail(exitUsage, err)
 	}
 	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	running, err := node.Start(node.Options{Settings: parsed, Logger: logger})
+	running, err := node.Start(node.Options{Settings: parsed, Logger: logger, Metrics: metrics})
 	if err != nil {
 		return fail(exitFailed, err)
 	}
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -260,88 +260,65 @@
 	return hex.EncodeToString(token[:])
 }
 
-// Find returns the running call with the token, or nil.
-func (e *Executor) Find(token string) *Running {
-	f := &findRunning{token: token, reply: make(chan *Running, 1)}
-	if !e.send(f) {
-		return nil
+// ask passes an event to the task and waits for its reply. It returns the zero
+// value and false if the task has ended.
+func ask[T any](e *Executor, ev event, reply <-chan T) (T, bool) {
+	var none T
+	if !e.send(ev) {
+		return none, false
 	}
 	select {
-	case running := <-f.reply:
-		return running
+	case answer := <-reply:
+		return answer, true
 	case <-e.ctx.Done():
-		return nil
+		return none, false
 	}
 }
 
+// Find returns the running call with the token, or nil.
+func (e *Executor) Find(token string) *Running {
+	reply := make(chan *Running, 1)
+	running, _ := ask(e, &findRunning{token: token, reply: reply}, reply)
+	return running
+}
+
 // Announce takes news of the target. slots and queue are already capped by the
 // catalogue. It returns the number of calls in progress.
 func (e *Executor) Announce(message *pb.Announcement, slots, queue int) int {
-	a := &announcement{message: message, slots: slots, queue: queue, applied: make(chan announced, 1)}
-	if !e.send(a) {
-		return 0
-	}
-	select {
-	case result := <-a.applied:
-		return result.inProgress
-	case <-e.ctx.Done():
-		return 0
-	}
+	reply := make(chan int, 1)
+	inProgress, _ := ask(e, &announcement{message: message, slots: slots, queue: queue, reply: reply}, reply)
+	return inProgress
 }
 
 // InProgress returns the root ids, in hexadecimal, of at most limit calls that
 // are queued or run.
 func (e *Executor) InProgress(limit int) []string {
-	l := &listing{limit: limit, reply: make(chan []string, 1)}
-	if !e.send(l) {
-		return nil
-	}
-	select {
-	case ids := <-l.reply:
-		return ids
-	case <-e.ctx.Done():
-		return nil
-	}
+	reply := make(chan []string, 1)
+	ids, _ := ask(e, &listing{limit: limit, reply: reply}, reply)
+	return ids
 }
 
 // Close makes the executor accept no new call. Running calls end as usual.
 func (e *Executor) Close() {
-	c := &closing{applied: make(chan struct{})}
-	if !e.send(c) {
-		return
-	}
-	select {
-	case <-c.applied:
-	case <-e.ctx.Done():
-	}
+	reply := make(chan struct{}, 1)
+	ask(e, &closing{reply: reply}, reply)
 }
 
 // Export returns the handover messages of a closed executor.
 func (e *Executor) Export() []*pb.HandoverRequest {
-	x := &export{reply: make(chan []*pb.HandoverRequest, 1)}
-	if !e.send(x) {
-		return nil
-	}
-	select {
-	case chunks := <-x.reply:
-		return chunks
-	case <-e.ctx.Done():
-		return nil
-	}
+	reply := make(chan []*pb.HandoverRequest, 1)
+	chunks, _ := ask(e, &export{reply: reply}, reply)
+	return chunks
 }
 
 // Adopt takes one chunk of the table of a leaving executor.
 func (e *Executor) Adopt(request *pb.HandoverRequest) *pb.HandoverResponse {
-	a := &adoption{request: request, reply: make(chan *pb.HandoverResponse, 1)}
-	if !e.send(a) {
-		return &pb.HandoverResponse{Detail: "the node stops; send the table to another node"}
-	}
-	select {
-	case response := <-a.reply:
-		return response
-	case <-e.ctx.Done():
+	reply := make(chan *pb.HandoverResponse, 1)
+	response, ok := ask(e, &adoption{request: request, reply: reply}, reply)
+	if !ok {
 		return &pb.HandoverResponse{Detail: "the node stops; send the table to another node"}
 	}
+	return response
 }
 
 // stopped answers a call that reached an executor after its end.
--- a/node/executor/task.go
+++ b/node/executor/task.go
@@ -244,7 +244,7 @@
 	t.executor.logger.Info("target changed state", targetFields(t.target, down)...)
 }
 
-// lookup by token.
+// findRunning asks for the running call of a token.
 type findRunning struct {
 	token string
 	reply chan *Running
@@ -257,11 +257,7 @@
 	message *pb.Announcement
 	slots   int
 	queue   int
-	applied chan announced
-}
-
-type announced struct {
-	inProgress int
+	reply   chan int
 }
 
 func (a *announcement) apply(t *task, now time.Time) {
@@ -279,19 +275,19 @@
 	} else {
 		t.setDown(true)
 	}
-	a.applied <- announced{inProgress: len(t.calls)}
+	a.reply <- len(t.calls)
 }
 
 // closing ends the acceptance of new calls.
 type closing struct {
-	applied chan struct{}
+	reply chan struct{}
 }
 
 func (c *closing) apply(t *task, now time.Time) {
 	t.draining = true
 	t.gate.SetDraining(true)
 	t.table.Close(now)
-	close(c.applied)
+	c.reply <- struct{}{}
 }
 
 // export asks for the handover messages of the closed table.
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -263,3 +263,32 @@
 	require.Len(t, named, 1)
 	require.Equal(t, got.header.Get(wire.RootHeader), named[0].ContextMap()["request_id"])
 }
+
+// Guards against an operator's drain that other nodes follow and the leaving
+// node does not, and against a VM that never takes work again afterwards.
+func TestDrainByCatalogue(t *testing.T) {
+	running := startFleet(t, twoTiers(time.Millisecond))
+	through := running.Of("ledger")[0].Node
+	leaving := running.Of("orders")[0]
+	key := keysOf(t, through.CallersAddress(), 1)[0]
+	booked := post(t, through.CallersAddress(), "/v1/services/orders/book", "before", withKey(key))
+	require.Equal(t, http.StatusOK, booked.status, string(booked.body))
+
+	changed := proto.CloneOf(twoTiers(0)[0].Entry)
+	changed.DrainingVms = []string{leaving.VM}
+	require.NoError(t, running.Apply(testContext(t), through, changed, through.Revision("orders")))
+	members := through.Status().Members
+	require.Eventually(t, func() bool { return through.Status().Members == members-1 }, 10*time.Second, 10*time.Millisecond)
+	received := leaving.Target.Received()
+	for n := range 20 {
+		got := post(t, through.CallersAddress(), "/v1/services/orders/book", fmt.Sprintf("during-%d", n), nil)
+		require.Equal(t, http.StatusOK, got.status, string(got.body))
+	}
+	require.Equal(t, received, leaving.Target.Received(), "a drained VM got new work")
+	again := post(t, through.CallersAddress(), "/v1/services/orders/book", "before", withKey(key))
+	require.Equal(t, booked.body, again.body)
+
+	changed.DrainingVms = nil
+	require.NoError(t, running.Apply(testContext(t), through, changed, through.Revision("orders")))
+	require.Eventually(t, func() bool { return through.Status().Members == members }, 10*time.Second, 10*time.Millisecond)
+}
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -45,7 +45,7 @@
 // announce takes news of the target beside the node.
 func (n *Node) announce(ctx context.Context, message *pb.Announcement) *pb.AnnouncementAnswer {
 	previous := n.target.Swap(message)
-	if n.drained.Load() && message.GetState() == pb.TargetState_TARGET_STATE_READY {
+	if n.drained.Load() && message.GetState() == pb.TargetState_TARGET_STATE_READY && !n.leavesByCatalogue() {
 		n.renew("a new target announced itself")
 	}
 	slots, queue := n.capacity(message)
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,8 @@
 	// Log is the platform's log; nil means the HTTP client for settings.log.
 	Log    platform.Log
 	Logger *zap.Logger
+	// Metrics are closed with the node; nil means new ones.
+	Metrics *telemetry.Metrics
 	// Intervals of the control task; zero fields get the defaults.
 	Intervals control.Intervals
 	// Unobserved keeps calls out of metrics, journal and burn counters. It is
@@ -158,7 +160,7 @@
 		Objective: n.objective,
 	})
 	var err error
-	if n.metrics, err = telemetry.NewMetrics(); err != nil {
+	if n.metrics, err = metricsOf(options); err != nil {
 		return errors.Wrap(err, "node: the metrics could not be set up")
 	}
 	n.control, err = control.New(control.Config{
@@ -206,6 +208,13 @@
 	return n.exportMetrics()
 }
 
+func metricsOf(options Options) (*telemetry.Metrics, error) {
+	if options.Metrics != nil {
+		return options.Metrics, nil
+	}
+	return telemetry.NewMetrics()
+}
+
 // intervals takes the interval and timeout of the log from the settings unless
 // the options give them.
 func intervals(options Options) control.Intervals {
@@ -303,6 +312,9 @@
 	for {
 		changed := n.control.Changes()
 		n.updateRoutes(known)
+		if n.joined.Load() && n.leavesByCatalogue() {
+			n.beginDrain()
+		}
 		select {
 		case <-changed:
 		case <-n.ctx.Done():
@@ -321,6 +333,7 @@
 		present[service] = true
 		known[service] = true
 		n.router.Update(now, service, targetsOf(snapshot, service))
+		n.followDrains(now, snapshot, service)
 	}
 	for service := range known {
 		if !present[service] {
@@ -330,16 +343,10 @@
 	}
 }
 
-// targetsOf lists the targets of a service without those that the catalogue
-// wants to leave.
 func targetsOf(snapshot control.Snapshot, service string) []route.Target {
 	members := snapshot.Members.Service(service)
-	entry, _ := snapshot.Catalogue.Service(service)
 	targets := make([]route.Target, 0, len(members))
 	for _, member := range members {
-		if entry != nil && entry.Draining(member.VM) {
-			continue
-		}
 		targets = append(targets, route.Target{
 			Incarnation: member.Incarnation,
 			VM:          member.VM,
@@ -352,6 +359,29 @@
 	return targets
 }
 
+// followDrains stops new work for the VMs that the catalogue wants to leave.
+// They stay known to the router, because their keys are still answered there.
+func (n *Node) followDrains(now time.Time, snapshot control.Snapshot, service string) {
+	entry, ok := snapshot.Catalogue.Service(service)
+	if !ok {
+		return
+	}
+	for _, member := range snapshot.Members.Service(service) {
+		if !entry.Draining(member.VM) {
+			continue
+		}
+		if endpoint := n.router.Find(member.Incarnation); endpoint != nil {
+			endpoint.Report(now, route.Report{Draining: true})
+		}
+	}
+}
+
+// leavesByCatalogue tells whether the catalogue wants the own target to leave.
+func (n *Node) leavesByCatalogue() bool {
+	entry, ok := n.control.Snapshot().Catalogue.Service(n.settings.GetService())
+	return ok && entry.Draining(n.settings.GetVm())
+}
+
 func (n *Node) keepHouse() {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
--- a/transport/client.go
+++ b/transport/client.go
@@ -136,32 +136,37 @@
 
 // Probe asks the node for its state.
 func (p *Pool) Probe(ctx context.Context, address string, request *pb.ProbeRequest) (*pb.ProbeResponse, error) {
-	response := &pb.ProbeResponse{}
-	return response, p.invoke(ctx, address, "Probe", request, response)
+	return send(ctx, p, address, "Probe", request, &pb.ProbeResponse{})
 }
 
 // Exchange compares stream positions and passes records.
 func (p *Pool) Exchange(ctx context.Context, address string, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
-	response := &pb.ExchangeResponse{}
-	return response, p.invoke(ctx, address, "Exchange", request, response)
+	return send(ctx, p, address, "Exchange", request, &pb.ExchangeResponse{})
 }
 
 // Handover passes one chunk of an at-most-once table.
 func (p *Pool) Handover(ctx context.Context, address string, request *pb.HandoverRequest) (*pb.HandoverResponse, error) {
-	response := &pb.HandoverResponse{}
-	return response, p.invoke(ctx, address, "Handover", request, response)
+	return send(ctx, p, address, "Handover", request, &pb.HandoverResponse{})
 }
 
 // Explain asks the node for journal entries.
 func (p *Pool) Explain(ctx context.Context, address string, request *pb.ExplainRequest) (*pb.ExplainResponse, error) {
-	response := &pb.ExplainResponse{}
-	return response, p.invoke(ctx, address, "Explain", request, response)
+	return send(ctx, p, address, "Explain", request, &pb.ExplainResponse{})
 }
 
 // Burn asks the node for its burn counters.
 func (p *Pool) Burn(ctx context.Context, address string, request *pb.BurnRequest) (*pb.BurnResponse, error) {
-	response := &pb.BurnResponse{}
-	return response, p.invoke(ctx, address, "Burn", request, response)
+	return send(ctx, p, address, "Burn", request, &pb.BurnResponse{})
+}
+
+// send makes one call and returns its response; after an error the response may
+// still be written to, so none is returned.
+func send[R proto.Message](ctx context.Context, p *Pool, address, method string, request proto.Message, response R) (R, error) {
+	if err := p.invoke(ctx, address, method, request, response); err != nil {
+		var none R
+		return none, err
+	}
+	return response, nil
 }
 
 // invoke sends one request and waits for its answer or the end of the context.
