Accept waiting connections and end listening in one step; drop the socket filter

Change: the listener of callers accepts what the kernel has opened and shuts the listening socket down in the same step; those connections are served before the server ends.

--- a/node/http.go
+++ b/node/http.go
@@ -29,9 +29,6 @@
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 30 * time.Second
 	idleTimeout   = 2 * time.Minute
-	// backlogTime lets the server accept the connections that the kernel has
-	// already opened.
-	backlogTime = 50 * time.Millisecond
 	// announcementInterval is the time between two announcements of a target.
 	announcementInterval = time.Second
 	maxAnnouncementBytes = 16 << 10
@@ -44,7 +41,8 @@
 	operators *http.Server
 	whole     wholeRequests
 	// calling are the connections of callers.
-	calling *connections
+	calling   *connections
+	accepting *drainListener
 	// callersEnded is closed when no more connection of callers is accepted.
 	callersEnded chan struct{}
 }
@@ -72,6 +70,11 @@
 		return err
 	}
 	n.servers.calling = newConnections()
+	accepting, ok := n.listeners.callers.(*net.TCPListener)
+	if !ok {
+		return errors.New("node: the listener for callers is not TCP; correct listen.callers in the settings")
+	}
+	n.servers.accepting = &drainListener{TCPListener: accepting}
 	n.servers.callersEnded = make(chan struct{})
 	n.servers.callers = n.newServer(telemetry.PartEntry, n.politeClose(callers))
 	n.servers.callers.ConnState = n.servers.calling.follow
@@ -95,7 +98,7 @@
 // callerListener bounds the connections of callers and demands certificates
 // where the node has keys.
 func (n *Node) callerListener() net.Listener {
-	bounded := netutil.LimitListener(n.listeners.callers, int(n.settings.GetBounds().GetCallerConnections()))
+	bounded := netutil.LimitListener(n.servers.accepting, int(n.settings.GetBounds().GetCallerConnections()))
 	return n.trust.listen(bounded, tlsconfig.RoleService)
 }
 
@@ -202,20 +205,17 @@
 // shutdownHTTP waits for the answers in progress. What the context cuts is
 // reported by the drain. Requests that never arrive in whole are not waited for.
 func (n *Node) shutdownHTTP(ctx context.Context) {
-	n.stopAccepting(ctx)
+	n.stopAccepting()
 	n.servers.calling.await(ctx)
 	n.servers.whole.stop(ctx, n.servers.all())
 }
 
 // stopAccepting ends the acceptance of connections of callers without a reset
 // of those that the kernel has already opened.
-func (n *Node) stopAccepting(ctx context.Context) {
-	if err := refuseHandshakes(n.listeners.callers); err != nil {
+func (n *Node) stopAccepting() {
+	if err := n.servers.accepting.drain(); err != nil {
 		n.logger.Warn("node: new connections may be reset by the stop", telemetry.ErrorField(err))
 	}
-	sleep(ctx, backlogTime)
-	// The error of a second Close of the listener is of no interest.
-	_ = n.listeners.callers.Close()
 	<-n.servers.callersEnded
 }
 
