--- a/node/http.go
+++ b/node/http.go
@@ -54,14 +54,10 @@
 
 // buildHTTP creates the servers for callers, the target and operators.
 func (n *Node) buildHTTP() error {
-	callers := iris.New()
-	callers.Logger().SetLevel("disable")
-	callers.Post(wire.ServicesPath+"{service:string}/keys", n.serveKeys)
-	callers.Post(wire.ServicesPath+"{service:string}/{operation:string}", n.serveCall)
-	callers.OnAnyErrorCode(serveNoRoute)
-	if err := callers.Build(); err != nil {
-		return errors.Wrap(err, "node: the routes for callers could not be built")
+	if err := n.buildCallers(); err != nil {
+		return err
 	}
+	n.servers.target = n.newServer(telemetry.PartEgress, n.targetHandler())
 	operators, err := operator.NewHandler(operator.ServerConfig{
 		Source:  &source{node: n, started: time.Now()},
 		Metrics: n.metrics.Handler(),
@@ -69,17 +65,30 @@
 	if err != nil {
 		return err
 	}
-	n.servers.calling = newConnections()
+	n.servers.operators = n.newServer(telemetry.PartOperators, operators)
+	return nil
+}
+
+// buildCallers creates the server for callers, whose connections are followed
+// so that a planned stop resets none.
+func (n *Node) buildCallers() error {
 	accepting, ok := n.listeners.callers.(*net.TCPListener)
 	if !ok {
 		return errors.New("node: the listener for callers is not TCP; correct listen.callers in the settings")
 	}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Post(wire.ServicesPath+"{service:string}/keys", n.serveKeys)
+	app.Post(wire.ServicesPath+"{service:string}/{operation:string}", n.serveCall)
+	app.OnAnyErrorCode(serveNoRoute)
+	if err := app.Build(); err != nil {
+		return errors.Wrap(err, "node: the routes for callers could not be built")
+	}
 	n.servers.accepting = &drainListener{TCPListener: accepting}
 	n.servers.callersEnded = make(chan struct{})
-	n.servers.callers = n.newServer(telemetry.PartEntry, n.politeClose(callers))
+	n.servers.calling = newConnections()
+	n.servers.callers = n.newServer(telemetry.PartEntry, n.politeClose(app))
 	n.servers.callers.ConnState = n.servers.calling.follow
-	n.servers.target = n.newServer(telemetry.PartEgress, n.targetHandler())
-	n.servers.operators = n.newServer(telemetry.PartOperators, operators)
 	return nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -12,7 +12,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -123,7 +122,7 @@
 	}
 	n.listeners = opened
 	if err := n.build(options); err != nil {
-		opened.close()
+		n.abandon()
 		return nil, err
 	}
 	n.runAll()
@@ -131,17 +130,54 @@
 	return n, nil
 }
 
-// build creates the parts of the node; nothing runs yet except the executor.
+// abandon ends what a failed start has begun.
+func (n *Node) abandon() {
+	n.stop()
+	n.listeners.close()
+	for _, e := range n.executors {
+		e.Stop()
+	}
+}
+
+// build creates the parts of the node; nothing runs yet except the executor,
+// which comes last of what can fail before it.
 func (n *Node) build(options Options) error {
-	start := time.Now()
 	incarnation := newIncarnation()
-	bodyBytes := int64(n.settings.GetBounds().GetBodyBytes())
 	if err := n.loadTrust(); err != nil {
 		return err
 	}
+	if err := n.buildObservation(options); err != nil {
+		return err
+	}
+	n.buildRouting(incarnation)
+	if err := n.buildControl(options, incarnation); err != nil {
+		return err
+	}
+	n.executors = []*executor.Executor{n.newExecutor(incarnation)}
+	n.buildCalls(incarnation)
+	return n.buildHTTP()
+}
+
+// buildObservation creates metrics, journal and burn counters.
+func (n *Node) buildObservation(options Options) error {
+	n.observer = observation.New(observation.Config{
+		Node:      n.settings.GetVm(),
+		Entries:   int(n.settings.GetBounds().GetJournalEntries()),
+		Objective: n.objective,
+	})
+	var err error
+	if n.metrics, err = metricsOf(options); err != nil {
+		return errors.Wrap(err, "node: the metrics could not be set up")
+	}
+	return n.exportMetrics()
+}
+
+// buildRouting creates what chooses targets and connects to their nodes.
+func (n *Node) buildRouting(incarnation uint64) {
+	start := time.Now()
 	n.pool = transport.NewPool(transport.ClientConfig{
 		TLS:          n.trust.client(),
-		MaxBodyBytes: bodyBytes,
+		MaxBodyBytes: n.bodyBytes(),
 		IdleTimeout:  peerIdleTimeout,
 	})
 	n.router = route.New(route.Config{
@@ -154,15 +190,11 @@
 	})
 	n.downstream = threshold.NewDownstream(start)
 	n.operations = threshold.NewOperations(n.downstream)
-	n.observer = observation.New(observation.Config{
-		Node:      n.settings.GetVm(),
-		Entries:   int(n.settings.GetBounds().GetJournalEntries()),
-		Objective: n.objective,
-	})
+}
+
+// buildControl creates the control task.
+func (n *Node) buildControl(options Options, incarnation uint64) error {
 	var err error
-	if n.metrics, err = metricsOf(options); err != nil {
-		return errors.Wrap(err, "node: the metrics could not be set up")
-	}
 	n.control, err = control.New(control.Config{
 		Self:      n.member(incarnation),
 		Log:       n.log,
@@ -173,10 +205,11 @@
 		OnEvicted: n.evicted,
 		Intervals: intervals(options),
 	})
-	if err != nil {
-		return errors.Wrap(err, "node: the control task could not be set up")
-	}
-	n.executors = []*executor.Executor{n.newExecutor(incarnation)}
+	return errors.Wrap(err, "node: the control task could not be set up")
+}
+
+// buildCalls creates what serves and makes calls.
+func (n *Node) buildCalls(incarnation uint64) {
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Self:       func() uint64 { return n.current().Incarnation() },
 		Router:     n.router,
@@ -194,20 +227,19 @@
 		FindRunning:  n.findRunning,
 		OwnService:   n.settings.GetService(),
 		Observe:      n.observeRoot,
-		MaxBodyBytes: bodyBytes,
+		MaxBodyBytes: n.bodyBytes(),
 	})
 	n.server = transport.NewServer(transport.ServerConfig{
 		Handler:        n,
 		TLS:            n.trust.server(tlsconfig.RoleNode),
-		MaxBodyBytes:   bodyBytes,
+		MaxBodyBytes:   n.bodyBytes(),
 		MaxConnections: int(n.settings.GetBounds().GetNodeConnections()),
 	})
-	if err := n.buildHTTP(); err != nil {
-		return err
-	}
-	return n.exportMetrics()
 }
 
+// bodyBytes bounds the body of one call.
+func (n *Node) bodyBytes() int64 { return int64(n.settings.GetBounds().GetBodyBytes()) }
+
 func metricsOf(options Options) (*telemetry.Metrics, error) {
 	if options.Metrics != nil {
 		return options.Metrics, nil
@@ -306,82 +338,6 @@
 	}
 }
 
-// followMembers passes changes of the member table to the router.
-func (n *Node) followMembers() {
-	known := make(map[string]bool)
-	for {
-		changed := n.control.Changes()
-		n.updateRoutes(known)
-		if n.joined.Load() && n.leavesByCatalogue() {
-			n.beginDrain()
-		}
-		select {
-		case <-changed:
-		case <-n.ctx.Done():
-			return
-		}
-	}
-}
-
-// updateRoutes gives the router the targets of each service. known holds the
-// services that the router has, so that vanished ones are removed.
-func (n *Node) updateRoutes(known map[string]bool) {
-	snapshot := n.control.Snapshot()
-	now := time.Now()
-	present := make(map[string]bool)
-	for _, service := range snapshot.Members.Services() {
-		present[service] = true
-		known[service] = true
-		n.router.Update(now, service, targetsOf(snapshot, service))
-		n.followDrains(now, snapshot, service)
-	}
-	for service := range known {
-		if !present[service] {
-			n.router.Update(now, service, nil)
-			delete(known, service)
-		}
-	}
-}
-
-func targetsOf(snapshot control.Snapshot, service string) []route.Target {
-	members := snapshot.Members.Service(service)
-	targets := make([]route.Target, 0, len(members))
-	for _, member := range members {
-		targets = append(targets, route.Target{
-			Incarnation: member.Incarnation,
-			VM:          member.VM,
-			Zone:        member.Zone,
-			Region:      member.Region,
-			Address:     member.Address,
-			Slots:       int(member.Slots),
-		})
-	}
-	return targets
-}
-
-// followDrains stops new work for the VMs that the catalogue wants to leave.
-// They stay known to the router, because their keys are still answered there.
-func (n *Node) followDrains(now time.Time, snapshot control.Snapshot, service string) {
-	entry, ok := snapshot.Catalogue.Service(service)
-	if !ok {
-		return
-	}
-	for _, member := range snapshot.Members.Service(service) {
-		if !entry.Draining(member.VM) {
-			continue
-		}
-		if endpoint := n.router.Find(member.Incarnation); endpoint != nil {
-			endpoint.Report(now, route.Report{Draining: true})
-		}
-	}
-}
-
-// leavesByCatalogue tells whether the catalogue wants the own target to leave.
-func (n *Node) leavesByCatalogue() bool {
-	entry, ok := n.control.Snapshot().Catalogue.Service(n.settings.GetService())
-	return ok && entry.Draining(n.settings.GetVm())
-}
-
 func (n *Node) keepHouse() {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
@@ -404,27 +360,6 @@
 	return snapshot.Catalogue
 }
 
-// holder returns the incarnation that holds the keys of one that has left.
-func (n *Node) holder(incarnation uint64) (uint64, bool) {
-	if successor, ok := n.successors.of(incarnation); ok {
-		return successor, true
-	}
-	member, ok := n.control.Snapshot().Members.Holder(incarnation)
-	if !ok {
-		return 0, false
-	}
-	return member.Incarnation, true
-}
-
-// takeReport uses what a peer says about its own gate.
-func (n *Node) takeReport(incarnation uint64, report *pb.GateReport) {
-	n.successors.note(incarnation, report.GetSuccessor())
-	if endpoint := n.router.Find(incarnation); endpoint != nil {
-		endpoint.Report(time.Now(), route.ReportFromProto(report))
-		n.observeReport(endpoint.Target(), report)
-	}
-}
-
 func (n *Node) current() *executor.Executor {
 	n.executorsMutex.Lock()
 	defer n.executorsMutex.Unlock()
@@ -455,54 +390,3 @@
 	}
 	return nil
 }
-
-// Addresses of the four listeners.
-
-// CallersAddress returns the address of the listener for callers.
-func (n *Node) CallersAddress() string { return n.listeners.callers.Addr().String() }
-
-// TargetAddress returns the address of the listener for the own target.
-func (n *Node) TargetAddress() string { return n.listeners.target.Addr().String() }
-
-// NodesAddress returns the address of the listener for other nodes.
-func (n *Node) NodesAddress() string { return n.listeners.nodes.Addr().String() }
-
-// OperatorsAddress returns the address of the listener for operators.
-func (n *Node) OperatorsAddress() string { return n.listeners.operators.Addr().String() }
-
-// listeners are the sockets that the node owns.
-type listeners struct {
-	callers   net.Listener
-	target    net.Listener
-	nodes     net.Listener
-	operators net.Listener
-}
-
-func openListeners(settings *pb.ListenSettings) (*listeners, error) {
-	opened := &listeners{}
-	for _, wanted := range []struct {
-		address string
-		into    *net.Listener
-	}{
-		{settings.GetCallers(), &opened.callers},
-		{settings.GetTarget(), &opened.target},
-		{settings.GetNodes(), &opened.nodes},
-		{settings.GetOperators(), &opened.operators},
-	} {
-		listener, err := net.Listen("tcp", wanted.address)
-		if err != nil {
-			opened.close()
-			return nil, errors.Wrapf(err, "node: cannot listen on %s; correct listen in the settings", wanted.address)
-		}
-		*wanted.into = listener
-	}
-	return opened, nil
-}
-
-func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.target, l.nodes, l.operators} {
-		if listener != nil {
-			_ = listener.Close()
-		}
-	}
-}
