Count the use of a peer when it is taken, so that idle closing cannot interfere

Cause: reading the pool again: a peer could be closed as idle between its look-up and its use, a flag was written under another lock than it was read under, and a cancellation could dial for half a second.

--- a/transport/client.go
+++ b/transport/client.go
@@ -96,7 +96,7 @@
 	defer p.mutex.Unlock()
 	open := 0
 	for _, peer := range p.peers {
-		if peer.connected() {
+		if peer.current() != nil {
 			open++
 		}
 	}
@@ -124,14 +124,17 @@
 }
 
 // cancel tells the node that the caller gave up; nobody waits for the answer.
+// Without an open connection there is nothing to cancel, because the node ends
+// the calls of a connection that is lost.
 func (p *Pool) cancel(address string, id *pb.CallId) {
-	peer := p.peer(address)
-	client, err := peer.open(context.Background())
-	if err != nil {
+	peer := p.acquire(address)
+	defer peer.release()
+	client := peer.current()
+	if client == nil {
 		return
 	}
 	out := &outgoing{message: &pb.CancelRequest{Id: id}}
-	client.Go(serviceName+".Cancel", out, &pb.CancelResponse{}, make(chan *rpc.Call, 1))
+	go client.Go(serviceName+".Cancel", out, &pb.CancelResponse{}, make(chan *rpc.Call, 1))
 }
 
 // Probe asks the node for its state.
@@ -174,9 +177,8 @@
 // and must not be read. The request is written by a goroutine of its own,
 // because a peer that does not read blocks the writer.
 func (p *Pool) invoke(ctx context.Context, address, method string, request, response proto.Message) error {
-	peer := p.peer(address)
-	peer.calls.Add(1)
-	defer peer.calls.Add(-1)
+	peer := p.acquire(address)
+	defer peer.release()
 	client, err := peer.open(ctx)
 	if err != nil {
 		return &Error{Kind: ErrNotSent, Address: address, Cause: err}
@@ -202,32 +204,36 @@
 	return &Error{Kind: ErrAnswerLost, Address: address, Cause: err}
 }
 
-func (p *Pool) peer(address string) *peer {
+// acquire returns the peer of an address; it is not closed as idle before its
+// release.
+func (p *Pool) acquire(address string) *peer {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	found, ok := p.peers[address]
 	if !ok {
-		found = &peer{address: address, config: p.config}
+		found = &peer{address: address, config: p.config, closed: p.closed}
 		p.peers[address] = found
 	}
 	found.lastUse = time.Now()
-	found.closed = p.closed
+	found.calls.Add(1)
 	return found
 }
 
 // peer is the connection to one address. Its mutex serialises dialling, so
-// that concurrent calls share one connection.
+// that concurrent calls share one connection. lastUse belongs to the pool.
 type peer struct {
 	address string
 	config  ClientConfig
 	lastUse time.Time
-	closed  bool
 	calls   atomic.Int64
 	mutex   sync.Mutex
+	closed  bool
 	client  *rpc.Client
 	codec   *watchedCodec
 }
 
+func (p *peer) release() { p.calls.Add(-1) }
+
 func (p *peer) open(ctx context.Context) (*rpc.Client, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -246,10 +252,14 @@
 	return p.client, nil
 }
 
-func (p *peer) connected() bool {
+// current returns the client of the open connection, or nil.
+func (p *peer) current() *rpc.Client {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.client != nil && !p.codec.broken()
+	if p.client == nil || p.codec.broken() {
+		return nil
+	}
+	return p.client
 }
 
 func (p *peer) close() {
