Say not run only if no attempt may have run, and ask again after a lost answer

An idempotent call whose first answer was lost and whose next attempt was refused was reported as not run; a call whose answer was lost was never tried again, because an absent answer counted as attempts used up by the services below.

--- /dev/null
+++ b/node/dispatch/dispatch_test.go
@@ -0,0 +1,138 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/core/retry"
+	"github.com/primrosemount/primrosemount/core/route"
+	"github.com/primrosemount/primrosemount/core/threshold"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/transport"
+)
+
+const (
+	selfIncarnation = 99
+	allowedRetries  = 5
+)
+
+// reply is what the fake node answers to one attempt.
+type reply func(request *pb.CallRequest) (*pb.CallResponse, error)
+
+// fakeRemote answers attempts in the order of its replies; the last one repeats.
+type fakeRemote struct {
+	replies  []reply
+	requests []*pb.CallRequest
+}
+
+func (f *fakeRemote) Call(_ context.Context, _ string, request *pb.CallRequest) (*pb.CallResponse, error) {
+	next := f.replies[min(len(f.requests), len(f.replies)-1)]
+	f.requests = append(f.requests, request)
+	return next(request)
+}
+
+// Serve implements Local; no test has a target beside the node.
+func (f *fakeRemote) Serve(context.Context, *pb.CallRequest, *pb.CallResponse) {
+	panic("a call was served locally")
+}
+
+func lost(*pb.CallRequest) (*pb.CallResponse, error) {
+	return nil, &transport.Error{Kind: transport.ErrAnswerLost, Cause: errors.New("cut")}
+}
+
+func notSent(*pb.CallRequest) (*pb.CallResponse, error) {
+	return nil, &transport.Error{Kind: transport.ErrNotSent, Cause: errors.New("refused")}
+}
+
+// told returns the answer of the gate that the call was sent to.
+func told(o outcome.Outcome, reason outcome.Reason) reply {
+	return func(request *pb.CallRequest) (*pb.CallResponse, error) {
+		return &pb.CallResponse{
+			Outcome:          o.Proto(),
+			Reason:           reason.Proto(),
+			Status:           200,
+			UnspentAllowance: request.GetContext().GetRetryAllowance(),
+			Gate:             &pb.GateReport{Incarnation: request.GetExecutor()},
+		}, nil
+	}
+}
+
+func call(replies []reply, idempotent bool, key string) (Result, *fakeRemote) {
+	start := time.Now()
+	remote := &fakeRemote{replies: replies}
+	router := route.New(route.Config{Self: selfIncarnation, Zone: "a", Region: "r", Start: start})
+	router.Update(start, "orders", []route.Target{
+		{Incarnation: 1, VM: "one", Zone: "a", Region: "r", Address: "one", Slots: 4},
+		{Incarnation: 2, VM: "two", Zone: "a", Region: "r", Address: "two", Slots: 4},
+	})
+	dispatcher := New(Config{
+		Self:       func() uint64 { return selfIncarnation },
+		Router:     router,
+		Downstream: threshold.NewDownstream(start),
+		Local:      remote,
+		Remote:     remote,
+		Successor:  func(uint64) (uint64, bool) { return 0, false },
+		Dead:       func(uint64) {},
+		Observe:    func(Attempt) {},
+	})
+	if key == "issue" {
+		key, _ = dispatcher.IssueKey("orders")
+	}
+	result := dispatcher.Do(context.Background(), &Request{
+		Context:    &pb.RequestContext{RootId: make([]byte, outcome.RootIDBytes), Class: pb.Class_CLASS_CRITICAL},
+		Service:    "orders",
+		Operation:  "book",
+		Key:        key,
+		Deadline:   time.Now().Add(2 * time.Second),
+		Idempotent: idempotent,
+		Allowance:  retry.NewAllowance(allowedRetries),
+	})
+	return result, remote
+}
+
+// Guards against "not run" for a call of which an earlier attempt may have run,
+// and against a second key while the first one is in doubt.
+func TestOutcomeOfSeveralAttempts(t *testing.T) {
+	refused := told(outcome.NotRun, outcome.Overloaded)
+	completed := told(outcome.Completed, 0)
+	for _, test := range []struct {
+		name       string
+		replies    []reply
+		idempotent bool
+		key        string
+		want       outcome.Outcome
+		// keys is the number of different keys that the attempts carried.
+		keys int
+	}{
+		{"idempotent: lost, then refused", []reply{lost, refused}, true, "", outcome.Unknown, 0},
+		{"idempotent: lost, then not sent", []reply{lost, notSent}, true, "", outcome.Unknown, 0},
+		{"idempotent: refused only", []reply{refused}, true, "", outcome.NotRun, 0},
+		{"idempotent: lost, then completed", []reply{lost, completed}, true, "", outcome.Completed, 0},
+		{"issued key: refused, then completed", []reply{refused, completed}, false, "", outcome.Completed, 2},
+		{"issued key: not sent, then completed", []reply{notSent, completed}, false, "", outcome.Completed, 2},
+		{"issued key: lost, then not sent", []reply{lost, notSent}, false, "", outcome.Unknown, 1},
+		{"issued key: lost, then completed", []reply{lost, completed}, false, "", outcome.Completed, 1},
+		{"issued key: lost, then another incarnation", []reply{lost, told(outcome.Unknown, outcome.ExecutorGone)}, false, "", outcome.Unknown, 1},
+		{"caller's key: not sent", []reply{notSent}, false, "issue", outcome.Unknown, 1},
+		{"caller's key: refused by the executor", []reply{refused}, false, "issue", outcome.NotRun, 1},
+		{"caller's key: lost, then refused by the executor", []reply{lost, refused}, false, "issue", outcome.NotRun, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			result, remote := call(test.replies, test.idempotent, test.key)
+			require.Equal(t, test.want, outcome.FromProto(result.Response.GetOutcome()))
+			require.LessOrEqual(t, len(remote.requests), 1+allowedRetries)
+			keys := make(map[string]bool)
+			for _, request := range remote.requests {
+				if request.GetKey() != "" {
+					keys[request.GetKey()] = true
+				}
+			}
+			require.Len(t, keys, test.keys)
+		})
+	}
+}
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -30,9 +30,12 @@
 	// doubtful tells that an attempt with the present key may have run, so that
 	// only its executor may answer for it.
 	doubtful bool
-	endpoint *route.Endpoint
-	tried    []uint64
-	attempts int
+	// mayHaveRun tells that an attempt without a key may have run. A refusal of a
+	// later attempt then proves nothing about the call.
+	mayHaveRun bool
+	endpoint   *route.Endpoint
+	tried      []uint64
+	attempts   int
 }
 
 // run makes attempts until one is final.
@@ -77,6 +80,9 @@
 }
 
 func (s *series) result(response *pb.CallResponse) Result {
+	if s.mayHaveRun && response.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN {
+		response.Outcome = pb.Outcome_OUTCOME_UNKNOWN
+	}
 	return Result{Response: response, Key: s.key, Attempts: s.attempts}
 }
 
@@ -210,6 +216,7 @@
 // earlier attempts with the same key.
 func (s *series) settleDoubt(response *pb.CallResponse) {
 	if s.key == "" {
+		s.mayHaveRun = s.mayHaveRun || response.GetOutcome() == pb.Outcome_OUTCOME_UNKNOWN
 		return
 	}
 	fromExecutor := response.GetGate() != nil && response.GetReason() != pb.Reason_REASON_EXECUTOR_GONE
@@ -236,6 +243,10 @@
 		return 0, err
 	}
 	sameKey := s.key != "" && err.Outcome == outcome.Unknown
+	if response.GetGate() == nil {
+		// Without an answer nothing is known of the attempts of services below.
+		granted = 0
+	}
 	failure := retry.Failure{
 		Err:        err,
 		Idempotent: s.request.Idempotent || sameKey,
