Tell peers that connect during a drain

Cause: under load TestLogOutage ended once with an unknown outcome. While the log is down the leave record holds the leaving node for 2 s; a control message that opens a connection in this time came after the push, so its sender knew nothing of the drain and lost its first call with the connection. Change: the node pushes its state to each peer whose message comes during the drain.

--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -146,11 +146,10 @@
 // defaultDrain applies while the catalogue is not known.
 const defaultDrain = 30 * time.Second
 
-// pushReport tells the nodes that may send calls that this one leaves. It does
-// not depend on the log. Nodes that it misses learn it from the next answer.
+// pushReport tells the nodes that may send calls that this one leaves, and its
+// successor once there is one. It does not depend on the log. Nodes that it
+// misses learn it from the next answer.
 func (n *Node) pushReport(ctx context.Context) {
-	report := n.gateReport(n.current(), "")
-	request := &pb.ProbeRequest{Sender: n.current().Incarnation(), SenderGate: report}
 	addresses := n.peerAddresses()
 	slots := make(chan struct{}, maxPushes)
 	var wait sync.WaitGroup
@@ -158,16 +157,23 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			ctx, cancel := context.WithTimeout(ctx, pushTimeout)
-			defer cancel()
-			// A peer that cannot be reached learns it from an answer.
-			_, _ = n.pool.Probe(ctx, address, request)
+			n.pushTo(ctx, address)
 		})
 	}
 	wait.Wait()
 	n.logger.Info("node: state pushed to peers", zap.Int("peers", len(addresses)))
 }
 
+// pushTo tells one node the state of the gate. A node that cannot be reached
+// learns it from an answer.
+func (n *Node) pushTo(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	current := n.current()
+	request := &pb.ProbeRequest{Sender: current.Incarnation(), SenderGate: n.gateReport(current, "")}
+	_, _ = n.pool.Probe(ctx, address, request)
+}
+
 // peerAddresses lists the nodes that called this one lately.
 func (n *Node) peerAddresses() []string {
 	members := n.control.Snapshot().Members
--- a/node/serve.go
+++ b/node/serve.go
@@ -172,6 +172,10 @@
 	// A node with an open connection may send its first call at any time, so it
 	// has to be told of a drain too.
 	n.senders.note(time.Now(), request.GetSender())
+	if n.draining.Load() {
+		// Its connection may be newer than the push at the start of the drain.
+		n.spawn(func() { n.pushTo(n.ctx, request.GetSenderAddress()) })
+	}
 	answer, err := n.control.HandleExchange(ctx, request)
 	if err != nil {
 		return err
