Convert between errors and responses in one place, and wait by one loop

The conversion of a typed error to a response stood three times (executor, dispatcher, RPC handler), the test for an answer without an error status three times, and the wait for a condition three times; they are now outcome.Response, outcome.ErrorOf, outcome.Succeeded and poll. A field of executor.Call that nothing read is gone.

--- /dev/null
+++ b/core/outcome/response.go
@@ -0,0 +1,44 @@
+package outcome
+
+import (
+	"net/http"
+	"time"
+
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// Response returns the error as the response to a call. The identifier, the
+// unspent allowance and the report of the gate are left to the caller.
+func (e *Error) Response() *pb.CallResponse {
+	return &pb.CallResponse{
+		Outcome:         e.Outcome.Proto(),
+		Reason:          e.Reason.Proto(),
+		Detail:          e.Detail,
+		RetryAfterNanos: int64(e.RetryAfter),
+	}
+}
+
+// ErrorOf returns the typed error in a response, or nil if the call was
+// completed.
+func ErrorOf(response *pb.CallResponse) *Error {
+	if response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED {
+		return nil
+	}
+	return &Error{
+		Outcome:    FromProto(response.GetOutcome()),
+		Reason:     Reason(response.GetReason()),
+		Detail:     response.GetDetail(),
+		RetryAfter: time.Duration(response.GetRetryAfterNanos()),
+	}
+}
+
+// IsErrorStatus reports whether the target answered with a status that stands
+// for a fault of its own.
+func IsErrorStatus(response *pb.CallResponse) bool {
+	return response.GetStatus() >= http.StatusInternalServerError
+}
+
+// Succeeded reports whether the call was completed without an error status.
+func Succeeded(response *pb.CallResponse) bool {
+	return response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED && !IsErrorStatus(response)
+}
--- a/node/connections.go
+++ b/node/connections.go
@@ -47,11 +47,5 @@
 func (c *connections) await(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, lingerTime)
 	defer cancel()
-	for c.count() > 0 {
-		if ctx.Err() != nil {
-			return false
-		}
-		sleep(ctx, idleCheckInterval)
-	}
-	return true
+	return poll(ctx, func() bool { return c.count() == 0 })
 }
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -142,14 +142,14 @@
 // cannot be asked, the outcome is unknown.
 func (d *Dispatcher) Refuse(ctx context.Context, request *Request, refusal *outcome.Error) Result {
 	if request.Key == "" {
-		return Result{Response: errorResponse(refusal)}
+		return Result{Response: refusal.Response()}
 	}
 	query := &series{dispatcher: d, request: request, key: request.Key, query: true}
 	response, settled := query.settle(ctx)
 	if settled && response.GetOutcome() != pb.Outcome_OUTCOME_NOT_RUN {
 		return Result{Response: response, Key: request.Key}
 	}
-	answer := errorResponse(refusal)
+	answer := refusal.Response()
 	if !settled {
 		answer.Outcome = pb.Outcome_OUTCOME_UNKNOWN
 	}
@@ -186,13 +186,10 @@
 	return threshold.Answer{
 		Level:     request.level(),
 		Threshold: outcome.Level(response.GetGate().GetOperationThreshold()),
-		Good:      response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED && response.GetStatus() < errorStatus,
+		Good:      outcome.Succeeded(response),
 	}
 }
 
-// errorStatus is the lowest HTTP status that reports a fault of the target.
-const errorStatus = 500
-
 // newKey returns a key of the executor.
 func newKey(service string, executor uint64) (string, *outcome.Error) {
 	var random [once.RandomBytes]byte
@@ -206,30 +203,6 @@
 	return key.String(), nil
 }
 
-// errorResponse returns the response for an error that this node found.
-func errorResponse(err *outcome.Error) *pb.CallResponse {
-	return &pb.CallResponse{
-		Outcome:         err.Outcome.Proto(),
-		Reason:          err.Reason.Proto(),
-		Detail:          err.Detail,
-		RetryAfterNanos: int64(err.RetryAfter),
-	}
-}
-
-// ResponseError returns the typed error of a response, or nil if the call was
-// completed.
-func ResponseError(response *pb.CallResponse) *outcome.Error {
-	if response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED {
-		return nil
-	}
-	return &outcome.Error{
-		Outcome:    outcome.FromProto(response.GetOutcome()),
-		Reason:     outcome.Reason(response.GetReason()),
-		Detail:     response.GetDetail(),
-		RetryAfter: time.Duration(response.GetRetryAfterNanos()),
-	}
-}
-
 // transportError returns the typed error of a call that got no response.
 func transportError(ctx context.Context, err error) *outcome.Error {
 	notSent := errors.Is(err, transport.ErrNotSent)
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -48,7 +48,7 @@
 		granted := call.Attempt(time.Now())
 		response := s.attempt(ctx, granted)
 		call.Answered(response.GetUnspentAllowance())
-		failure := ResponseError(response)
+		failure := outcome.ErrorOf(response)
 		if failure == nil {
 			return s.result(response)
 		}
@@ -76,7 +76,7 @@
 	if last != nil {
 		return last
 	}
-	return errorResponse(err)
+	return err.Response()
 }
 
 func (s *series) result(response *pb.CallResponse) Result {
@@ -157,7 +157,7 @@
 		Latency:     now.Sub(begun),
 		Outcome:     outcome.FromProto(response.GetOutcome()),
 		Reason:      outcome.Reason(response.GetReason()),
-		ErrorAnswer: response.GetStatus() >= errorStatus,
+		ErrorAnswer: outcome.IsErrorStatus(response),
 	})
 	s.dispatcher.config.Observe(Attempt{
 		Request:  s.request,
@@ -205,7 +205,7 @@
 	if failure.Reason == outcome.ConnectFailed {
 		config.Dead(target.Incarnation)
 	}
-	lost := errorResponse(failure)
+	lost := failure.Response()
 	if failure.Outcome == outcome.NotRun {
 		lost.UnspentAllowance = message.GetContext().GetRetryAllowance()
 	}
--- a/node/executor/call.go
+++ b/node/executor/call.go
@@ -16,8 +16,7 @@
 type Call struct {
 	Request *pb.CallRequest
 	// Number identifies the operation within its service.
-	Number     uint32
-	Idempotent bool
+	Number uint32
 	// Deadline is the time by which the sender needs the answer.
 	Deadline time.Time
 	// RunTime is the longest time that the operation may run at the target.
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -199,7 +199,8 @@
 	case <-ctx.Done():
 	}
 	if call.keyed() {
-		return failed(call, outcome.New(outcome.Unknown, outcome.InProgress, "the request still runs at the target"))
+		// The allowance counts as spent, because the calls below may still use it.
+		return outcome.New(outcome.Unknown, outcome.InProgress, "the request still runs at the target").Response()
 	}
 	running.cancel()
 	return <-done
@@ -219,7 +220,7 @@
 	}
 	response := resultResponse(&answer.result)
 	response.UnspentAllowance = running.Allowance.Close()
-	running.Dependencies.Finish(time.Now(), !good(response))
+	running.Dependencies.Finish(time.Now(), !outcome.Succeeded(response))
 	return response
 }
 
@@ -228,9 +229,9 @@
 	case result := <-wait:
 		return replay(call, &result)
 	case <-ctx.Done():
-		return failed(call, outcome.New(outcome.Unknown, outcome.InProgress, "an earlier attempt with this key still runs"))
+		return outcome.New(outcome.Unknown, outcome.InProgress, "an earlier attempt with this key still runs").Response()
 	case <-e.ctx.Done():
-		return failed(call, outcome.New(outcome.Unknown, outcome.ExecutorGone, "the node stops"))
+		return outcome.New(outcome.Unknown, outcome.ExecutorGone, "the node stops").Response()
 	}
 }
 
@@ -324,7 +325,7 @@
 // stopped answers a call that reached an executor after its end.
 func (e *Executor) stopped(call *Call) *pb.CallResponse {
 	if call.keyed() {
-		return failed(call, outcome.New(outcome.Unknown, outcome.ExecutorGone, "the executor of the key has stopped"))
+		return outcome.New(outcome.Unknown, outcome.ExecutorGone, "the executor of the key has stopped").Response()
 	}
 	return refusal(call, outcome.New(outcome.NotRun, outcome.Draining, "the node stops"))
 }
--- a/node/executor/response.go
+++ b/node/executor/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"net/http"
 
 	"go.uber.org/zap"
 
@@ -11,21 +10,10 @@
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
-// failed returns the response to a call that ended with an error. Its retry
-// allowance counts as spent, because calls below may still use it.
-func failed(_ *Call, err *outcome.Error) *pb.CallResponse {
-	return &pb.CallResponse{
-		Outcome:         err.Outcome.Proto(),
-		Reason:          err.Reason.Proto(),
-		Detail:          err.Detail,
-		RetryAfterNanos: int64(err.RetryAfter),
-	}
-}
-
 // refusal returns the response to a call of which nothing ran, so that its
 // whole allowance is unspent.
 func refusal(call *Call, err *outcome.Error) *pb.CallResponse {
-	response := failed(call, err)
+	response := err.Response()
 	response.UnspentAllowance = call.Request.GetContext().GetRetryAllowance()
 	return response
 }
@@ -67,9 +55,3 @@
 }
 
 func hexID(id []byte) string { return hex.EncodeToString(id) }
-
-// good reports whether the target answered without an error status.
-func good(response *pb.CallResponse) bool {
-	completed := response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED
-	return completed && response.GetStatus() < http.StatusInternalServerError
-}
--- a/node/httpapi/api.go
+++ b/node/httpapi/api.go
@@ -151,7 +151,7 @@
 		a.fail(w, omittedProblem(result.Response), request.Context.GetRootId())
 		return
 	}
-	err := dispatch.ResponseError(result.Response)
+	err := outcome.ErrorOf(result.Response)
 	if err == nil {
 		writeAnswer(w, result.Response)
 		return
--- a/node/lifecycle.go
+++ b/node/lifecycle.go
@@ -109,7 +109,7 @@
 	n.pushReport(ctx)
 	sleep(ctx, drainGrace)
 	leaving.Close()
-	idle := waitIdle(ctx, leaving)
+	idle := poll(ctx, func() bool { return leaving.State().InProgress == 0 })
 	if !idle {
 		n.reportCut(leaving)
 	}
@@ -195,10 +195,10 @@
 	}
 }
 
-// waitIdle waits until no call is in progress; it returns false if the context
-// ends first.
-func waitIdle(ctx context.Context, leaving *executor.Executor) bool {
-	for leaving.State().InProgress > 0 {
+// poll waits until the condition holds; it returns false if the context ends
+// first.
+func poll(ctx context.Context, condition func() bool) bool {
+	for !condition() {
 		if ctx.Err() != nil {
 			return false
 		}
@@ -312,24 +312,14 @@
 	var err error
 	if !n.draining.Swap(true) {
 		err = n.drain(ctx)
-	} else {
-		err = n.awaitDrained(ctx)
+	} else if !poll(ctx, n.drained.Load) {
+		err = ErrDrainCut
 	}
 	n.shutdownHTTP(ctx)
 	n.Close()
 	return err
 }
 
-func (n *Node) awaitDrained(ctx context.Context) error {
-	for !n.drained.Load() {
-		if ctx.Err() != nil {
-			return ErrDrainCut
-		}
-		sleep(ctx, idleCheckInterval)
-	}
-	return nil
-}
-
 // Close ends the node at once, as a crash does; calls in progress are cut.
 func (n *Node) Close() {
 	n.stop()
--- a/node/observe.go
+++ b/node/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -56,10 +55,7 @@
 
 // good tells whether a whole request meets the objective of its service.
 func (n *Node) good(o httpapi.Observation) bool {
-	if o.Response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED || o.Response.GetStatus() >= http.StatusInternalServerError {
-		return false
-	}
-	if o.Response.GetBodyOmitted() {
+	if !outcome.Succeeded(o.Response) || o.Response.GetBodyOmitted() {
 		return false
 	}
 	service, ok := n.control.Snapshot().Catalogue.Service(o.Service)
--- a/node/serve.go
+++ b/node/serve.go
@@ -49,10 +49,8 @@
 // refuse answers a call that did not reach an executor; its allowance is
 // unspent.
 func (n *Node) refuse(request *pb.CallRequest, response *pb.CallResponse, err *outcome.Error) {
+	fill(response, err.Response())
 	response.Id = request.GetId()
-	response.Outcome = err.Outcome.Proto()
-	response.Reason = err.Reason.Proto()
-	response.Detail = err.Detail
 	response.UnspentAllowance = request.GetContext().GetRetryAllowance()
 	response.Gate = n.gateReport(n.current(), request.GetOperation())
 	n.observeServed(request, response)
@@ -106,7 +104,6 @@
 	return &executor.Call{
 		Request:     request,
 		Number:      n.numbers.of(operation.Name),
-		Idempotent:  operation.Idempotent,
 		Deadline:    time.Now().Add(min(time.Duration(request.GetContext().GetRemainingNanos()), operation.Deadline)),
 		RunTime:     operation.Deadline,
 		Retention:   service.KeyRetention,
