Shed new work by level and let calls of begun work pass; prefer the own zone

Change: a call inherits level and trial mark from its parent, found by the hierarchical id among the running requests; begun work queues ahead of new work of its class and is not shed by the threshold; the entry refuses by what the calls of an operation admit; routing takes the own zone while it has room; one slot in 13 stays free.

--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,82 @@
+package roster_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/primrosemount/primrosemount/core/roster"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+func member(vm string, incarnation, revision uint64) *pb.RelayMember {
+	return &pb.RelayMember{Vm: vm, Address: vm + ":1", Service: "s", TargetId: "t", Incarnation: incarnation, Revision: revision}
+}
+
+func TestNewestAnnouncementCounts(t *testing.T) {
+	r := roster.New()
+	require.True(t, r.Merge(member("a", 2, 1)))
+	require.False(t, r.Merge(member("a", 1, 9)), "an earlier incarnation")
+	require.False(t, r.Merge(member("a", 2, 1)), "the same announcement")
+	require.True(t, r.Merge(member("a", 2, 2)))
+	require.False(t, r.Merge(&pb.RelayMember{Vm: "b"}), "no address")
+	require.Equal(t, 1, r.Len())
+}
+
+func TestLeavingMembersGetNoWork(t *testing.T) {
+	r := roster.New()
+	leaving := member("a", 1, 1)
+	leaving.Draining = true
+	idle := member("b", 1, 1)
+	idle.TargetId = ""
+	r.Merge(leaving)
+	r.Merge(idle)
+	r.Merge(member("c", 1, 1))
+	services := r.ByService()
+	require.Len(t, services["s"], 1)
+	require.Equal(t, "c", services["s"][0].GetVm())
+}
+
+func TestRemoveKeepsALaterLife(t *testing.T) {
+	r := roster.New()
+	r.Merge(member("a", 5, 1))
+	require.False(t, r.Remove("a", 4))
+	require.True(t, r.Remove("a", 5))
+	require.False(t, r.Remove("a", 5))
+}
+
+// Guards against views that depend on the order in which announcements arrive.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 30).Draw(t, "count")
+		members := make([]*pb.RelayMember, 0, count)
+		for range count {
+			vm := strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "vm"))
+			members = append(members, member(vm, rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint64Range(1, 3).Draw(t, "revision")))
+		}
+		one, other := roster.New(), roster.New()
+		for _, m := range members {
+			one.Merge(m)
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		rand.New(rand.NewPCG(seed, 1)).Shuffle(count, func(i, j int) { members[i], members[j] = members[j], members[i] })
+		for _, m := range append(members, members...) {
+			other.Merge(m)
+		}
+		require.Equal(t, one.Digest(), other.Digest())
+		require.Equal(t, one.Len(), other.Len())
+	})
+}
+
+func TestRecordsRoundTrip(t *testing.T) {
+	data, err := roster.Encode(member("a", 3, 4))
+	require.NoError(t, err)
+	decoded, err := roster.Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, uint64(3), decoded.GetIncarnation())
+	_, err = roster.Decode([]byte{0xff})
+	require.Error(t, err)
+}
--- a/core/route/counters.go
+++ b/core/route/counters.go
@@ -220,7 +220,7 @@
 	if limit <= 0 {
 		return
 	}
-	share := min(max(1000*inFlight/limit, 0), 1000)
+	share := min(max(1000*inFlight/limit, 0), maxReported)
 	c.hint.store(at, uint16(share))
 }
 
@@ -229,7 +229,7 @@
 	if at-reported > int64(hintLife) {
 		return 1
 	}
-	return 1 + HintWeight*float64(share)/1000
+	return 1 + HintWeight*float64(min(share, 1000))/1000
 }
 
 // admits tells whether the gate is believed to admit the level.
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -55,10 +55,14 @@
 		panic:   s.panic.Load(),
 	}
 	v := s.view.Load()
-	if r.config.Policy != TwoChoices {
+	switch r.config.Policy {
+	case TwoChoices:
+		return v.result(q, s.twoChoices(v, q))
+	case NearestRoom:
+		return v.result(q, s.nearestRoom(v, q))
+	default:
 		return v.result(q, s.baseline(r.config.Policy, v, q))
 	}
-	return v.result(q, s.twoChoices(v, q))
 }
 
 // result turns a missing endpoint into an error.
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -3,18 +3,21 @@
 // Policy is the choice among the candidates of a service.
 type Policy uint8
 
-// Policies. All but TwoChoices are baselines for comparison: they avoid
-// draining and down targets and know neither ejection nor thresholds nor zones.
+// Policies. TwoChoices compares latency and load of few targets; NearestRoom
+// keeps calls in the own zone while it has room. The others are baselines for
+// comparison: they avoid draining and down targets and know neither ejection nor
+// thresholds nor zones.
 const (
 	TwoChoices Policy = iota
 	RoundRobin
 	Random
 	LeastConnections
+	NearestRoom
 )
 
 // String returns the name used in experiments.
 func (p Policy) String() string {
-	return [...]string{"two_choices", "round_robin", "random", "least_connections"}[p]
+	return [...]string{"two_choices", "round_robin", "random", "least_connections", "nearest_room"}[p]
 }
 
 // baseline returns the choice of a baseline policy; nil if no target is left.
--- a/core/threshold/operations.go
+++ b/core/threshold/operations.go
@@ -1,6 +1,7 @@
 package threshold
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 	// essentialEvidence is the number of failed requests needed before a call
 	// counts; one alone may be a coincidence.
 	essentialEvidence = 2
+	// usedEvidence is the number of requests that made a call from which on it
+	// counts as needed while nothing is known about refusals.
+	usedEvidence = 4
 	// evidenceDecay multiplies the evidence with each new request, so that about
 	// the latest 20 requests count.
 	evidenceDecay = 0.95
@@ -36,7 +40,9 @@
 type evidence struct {
 	failed   float64
 	survived float64
-	latest   time.Time
+	// used counts requests that made the call, whatever became of it.
+	used   float64
+	latest time.Time
 }
 
 // NewOperations returns an empty table over the learned thresholds of the calls.
@@ -75,9 +81,14 @@
 }
 
 func (e *evidence) essential(now time.Time) bool {
-	if now.Sub(e.latest) > evidenceLife || e.failed < essentialEvidence*evidenceDecay {
+	if now.Sub(e.latest) > evidenceLife {
 		return false
 	}
+	if e.failed < essentialEvidence*evidenceDecay {
+		// A call that is always made counts as needed until a request survives
+		// its refusal; waiting for failures would cost the first ones.
+		return e.used >= usedEvidence && e.survived == 0
+	}
 	return e.failed >= essentialShare*(e.failed+e.survived)
 }
 
@@ -88,6 +99,7 @@
 	// refused holds the calls that were refused because of their level, in the
 	// order of the refusals. It is guarded by the lock of operations.
 	refused []Dependency
+	called  []Dependency
 }
 
 // Start begins a request. Requests that are not finished leave nothing behind.
@@ -103,6 +115,15 @@
 	r.refused = append(r.refused, called)
 }
 
+// Called notes that the request made a call.
+func (r *Run) Called(called Dependency) {
+	r.operations.mu.Lock()
+	defer r.operations.mu.Unlock()
+	if !slices.Contains(r.called, called) {
+		r.called = append(r.called, called)
+	}
+}
+
 // Finish ends the request. It failed if its answer has an error status or is
 // missing. After a failure only the latest refusal is blamed, because the request
 // went on after the earlier ones; with several refusals it counts for less, since
@@ -112,6 +133,13 @@
 	defer r.operations.mu.Unlock()
 	refused := r.refused
 	r.refused = nil
+	for _, called := range r.called {
+		if e := r.operations.evidence(now, r.operation, called); e != nil {
+			e.used = e.used*evidenceDecay + 1
+			e.latest = now
+		}
+	}
+	r.called = nil
 	if len(refused) == 0 {
 		return
 	}
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/retry"
@@ -33,6 +34,9 @@
 	deadline time.Time
 	started  time.Time
 	trial    bool
+	// parent is the request for which the target makes this call; nil for a
+	// request of a client.
+	parent *callgraph.Parent
 }
 
 func (o *outgoing) dependency() threshold.Dependency {
@@ -57,19 +61,33 @@
 // dispatch sends a request to one target after another until one answers or
 // nothing more may be tried.
 func (d *dispatcher) dispatch(ctx context.Context, o *outgoing) *pb.ForwardResponse {
-	if refused := d.downstream.Admit(o.started, o.dependency(), o.level, o.trial); refused != nil {
+	if o.parent != nil {
+		o.parent.Run.Called(o.dependency())
+	} else if refused := d.downstream.Admit(o.started, o.dependency(), o.level, o.trial); refused != nil {
 		d.events.entryRefused(o, refused.Reason, d.downstream.Threshold(o.started, o.dependency()))
 		return notRun(refused.Reason, 0)
 	}
 	budget := d.budgets.of(o.message.GetService())
 	budget.First()
 	response := d.attempts(ctx, o, budget)
-	d.downstream.Observe(time.Now(), o.dependency(), threshold.Answer{
-		Level:     o.level,
+	d.observe(o, response)
+	return response
+}
+
+// observe learns from the final answer what the called operation admits. The
+// level of calls and trials says nothing, because they pass thresholds.
+func (d *dispatcher) observe(o *outgoing, response *pb.ForwardResponse) {
+	answer := threshold.Answer{
 		Threshold: outcome.Level(response.GetGate().GetOperationThreshold()),
 		Good:      response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED && response.GetStatus() < 500,
-	})
-	return response
+	}
+	if o.parent == nil && !o.trial {
+		answer.Level = o.level
+	}
+	d.downstream.Observe(time.Now(), o.dependency(), answer)
+	if o.parent != nil && !answer.Good && response.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN {
+		o.parent.Run.Refused(o.dependency())
+	}
 }
 
 func (d *dispatcher) attempts(ctx context.Context, o *outgoing, budget *retry.ShareBudget) *pb.ForwardResponse {
@@ -158,6 +176,7 @@
 		ConfigVersion:  m.GetConfigVersion(),
 		SenderAddress:  d.self(),
 		Trial:          o.trial,
+		Begun:          o.parent != nil,
 	}
 }
 
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/threshold"
@@ -33,6 +33,7 @@
 	wire       Wire
 	config     *configuration
 	dispatcher *dispatcher
+	graph      *callgraph.Graph
 	origin     func() string
 	metrics    *telemetry.Metrics
 	events     *eventLog
@@ -90,13 +91,16 @@
 	if envelope.Remaining > 0 && (wait <= 0 || envelope.Remaining < wait) {
 		wait = envelope.Remaining
 	}
-	cohort := xxhash.Sum64String(envelope.AttemptID)
 	o := &outgoing{
 		route:    found,
-		level:    outcome.LevelOf(found.Class(), uint32(cohort)),
 		started:  started,
 		deadline: started.Add(wait),
-		trial:    threshold.IsTrial([]byte(envelope.AttemptID)),
+	}
+	if parent, ok := e.graph.Find(envelope.AttemptID); ok {
+		o.parent, o.level, o.trial = &parent, parent.Level, parent.Trial
+	} else {
+		o.level = outcome.LevelOf(found.Class(), uint32(xxhash.Sum64String(envelope.AttemptID)))
+		o.trial = threshold.IsTrial([]byte(envelope.AttemptID))
 	}
 	o.message = &pb.ForwardRequest{
 		Service:       found.Choose(envelope.AttemptID),
@@ -237,12 +241,3 @@
 		return http.StatusBadGateway
 	}
 }
-
-// hostOf returns the address without its port.
-func hostOf(address string) string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return host
-}
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/gate"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/threshold"
@@ -20,6 +21,7 @@
 	gate       *gateTask
 	targets    *targetClient
 	operations *threshold.Operations
+	graph      *callgraph.Graph
 	address    func() string
 	config     *configuration
 	cancels    *cancels.Calls
@@ -63,6 +65,7 @@
 		Level:     outcome.Level(request.GetLevel()),
 		Deadline:  deadline,
 		Operation: operation,
+		Begun:     request.GetBegun(),
 	})
 	switch {
 	case !ok:
@@ -77,7 +80,13 @@
 // run sends an admitted request to the target.
 func (r *receiver) run(ctx context.Context, request *pb.ForwardRequest, response *pb.ForwardResponse, deadline time.Time, admitted admission) {
 	started := time.Now()
+	run := r.operations.Start(request.GetRoute())
+	r.graph.Start(request.GetAttemptId(), callgraph.Parent{
+		Route: request.GetRoute(), Level: outcome.Level(request.GetLevel()), Trial: request.GetTrial(), Run: run,
+	})
 	result := r.targets.send(ctx, r.address(), admitted.targetID, request, deadline)
+	r.graph.End(request.GetAttemptId())
+	run.Finish(time.Now(), result.outcome != outcome.Completed || result.status >= 500)
 	r.gate.done(admitted.id, gate.Sample{
 		Operation: operationNumber(request.GetRoute()),
 		Latency:   time.Since(started),
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -16,6 +16,8 @@
 	gateEvents = 256
 	// downFor is the time without sends after the target refused a connection.
 	downFor = 300 * time.Millisecond
+	// slotReserve is the part of the slots, as a divisor, that is left free.
+	slotReserve = 13
 	// defaultSlots holds until the target has told its slots.
 	defaultSlots = 1
 )
@@ -265,11 +267,17 @@
 // applyState passes the state of the target on to the gate.
 func (t *gateTask) applyState(time.Time) {
 	current := t.state.Current()
-	t.gate.SetCapacity(max(current.Slots, defaultSlots), 0)
+	t.gate.SetCapacity(usableSlots(current.Slots), 0)
 	t.gate.SetDraining(t.state.Leaving() || t.stopping)
 	t.gate.SetDown(!t.state.Serving() && !t.state.Leaving() || !t.downTill.IsZero())
 }
 
+// usableSlots leaves some slots free: targets slow down when they are nearly
+// full, and a health check or a new connection holds a slot for a moment.
+func usableSlots(slots int) int {
+	return max(slots-slots/slotReserve, defaultSlots)
+}
+
 func (t *gateTask) notify() {
 	t.publish()
 	t.changed(*t.view.Load())
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -28,6 +28,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/route"
 	"github.com/primrosemount/primrosemount/core/targetstate"
@@ -140,8 +141,9 @@
 	events := newEventLog(o.Logger)
 	start := time.Now()
 	incarnation := uint64(start.UnixNano())
-	router := route.New(route.Config{Self: incarnation, Zone: o.Zone, Region: o.Region, Seed: incarnation, Start: start})
+	router := route.New(route.Config{Self: incarnation, Zone: o.Zone, Region: o.Region, Seed: incarnation, Start: start, Policy: route.NearestRoom})
 	downstream := threshold.NewDownstream(start)
+	graph := callgraph.New()
 	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.PeerAddress, Service: o.Service, Incarnation: incarnation}
 	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.MemoryBytes / 8, IdleTimeout: peerIdle})
 	r.config = &configuration{decode: o.Decode, logger: telemetry.Named(o.Logger, telemetry.PartControl)}
@@ -153,6 +155,7 @@
 		gate:       r.gate,
 		targets:    r.targets,
 		operations: threshold.NewOperations(downstream),
+		graph:      graph,
 		address:    func() string { return r.target.Load().address },
 		config:     r.config,
 		cancels:    cancels.New(),
@@ -177,6 +180,7 @@
 		wire:        o.Wire,
 		config:      r.config,
 		dispatcher:  dispatch,
+		graph:       graph,
 		origin:      func() string { return r.target.Load().service },
 		metrics:     o.Metrics,
 		events:      events,
