--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -111,6 +111,8 @@
 	peers    *transport.Server
 	server   *http.Server
 	metrics  *http.Server
+	// peerListener is closed by close; the peer server closes connections only.
+	peerListener net.Listener
 	target   atomic.Pointer[targetPlace]
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -208,6 +210,7 @@
 		ErrorLog:                     zap.NewStdLog(telemetry.Named(r.options.Logger, telemetry.PartEntry)),
 	}
 	r.peers = transport.NewServer(transport.ServerConfig{Relay: r.receiver, MaxBodyBytes: r.options.MemoryBytes / 8, MaxConnections: maxPeers})
+	r.peerListener = peerListener
 	r.serve("entry", func() error { return r.server.Serve(entryListener) })
 	r.serve("peers", func() error { return r.peers.Serve(peerListener) })
 	return r.listenMetrics(ctx)
@@ -309,6 +312,7 @@
 	if r.metrics != nil {
 		_ = r.metrics.Close()
 	}
+	_ = r.peerListener.Close()
 	r.peers.Close()
 	r.cancel()
 	r.pool.Close()
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -12,6 +13,13 @@
 const (
 	// pendingLines is the number of lines that wait for a slow output.
 	pendingLines = 4096
+	// Of the lines with the same message, the first eventBurst in eventPeriod are
+	// written and then one in eventShare.
+	eventPeriod = time.Second
+	eventBurst  = 50
+	eventShare  = 50
+	// stopWait bounds the wait for an output that blocks.
+	stopWait = 200 * time.Millisecond
 	// writeBytes is the size up to which waiting lines go into one write.
 	writeBytes = 64 << 10
 )
@@ -26,7 +34,8 @@
 	}
 	writer := newAsyncWriter(output, suppressed)
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(eventEncoding()), writer, zapcore.InfoLevel)
-	return zap.New(limitRepeats(core, suppressed)), writer.stop, nil
+	limited := limitRepeats(core, repeatBound{eventPeriod, eventBurst, eventShare}, suppressed)
+	return zap.New(limited), writer.stop, nil
 }
 
 func eventEncoding() zapcore.EncoderConfig {
@@ -105,5 +114,8 @@
 	w.closed = true
 	close(w.lines)
 	w.mu.Unlock()
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(stopWait):
+	}
 }
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -63,16 +63,24 @@
 		option(&config)
 	}
 	core := zapcore.NewCore(zapcore.NewConsoleEncoder(encoding()), config.output, parsed)
-	return zap.New(limitRepeats(core, config.suppressed)), nil
+	return zap.New(limitRepeats(core, repeatBound{linePeriod, lineBurst, lineShare}, config.suppressed)), nil
 }
 
-func limitRepeats(core zapcore.Core, suppressed func()) zapcore.Core {
+// repeatBound bounds lines with the same level and message: the first burst in
+// a period are written and then one in share.
+type repeatBound struct {
+	period time.Duration
+	burst  int
+	share  int
+}
+
+func limitRepeats(core zapcore.Core, bound repeatBound, suppressed func()) zapcore.Core {
 	hook := func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
 		if decision&zapcore.LogDropped != 0 {
 			suppressed()
 		}
 	}
-	return zapcore.NewSamplerWithOptions(core, linePeriod, lineBurst, lineShare, zapcore.SamplerHook(hook))
+	return zapcore.NewSamplerWithOptions(core, bound.period, bound.burst, bound.share, zapcore.SamplerHook(hook))
 }
 
 func encoding() zapcore.EncoderConfig {
