--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -113,10 +113,10 @@
 	metrics  *http.Server
 	// peerListener is closed by close; the peer server closes connections only.
 	peerListener net.Listener
-	target   atomic.Pointer[targetPlace]
-	stopping atomic.Bool
-	cancel   context.CancelFunc
-	tasks    sync.WaitGroup
+	target       atomic.Pointer[targetPlace]
+	stopping     atomic.Bool
+	cancel       context.CancelFunc
+	tasks        sync.WaitGroup
 }
 
 // targetPlace is where the target is and what it serves.
