Use one client for the platform's store

The earlier HTTP interface of the log service and its client are gone: the node of the product's own interface now reads and appends through platform.Store, and the stand-in serves the store's interface, with topics that keep the newest record of each key.

--- /dev/null
+++ b/internal/standin/logservice/http.go
@@ -0,0 +1,133 @@
+package logservice
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/primrosemount/primrosemount/streamlog"
+)
+
+const (
+	// maxCallBytes bounds the records of one append.
+	maxCallBytes = 8 << 20
+	// lengthBytes is the size of the length before each record.
+	lengthBytes = 4
+	// maxRecords is the number of records in one answer.
+	maxRecords = 10000
+)
+
+// Handler serves the store's HTTP interface, which platform.Store uses.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/log-append", s.serveAppend)
+	mux.HandleFunc("GET /v1/log-read", s.serveRead)
+	mux.HandleFunc("GET /v1/log-newest", s.serveNewest)
+	return mux
+}
+
+func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	if err != nil || len(body) < lengthBytes || int(binary.BigEndian.Uint32(body)) != len(body)-lengthBytes {
+		http.Error(w, "the body is not one whole record", http.StatusBadRequest)
+		return
+	}
+	offset, err := s.Append(r.Context(), r.URL.Query().Get("topic"), body[lengthBytes:])
+	switch {
+	case errors.Is(err, streamlog.ErrRefused):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	default:
+		writeJSON(w, http.StatusOK, map[string]uint64{"offset": offset, "end": offset + 1})
+	}
+}
+
+func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from must be a number", http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	batch, err := s.readWaiting(r.Context(), query.Get("topic"), from, time.Duration(wait)*time.Millisecond)
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case from < batch.Earliest:
+		writeJSON(w, http.StatusGone, map[string]uint64{"first": batch.Earliest})
+	default:
+		writeBatch(w, batch)
+	}
+}
+
+// readWaiting reads, and waits for a record if there is none yet.
+func (s *Service) readWaiting(ctx context.Context, topic string, from uint64, wait time.Duration) (streamlog.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		grown := s.grown
+		s.mutex.Unlock()
+		batch, err := s.Read(ctx, topic, from, maxRecords)
+		if err != nil || batch.Next > from {
+			return batch, err
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return batch, ctx.Err()
+		}
+	}
+}
+
+func writeBatch(w http.ResponseWriter, batch streamlog.Batch) {
+	body := binary.BigEndian.AppendUint64(nil, batch.Next)
+	body = binary.BigEndian.AppendUint64(body, batch.Earliest)
+	for _, record := range batch.Records {
+		body = binary.BigEndian.AppendUint32(body, uint32(len(record.Data)))
+		body = append(body, record.Data...)
+	}
+	_, _ = w.Write(body)
+}
+
+// newestItem is one row of the answer to log-newest.
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset uint64 `json:"offset"`
+}
+
+func (s *Service) serveNewest(w http.ResponseWriter, r *http.Request) {
+	if _, err := s.begin(r.Context()); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	s.mutex.Lock()
+	st := s.stream(r.URL.Query().Get("topic"))
+	items := make([]newestItem, 0, len(st.newest))
+	for key, record := range st.newest {
+		items = append(items, newestItem{Key: key, Value: base64.StdEncoding.EncodeToString(record.value), Offset: record.offset})
+	}
+	end := st.first + uint64(len(st.records))
+	s.mutex.Unlock()
+	slices.SortFunc(items, func(a, b newestItem) int { return int(a.Offset) - int(b.Offset) })
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "end": end})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -1,14 +1,12 @@
-// Package logservice is a small stand-in for the platform's log service:
-// append-only streams with offsets, limited retention, a rate limit, outages,
-// slow answers, and answers that are lost after the append took effect.
+// Package logservice is a small stand-in for the platform's store: append-only
+// streams with offsets, topics that keep the newest record of each key, limited
+// retention, a rate limit, outages, slow answers, and answers that are lost
+// after the append took effect.
 package logservice
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
-	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +16,9 @@
 	"github.com/primrosemount/primrosemount/streamlog"
 )
 
+// keyedPrefix begins the names of topics that keep the newest record of each key.
+const keyedPrefix = "keyed."
+
 // Config configures a Service.
 type Config struct {
 	// Retain is the number of records kept per stream; 0 keeps all.
@@ -45,11 +46,35 @@
 	streams map[string]*stream
 	faults  Faults
 	appends uint64
+	// grown is closed and replaced with each append.
+	grown chan struct{}
 }
 
 type stream struct {
 	first   uint64
 	records [][]byte
+	// newest holds the latest record of each key of a keyed topic.
+	newest map[string]keyedRecord
+}
+
+// keyedRecord is a record of a keyed topic with its offset.
+type keyedRecord struct {
+	value  []byte
+	offset uint64
+}
+
+// remember keeps the record of a keyed topic as the newest of its key.
+func (s *stream) remember(data []byte) {
+	if s.newest == nil || len(data) == 0 || int(data[0]) > len(data)-1 {
+		return
+	}
+	key := string(data[1 : 1+int(data[0])])
+	value := data[1+len(key):]
+	if len(value) == 0 {
+		delete(s.newest, key)
+		return
+	}
+	s.newest[key] = keyedRecord{value: append([]byte(nil), value...), offset: s.first + uint64(len(s.records)) - 1}
 }
 
 var _ streamlog.Log = (*Service)(nil)
@@ -61,7 +86,7 @@
 		limit = rate.Limit(config.AppendsPerSecond)
 	}
 	burst := int(config.AppendsPerSecond) + 1
-	return &Service{config: config, limiter: rate.NewLimiter(limit, burst), streams: make(map[string]*stream)}
+	return &Service{config: config, limiter: rate.NewLimiter(limit, burst), streams: make(map[string]*stream), grown: make(chan struct{})}
 }
 
 // SetFaults replaces the present faults.
@@ -99,7 +124,10 @@
 	defer s.mutex.Unlock()
 	st := s.stream(name)
 	st.records = append(st.records, append([]byte(nil), data...))
+	st.remember(data)
 	s.appends++
+	close(s.grown)
+	s.grown = make(chan struct{})
 	offset := st.first + uint64(len(st.records)) - 1
 	if excess := len(st.records) - s.config.Retain; s.config.Retain > 0 && excess > 0 {
 		st.records = st.records[excess:]
@@ -150,59 +178,10 @@
 	found, ok := s.streams[name]
 	if !ok {
 		found = &stream{}
+		if strings.HasPrefix(name, keyedPrefix) {
+			found.newest = make(map[string]keyedRecord)
+		}
 		s.streams[name] = found
 	}
 	return found
 }
-
-// maxRecordBytes bounds one record.
-const maxRecordBytes = 8 << 20
-
-// Handler serves the HTTP interface that streamlog.HTTPLog uses.
-func (s *Service) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /streams/{stream}/records", s.serveAppend)
-	mux.HandleFunc("GET /streams/{stream}/records", s.serveRead)
-	return mux
-}
-
-func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
-	if err != nil {
-		http.Error(w, "the record is too large or was cut; send it again", http.StatusBadRequest)
-		return
-	}
-	offset, err := s.Append(r.Context(), r.PathValue("stream"), data)
-	switch {
-	case errors.Is(err, streamlog.ErrRefused):
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	case err != nil:
-		panic(http.ErrAbortHandler)
-	default:
-		writeJSON(w, streamlog.AppendAnswer{Offset: offset})
-	}
-}
-
-func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
-	from, errFrom := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
-	limit, errLimit := strconv.Atoi(r.URL.Query().Get("limit"))
-	if errFrom != nil || errLimit != nil || limit < 1 {
-		http.Error(w, "from and limit must be numbers; limit at least 1", http.StatusBadRequest)
-		return
-	}
-	batch, err := s.Read(r.Context(), r.PathValue("stream"), from, limit)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	answer := streamlog.ReadAnswer{Earliest: batch.Earliest, Next: batch.Next}
-	for _, record := range batch.Records {
-		answer.Records = append(answer.Records, streamlog.ReadElement(record))
-	}
-	writeJSON(w, answer)
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/internal/standin/logservice/logservice_test.go
+++ b/internal/standin/logservice/logservice_test.go
@@ -8,17 +8,18 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosemount/primrosemount/platform"
 	"github.com/primrosemount/primrosemount/streamlog"
 )
 
-func newClient(t *testing.T, service *Service) *streamlog.HTTPLog {
+func newClient(t *testing.T, service *Service) *platform.Log {
 	server := httptest.NewServer(service.Handler())
-	log := streamlog.NewHTTPLog(server.URL, time.Second)
+	store := platform.NewStore(server.URL)
 	t.Cleanup(func() {
-		log.Close()
+		store.Close()
 		server.Close()
 	})
-	return log
+	return store.Log(time.Second)
 }
 
 // Guards against retention that renumbers offsets.
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/primrosemount/primrosemount/node/executor"
 	"github.com/primrosemount/primrosemount/node/httpapi"
 	"github.com/primrosemount/primrosemount/node/observation"
+	"github.com/primrosemount/primrosemount/platform"
 	"github.com/primrosemount/primrosemount/streamlog"
 	"github.com/primrosemount/primrosemount/telemetry"
 	"github.com/primrosemount/primrosemount/transport"
@@ -114,7 +115,7 @@
 	}
 	if n.log == nil {
 		settings := options.Settings.GetLog()
-		n.log = streamlog.NewHTTPLog(settings.GetUrl(), settings.GetTimeout().AsDuration())
+		n.log = platform.NewStore(settings.GetUrl()).Log(settings.GetTimeout().AsDuration())
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	opened, err := openListeners(options.Settings.GetListen())
--- a/streamlog/log.go
+++ b/streamlog/log.go
@@ -1,5 +1,4 @@
-// Package streamlog holds the interface to an append-only log service with
-// offsets and the client of its HTTP interface.
+// Package streamlog holds the interface to an append-only log with offsets.
 package streamlog
 
 import (
