--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -185,3 +185,14 @@
 	}
 	return found
 }
+
+// Newest returns the newest value of each key of a keyed topic.
+func (s *Service) Newest(topic string) map[string][]byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	values := make(map[string][]byte)
+	for key, record := range s.stream(topic).newest {
+		values[key] = record.value
+	}
+	return values
+}
--- /dev/null
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -0,0 +1,222 @@
+// Package plaintarget is a stand-in for a target on the users' platform: it
+// serves plain HTTP with the platform's headers, counts what it ran, and can
+// refuse, lose, spoil and delay answers.
+package plaintarget
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Fault is what the target does with a request.
+type Fault uint8
+
+// Faults of one request.
+const (
+	// None answers properly.
+	None Fault = iota
+	// Refuse answers that the request was not run.
+	Refuse
+	// LoseAnswer runs the request and closes the connection.
+	LoseAnswer
+	// Truncate runs the request and closes the connection within the body.
+	Truncate
+	// Unsealed answers with success but without the seal.
+	Unsealed
+	// Extra sends a second answer after the first.
+	Extra
+	// Fail runs the request and answers with an error of its own.
+	Fail
+	// ResetUnframed sends an answer without a length and resets the connection.
+	ResetUnframed
+)
+
+// Run is one request that the target worked on.
+type Run struct {
+	AttemptID string
+	Method    string
+	Target    string
+	Host      string
+	Body      string
+	Caller    string
+	Deadline  time.Duration
+	Header    http.Header
+	At        time.Time
+}
+
+// Config configures a Target.
+type Config struct {
+	ID string
+	// Work is how long a request takes.
+	Work time.Duration
+	// Answer is the body of answers.
+	Answer string
+	// Fault chooses what happens to a request; nil means None.
+	Fault func(run Run) Fault
+	// Called is called while a request runs, for calls of the target's own; its
+	// error fails the request.
+	Called func(run Run) error
+}
+
+// Target is a running stand-in.
+type Target struct {
+	config   Config
+	listener net.Listener
+	server   *http.Server
+	mu       sync.Mutex
+	runs     []Run
+	gone     int
+}
+
+// Start serves on the address; port 0 chooses one.
+func Start(address string, config Config) (*Target, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{config: config, listener: listener}
+	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ReadHeaderTimeout: time.Second}
+	go func() { _ = t.server.Serve(listener) }()
+	return t, nil
+}
+
+// Address returns the listener's address.
+func (t *Target) Address() string { return t.listener.Addr().String() }
+
+// Stop closes the listener and all connections.
+func (t *Target) Stop() { _ = t.server.Close() }
+
+// Runs returns the requests that the target worked on.
+func (t *Target) Runs() []Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Run(nil), t.runs...)
+}
+
+// Gone returns the number of requests whose connection closed while they ran.
+func (t *Target) Gone() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.gone
+}
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	run, ok := t.accept(w, r)
+	if !ok {
+		return
+	}
+	fault := None
+	if t.config.Fault != nil {
+		fault = t.config.Fault(run)
+	}
+	w.Header().Set("X-Attempt-Id", run.AttemptID)
+	if fault == Refuse {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	t.note(run)
+	if !t.work(r) {
+		return
+	}
+	if t.config.Called != nil {
+		if err := t.config.Called(run); err != nil {
+			fault = Fail
+		}
+	}
+	t.answer(w, run, fault)
+}
+
+// accept reads the request and checks whom it is meant for.
+func (t *Target) accept(w http.ResponseWriter, r *http.Request) (Run, bool) {
+	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != t.config.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return Run{}, false
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return Run{}, false
+	}
+	millis, _ := strconv.Atoi(r.Header.Get("X-Request-Deadline"))
+	return Run{
+		AttemptID: r.Header.Get("X-Attempt-Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host,
+		Body: string(body), Caller: r.Header.Get("X-Caller-Service"),
+		Deadline: time.Duration(millis) * time.Millisecond, Header: r.Header, At: time.Now(),
+	}, true
+}
+
+func (t *Target) note(run Run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs = append(t.runs, run)
+}
+
+// work waits for the time of work; false if the connection closed meanwhile.
+func (t *Target) work(r *http.Request) bool {
+	timer := time.NewTimer(t.config.Work)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		t.mu.Lock()
+		t.gone++
+		t.mu.Unlock()
+		return false
+	}
+}
+
+func (t *Target) answer(w http.ResponseWriter, run Run, fault Fault) {
+	if fault != Unsealed {
+		w.Header().Set("X-Response-Seal", "seal."+run.AttemptID)
+	}
+	switch fault {
+	case LoseAnswer:
+		panic(http.ErrAbortHandler)
+	case Truncate:
+		w.Header().Set("Content-Length", strconv.Itoa(len(t.config.Answer)+10))
+		_, _ = io.WriteString(w, t.config.Answer)
+		panic(http.ErrAbortHandler)
+	case Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+	case Extra, ResetUnframed:
+		t.raw(w, run, fault)
+	default:
+		_, _ = io.WriteString(w, t.config.Answer)
+	}
+}
+
+// raw writes bytes that net/http would not.
+func (t *Target) raw(w http.ResponseWriter, run Run, fault Fault) {
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if fault == ResetUnframed {
+		writeAnswer(buffer.Writer, run.AttemptID, t.config.Answer, false)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+		return
+	}
+	writeAnswer(buffer.Writer, run.AttemptID, t.config.Answer, true)
+	writeAnswer(buffer.Writer, "stale-"+run.AttemptID, "another request's answer", true)
+	_ = conn.Close()
+}
+
+func writeAnswer(w *bufio.Writer, id, body string, framed bool) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\n", id, id)
+	if framed {
+		fmt.Fprintf(w, "Content-Length: %d\r\n", len(body))
+	}
+	fmt.Fprintf(w, "\r\n%s", body)
+	_ = w.Flush()
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -117,6 +117,7 @@
 	stopping     atomic.Bool
 	cancel       context.CancelFunc
 	tasks        sync.WaitGroup
+	ending       sync.Once
 }
 
 // targetPlace is where the target is and what it serves.
@@ -303,11 +304,16 @@
 	r.logger.Info("The node has stopped.", zap.Duration("took", time.Since(started)))
 }
 
+// Abort ends the node without waiting for what runs.
+func (r *Relay) Abort() { r.close() }
+
 func (r *Relay) idle() bool {
 	return r.entry.running.Load() == 0 && r.gate.view.Load().inFlight == 0
 }
 
-func (r *Relay) close() {
+func (r *Relay) close() { r.ending.Do(r.end) }
+
+func (r *Relay) end() {
 	_ = r.server.Close()
 	if r.metrics != nil {
 		_ = r.metrics.Close()
