Keep the stop of a node apart from the leaving of its target

New targets also started with a ramp, and the gate closed for the whole stop. Change: the record tells both apart; the last record of an orderly stop lets the next life serve at once; the gate stays open for the first 1.2 s of a stop; no ramp for targets whose gates report their load.

--- a/core/route/nearestroom.go
+++ b/core/route/nearestroom.go
@@ -22,7 +22,7 @@
 
 // nearestRoom takes the target with the most room in the own zone, and goes to
 // other zones only when the own one is full. Gates report their occupancy with
-// each answer.
+// each answer, so new targets need no ramp: a cold one shows its occupancy.
 func (s *service) nearestRoom(v *view, q query) *Endpoint {
 	var best candidate
 	start := q.draw.below(max(len(v.own), 1))
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -147,7 +147,7 @@
 		return e
 	}
 	e.counters = &counters{}
-	if len(old.known) > 0 {
+	if len(old.known) > 0 && r.config.Policy != NearestRoom {
 		e.rampFrom.Store(at)
 	}
 	return e
--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -86,13 +86,15 @@
 }
 
 // Recall takes in what an earlier life of this node had published; a zero
-// announcement means that nothing is known on the store.
-func (s *State) Recall(published Announcement) {
+// announcement means that nothing is known on the store. A final announcement
+// was the last thing that the earlier life took in, so the target is used
+// without waiting for its next announcement.
+func (s *State) Recall(published Announcement, final bool) {
 	s.recalled = true
 	if published.TargetID != "" && s.supersedes(published) {
 		s.current = published
 		s.current.Address, s.current.Service = s.address, s.service
-		s.confirmed = published.Phase == Draining
+		s.confirmed = final || published.Phase == Draining
 		return
 	}
 	s.confirmed = s.current.TargetID != ""
--- a/core/targetstate/targetstate_test.go
+++ b/core/targetstate/targetstate_test.go
@@ -23,7 +23,7 @@
 func started(t *testing.T) *targetstate.State {
 	t.Helper()
 	s := targetstate.New(address, service)
-	s.Recall(targetstate.Announcement{})
+	s.Recall(targetstate.Announcement{}, false)
 	changed, err := s.Announce(announcement("a", 1000, 5, targetstate.Ready))
 	require.NoError(t, err)
 	require.True(t, changed)
@@ -90,7 +90,7 @@
 	_, err := s.Announce(announcement("a", 1000, 4, targetstate.Ready))
 	require.NoError(t, err)
 	require.False(t, s.Serving(), "one announcement may be a delayed one")
-	s.Recall(announcement("a", 1000, 5, targetstate.Draining))
+	s.Recall(announcement("a", 1000, 5, targetstate.Draining), false)
 	require.False(t, s.Serving())
 	require.True(t, s.Leaving())
 	_, err = s.Announce(announcement("a", 1000, 6, targetstate.Ready))
@@ -123,3 +123,17 @@
 	require.False(t, s.Serving())
 	require.Empty(t, s.Current().TargetID)
 }
+
+// Guards against a node that loses its target's capacity over a restart until
+// the target announces itself again.
+func TestFinalAnnouncementServesAtOnce(t *testing.T) {
+	s := targetstate.New(address, service)
+	s.Recall(announcement("a", 1000, 5, targetstate.Ready), true)
+	require.True(t, s.Serving())
+	unsure := targetstate.New(address, service)
+	unsure.Recall(announcement("a", 1000, 5, targetstate.Ready), false)
+	require.False(t, unsure.Serving(), "the earlier life may have acknowledged a leaving since")
+	_, err := unsure.Announce(announcement("a", 1000, 6, targetstate.Ready))
+	require.NoError(t, err)
+	require.True(t, unsure.Serving())
+}
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -24,14 +24,17 @@
 
 // gateView is a copy of the gate's state for other tasks.
 type gateView struct {
-	target    targetstate.Announcement
-	serving   bool
-	leaving   bool
-	down      bool
-	threshold outcome.Level
-	inFlight  int
-	queued    int
-	limit     int
+	target  targetstate.Announcement
+	serving bool
+	// leaving tells that the target leaves or the node stops.
+	leaving bool
+	// targetLeaving tells that the target said so itself.
+	targetLeaving bool
+	down          bool
+	threshold     outcome.Level
+	inFlight      int
+	queued        int
+	limit         int
 }
 
 // admission is the answer to one request for admission.
@@ -135,14 +138,15 @@
 
 func (t *gateTask) publish() {
 	t.view.Store(&gateView{
-		target:    t.state.Current(),
-		serving:   t.state.Serving() && !t.stopping,
-		leaving:   t.state.Leaving() || t.stopping,
-		down:      !t.downTill.IsZero(),
-		threshold: t.gate.Threshold(),
-		inFlight:  t.gate.InFlight(),
-		queued:    t.gate.Queued(),
-		limit:     t.gate.Limit(),
+		target:        t.state.Current(),
+		serving:       t.state.Serving() && !t.stopping,
+		leaving:       t.state.Leaving() || t.stopping,
+		targetLeaving: t.state.Leaving(),
+		down:          !t.downTill.IsZero(),
+		threshold:     t.gate.Threshold(),
+		inFlight:      t.gate.InFlight(),
+		queued:        t.gate.Queued(),
+		limit:         t.gate.Limit(),
 	})
 }
 
@@ -206,14 +210,10 @@
 func (t *gateTask) announce(a targetstate.Announcement) error {
 	result := make(chan error, 1)
 	t.events <- func(now time.Time) {
-		before := t.state.Current()
 		changed, err := t.state.Announce(a)
 		if err == nil && changed {
 			t.downTill = time.Time{}
 			t.applyState(now)
-			if a.ColdRemaining > 0 && before.TargetID != a.TargetID {
-				t.gate.StartRampUp(now)
-			}
 			t.notify()
 		}
 		result <- err
@@ -235,9 +235,9 @@
 }
 
 // recall passes on what an earlier life of this node had published.
-func (t *gateTask) recall(published targetstate.Announcement) {
+func (t *gateTask) recall(published targetstate.Announcement, final bool) {
 	t.events <- func(now time.Time) {
-		t.state.Recall(published)
+		t.state.Recall(published, final)
 		t.applyState(now)
 		t.notify()
 	}
@@ -258,7 +258,7 @@
 	t.events <- func(now time.Time) {
 		t.stopping = true
 		t.applyState(now)
-		t.notify()
+		t.publish()
 		close(done)
 	}
 	<-done
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -40,7 +40,7 @@
 	logger *zap.Logger
 	// recall passes on what an earlier life of this node had published; it is
 	// called once.
-	recall func(targetstate.Announcement)
+	recall func(published targetstate.Announcement, final bool)
 
 	roster *roster.Roster
 	self   *pb.RelayMember
@@ -98,6 +98,7 @@
 		t.self.TargetId = view.target.TargetID
 		t.self.Slots = uint32(max(view.target.Slots, 1))
 		t.self.Draining = view.leaving
+		t.self.TargetLeaving = view.targetLeaving
 		t.self.TargetBornMillis = view.target.BornMillis
 		t.self.TargetSequence = view.target.Sequence
 		if !view.serving && !view.leaving {
@@ -142,14 +143,14 @@
 	if t.earlier != nil {
 		published = announcementOf(t.earlier)
 	}
-	t.recall(published)
+	t.recall(published, t.earlier.GetStopped())
 	t.recall = nil
 	t.merge([]*pb.RelayMember{t.self})
 }
 
 func announcementOf(m *pb.RelayMember) targetstate.Announcement {
 	phase := targetstate.Ready
-	if m.GetDraining() {
+	if m.GetTargetLeaving() {
 		phase = targetstate.Draining
 	}
 	return targetstate.Announcement{
@@ -268,6 +269,31 @@
 	return err
 }
 
+// announceStop publishes that this node has stopped and waits until the store
+// has it, or for the time.
+func (t *membersTask) announceStop(wait time.Duration) {
+	deadline := time.Now().Add(wait)
+	revision := make(chan uint64, 1)
+	t.events <- func() {
+		t.self = proto.CloneOf(t.self)
+		t.self.Draining = true
+		t.self.Stopped = true
+		t.self.Revision++
+		t.merge([]*pb.RelayMember{t.self})
+		revision <- t.self.GetRevision()
+	}
+	wanted := <-revision
+	for time.Now().Before(deadline) {
+		done := make(chan bool, 1)
+		t.events <- func() { done <- t.published >= wanted }
+		if <-done {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+	t.logger.Warn("The store does not have the last announcement of this node.")
+}
+
 // syncWithRandom compares with one other node.
 func (t *membersTask) syncWithRandom(ctx context.Context) {
 	members := t.roster.Members()
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -54,11 +54,16 @@
 	maxPeers = 2048
 	// peerIdle closes connections to other nodes that carry nothing.
 	peerIdle = 30 * time.Second
+	// stopServe is how long the gate of a stopping node takes in work of other
+	// nodes, so that the capacity of the target is lost for a short time only.
+	stopServe = 1200 * time.Millisecond
+	// stopPublish bounds the wait for the store to have the last announcement.
+	stopPublish = 300 * time.Millisecond
 	// stopHold is how long a stopping node takes in requests, so that clients see
 	// that it is not ready before it closes its listener.
-	stopHold = 2500 * time.Millisecond
+	stopHold = 2200 * time.Millisecond
 	// stopMargin is the part of the grace period kept for the exit itself.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = time.Second
 	// stopPoll is the time between two looks at what still runs.
 	stopPoll = 20 * time.Millisecond
 )
@@ -284,14 +289,17 @@
 	r.logger.Info("The settings were read again.", zap.String("target", address), zap.String("service", service))
 }
 
-// Shutdown stops the node: it is no longer ready, takes no work of other nodes,
-// lets running requests finish, and ends before the grace period does.
-func (r *Relay) Shutdown() {
+// Shutdown stops the node: it is no longer ready, takes no more work of other
+// nodes after a while, lets running requests finish, and ends before the grace
+// period does. closeAnnouncements is called before the last announcement of the
+// node; the target's announcements must not be taken in after it.
+func (r *Relay) Shutdown(closeAnnouncements func()) {
 	started := time.Now()
 	r.stopping.Store(true)
-	r.gate.stop()
 	r.logger.Info("The node stops.", zap.Int64("running", r.entry.running.Load()))
 	limit := started.Add(r.options.GracePeriod - stopMargin)
+	time.Sleep(stopServe)
+	r.gate.stop()
 	for time.Now().Before(limit) && !(time.Since(started) > stopHold && r.idle()) {
 		time.Sleep(stopPoll)
 	}
@@ -300,6 +308,8 @@
 	if err := r.server.Shutdown(ctx); err != nil {
 		r.logger.Warn("Requests were cut by the end of the grace period.", zap.Int64("running", r.entry.running.Load()))
 	}
+	closeAnnouncements()
+	r.members.announceStop(stopPublish)
 	r.close()
 	r.logger.Info("The node has stopped.", zap.Duration("took", time.Since(started)))
 }
