--- a/core/threshold/operations.go
+++ b/core/threshold/operations.go
@@ -100,6 +100,8 @@
 	// order of the refusals. It is guarded by the lock of operations.
 	refused []Dependency
 	called  []Dependency
+	// callFailed is set when a call of the request failed for any reason.
+	callFailed bool
 }
 
 // Start begins a request. Requests that are not finished leave nothing behind.
@@ -124,6 +126,21 @@
 	}
 }
 
+// CallFailed notes that a call of this request failed.
+func (r *Run) CallFailed() {
+	r.operations.mu.Lock()
+	defer r.operations.mu.Unlock()
+	r.callFailed = true
+}
+
+// HadFailedCall tells whether a call of this request failed, so that a failure of
+// the request says nothing about the target.
+func (r *Run) HadFailedCall() bool {
+	r.operations.mu.Lock()
+	defer r.operations.mu.Unlock()
+	return r.callFailed
+}
+
 // Finish ends the request. It failed if its answer has an error status or is
 // missing. After a failure only the latest refusal is blamed, because the request
 // went on after the earlier ones; with several refusals it counts for less, since
--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -29,7 +29,8 @@
 	Truncate
 	// Unsealed answers with success but without the seal.
 	Unsealed
-	// Extra sends a second answer after the first.
+	// Extra sends a second answer together with the first and closes the
+	// connection.
 	Extra
 	// Fail runs the request and answers with an error of its own.
 	Fail
@@ -201,6 +202,7 @@
 	}
 	if fault == ResetUnframed {
 		writeAnswer(buffer.Writer, run.AttemptID, t.config.Answer, false)
+		_ = buffer.Flush()
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
@@ -209,6 +211,7 @@
 	}
 	writeAnswer(buffer.Writer, run.AttemptID, t.config.Answer, true)
 	writeAnswer(buffer.Writer, "stale-"+run.AttemptID, "another request's answer", true)
+	_ = buffer.Flush()
 	_ = conn.Close()
 }
 
@@ -218,5 +221,4 @@
 		fmt.Fprintf(w, "Content-Length: %d\r\n", len(body))
 	}
 	fmt.Fprintf(w, "\r\n%s", body)
-	_ = w.Flush()
 }
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -85,7 +85,11 @@
 		answer.Level = o.level
 	}
 	d.downstream.Observe(time.Now(), o.dependency(), answer)
-	if o.parent != nil && !answer.Good && response.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN {
+	if o.parent == nil || answer.Good {
+		return
+	}
+	o.parent.Run.CallFailed()
+	if response.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN {
 		o.parent.Run.Refused(o.dependency())
 	}
 }
@@ -94,8 +98,8 @@
 	var tried []uint64
 	var last *pb.ForwardResponse
 	arrivals := 0
-	for {
-		endpoint, none := d.router.Pick(time.Now(), o.message.GetService(), 0, tried...)
+	for tries := 1; ; tries++ {
+		endpoint, none := d.pick(o, last, tried)
 		if none != nil {
 			if last == nil {
 				last = notRun(none.Reason, 0)
@@ -108,13 +112,24 @@
 		if last.GetReachedTarget() {
 			arrivals++
 		}
-		if !d.again(ctx, o, last, arrivals, len(tried), budget) {
+		if !d.again(ctx, o, last, arrivals, tries, budget) {
 			return last
 		}
 		d.events.repeated(o, last, endpoint.Target().VM)
 	}
 }
 
+// pick chooses a target that was not tried yet. If there is none and the last
+// one was reached, a target may be tried again, because its answer was lost or
+// spoiled on the way.
+func (d *dispatcher) pick(o *outgoing, last *pb.ForwardResponse, tried []uint64) (*route.Endpoint, *outcome.Error) {
+	endpoint, none := d.router.Pick(time.Now(), o.message.GetService(), 0, tried...)
+	if none == nil || !last.GetReachedTarget() {
+		return endpoint, none
+	}
+	return d.router.Pick(time.Now(), o.message.GetService(), 0)
+}
+
 // again decides whether the request is sent to another target.
 func (d *dispatcher) again(ctx context.Context, o *outgoing, last *pb.ForwardResponse, arrivals, tries int, budget *retry.ShareBudget) bool {
 	if ctx.Err() != nil || time.Until(o.deadline) < o.deadline.Sub(o.started)/repeatMargin {
@@ -122,7 +137,9 @@
 	}
 	switch last.GetOutcome() {
 	case pb.Outcome_OUTCOME_COMPLETED:
-		return false
+		if !last.GetTargetFailed() || !o.route.Idempotent {
+			return false
+		}
 	case pb.Outcome_OUTCOME_NOT_RUN:
 		if !last.GetReachedTarget() {
 			return tries < maxRefusals
@@ -146,7 +163,7 @@
 		Latency:     now.Sub(started),
 		Outcome:     outcome.Outcome(response.GetOutcome()),
 		Reason:      outcome.Reason(response.GetReason()),
-		ErrorAnswer: response.GetStatus() >= 500,
+		ErrorAnswer: response.GetTargetFailed(),
 	})
 	if response.GetGate() != nil {
 		endpoint.Report(now, route.ReportFromProto(response.GetGate()))
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,6 +103,7 @@
 	response.Headers = result.headers
 	response.Body = result.body
 	response.ReachedTarget = result.sent
+	response.TargetFailed = result.status == http.StatusInternalServerError && !run.HadFailedCall()
 	response.Gate = r.report(request.GetRoute())
 	if result.outcome != outcome.Completed {
 		r.events.targetFailed(request, admitted, result, time.Since(started))
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -29,7 +29,7 @@
 	idleMargin = 500 * time.Millisecond
 	// freshFor is how long after its last use a connection may carry a request
 	// that must not be repeated.
-	freshFor = time.Second
+	freshFor = 2 * time.Second
 	// targetBuffer is the size of the read buffer of a connection.
 	targetBuffer = 4 << 10
 	// foreignAnswers is the number of answers to other requests that are read
--- /dev/null
+++ b/node/relay/targetclient_test.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// plainWire is a Wire with short header names.
+type plainWire struct{}
+
+func (plainWire) ReadRequest(h http.Header) (Envelope, error) {
+	return Envelope{AttemptID: h.Get("Id")}, nil
+}
+func (plainWire) Owned(string) bool { return false }
+func (plainWire) AppendRequest(head []byte, e TargetEnvelope) []byte {
+	return fmt.Appendf(head, "Id: %s\r\n", e.AttemptID)
+}
+func (plainWire) ReadAnswer(status int, h http.Header) TargetAnswer {
+	return TargetAnswer{AttemptID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+}
+func (plainWire) RefusalHeaders(http.Header, time.Duration) {}
+
+// scripted serves one connection after another with the same function.
+func scripted(t *testing.T, serve func(conn net.Conn, request *http.Request, number int) bool) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveScript(conn, serve)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func serveScript(conn net.Conn, serve func(net.Conn, *http.Request, int) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for number := 0; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil || !serve(conn, request, number) {
+			return
+		}
+	}
+}
+
+func reply(conn net.Conn, id, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func sendOne(t *testing.T, c *targetClient, address, id string) targetResult {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request := &pb.ForwardRequest{Method: http.MethodGet, Target: "/", Host: "h", AttemptId: id, Idempotent: true}
+	return c.send(ctx, address, "t", request, time.Now().Add(time.Second))
+}
+
+// Guards against a late second answer that is taken for the answer to the
+// request which uses the connection next.
+func TestLateExtraAnswerIsReadOver(t *testing.T) {
+	address := scripted(t, func(conn net.Conn, request *http.Request, number int) bool {
+		if number > 0 {
+			reply(conn, "earlier", "stale")
+		}
+		reply(conn, request.Header.Get("Id"), "own")
+		return true
+	})
+	c := newTargetClient(plainWire{}, 1<<20)
+	defer c.closeIdle()
+	for i := range 5 {
+		got := sendOne(t, c, address, fmt.Sprintf("r%d", i))
+		require.Equal(t, outcome.Completed, got.outcome)
+		require.Equal(t, "own", string(got.body))
+	}
+}
+
+// Guards against a request on a connection that the target has closed.
+func TestClosedConnectionIsNotUsedAgain(t *testing.T) {
+	address := scripted(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		reply(conn, request.Header.Get("Id"), "own")
+		return false
+	})
+	c := newTargetClient(plainWire{}, 1<<20)
+	defer c.closeIdle()
+	for i := range 5 {
+		require.Equal(t, outcome.Completed, sendOne(t, c, address, fmt.Sprintf("r%d", i)).outcome)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against bytes that are no answer, and against interim answers that are
+// taken for final ones.
+func TestAnswersOutsideTheProtocol(t *testing.T) {
+	address := scripted(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		if request.Header.Get("Id") == "interim" {
+			fmt.Fprint(conn, "HTTP/1.1 102 Processing\r\n\r\n")
+			reply(conn, "interim", "own")
+			return true
+		}
+		fmt.Fprint(conn, "\x00\x01 not http\r\n\r\n")
+		return true
+	})
+	c := newTargetClient(plainWire{}, 1<<20)
+	defer c.closeIdle()
+	require.Equal(t, outcome.Unknown, sendOne(t, c, address, "spoiled").outcome)
+	require.Equal(t, outcome.Completed, sendOne(t, c, address, "interim").outcome)
+}
+
+func TestRefusedConnectionHasNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	c := newTargetClient(plainWire{}, 1<<20)
+	got := sendOne(t, c, address, "r")
+	require.Equal(t, outcome.NotRun, got.outcome)
+	require.True(t, got.unreachable)
+	require.False(t, got.sent)
+}
+
+func TestKeepAliveHeaderBoundsIdleTime(t *testing.T) {
+	require.Equal(t, targetIdle, keptFor(""))
+	require.Equal(t, 5*time.Second-idleMargin, keptFor("timeout=5, max=100"))
+	require.Equal(t, 5*time.Second-idleMargin, keptFor("max=3, Timeout=5"))
+	require.Equal(t, targetIdle, keptFor("timeout=soon"))
+}
