--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -38,6 +38,9 @@
 func runCase(t *testing.T, name string, users ...string) {
 	t.Helper()
 	t.Parallel()
+	if len(users) == 0 {
+		users = []string{"rota", "wholesaler"}
+	}
 	o := Options{Seed: 1, Users: users, Cases: []string{name}, Policies: []string{"full"}, Shortest: short}
 	report, err := Run(o)
 	require.NoError(t, err)
@@ -89,3 +92,27 @@
 	require.ErrorAs(t, err, &typed)
 	require.Equal(t, outcome.BadRequest, typed.Reason)
 }
+
+// meshRow replays a case of a graph with many deep calls per request.
+func meshRow(t *testing.T, user, name, policy string) Row {
+	t.Helper()
+	report, err := Run(Options{Seed: 1, Users: []string{user}, Cases: []string{name}, Policies: []string{policy}, Shortest: short})
+	require.NoError(t, err)
+	return report.Rows[0]
+}
+
+// Plays twice the load that the deepest service takes, in the call graphs of the
+// users' platform. Guards against gates that shed calls of requests that run:
+// one shed call in ten fails the whole request after its work was done.
+func TestBegunWorkIsFinished(t *testing.T) {
+	for _, user := range []string{"rota-mesh", "wholesaler-mesh"} {
+		t.Run(user, func(t *testing.T) {
+			t.Parallel()
+			row := meshRow(t, user, "surge", "relay")
+			t.Log("relay", row.Goodput, row.ByClass, row.WastedWork, row.RecoverySeconds)
+			other := meshRow(t, user, "surge", "full")
+			t.Log("full", other.Goodput, other.ByClass, other.WastedWork, other.RecoverySeconds)
+			requireTargets(t, row)
+		})
+	}
+}
--- a/internal/experiment/graph.go
+++ b/internal/experiment/graph.go
@@ -43,9 +43,87 @@
 	deep int
 }
 
-// graphs returns the call graphs in the sizes of section 1.3 of the design.
+// graphs returns the call graphs in the sizes of section 1.3 of the design, and
+// those of the users' platform, where one root request makes many deep calls.
 func graphs() []graph {
-	return []graph{rota(), wholesaler()}
+	return []graph{rota(), wholesaler(), rotaMesh(), wholesalerMesh()}
+}
+
+// times repeats a call.
+func times(n int, op *operation) []*operation {
+	calls := make([]*operation, n)
+	for i := range calls {
+		calls[i] = op
+	}
+	return calls
+}
+
+// rotaMesh is Kenttävuoro on the users' platform: a calendar view makes four
+// calls to the deepest service, a fee eight.
+func rotaMesh() graph {
+	const (
+		season = iota
+		dues
+		rota
+		lawns
+	)
+	weather := &operation{name: "weather", service: lawns, number: 0, work: 22 * time.Millisecond}
+	slots := &operation{name: "slots", service: lawns, number: 1, work: 36 * time.Millisecond}
+	handicap := &operation{name: "handicap", service: rota, number: 0, work: 15 * time.Millisecond, calls: times(4, weather)}
+	booking := &operation{name: "booking", service: rota, number: 1, work: 63 * time.Millisecond}
+	ledger := &operation{name: "ledger", service: dues, number: 0, work: 15 * time.Millisecond, calls: times(1, handicap)}
+	fee := &operation{name: "fee", service: dues, number: 1, work: 120 * time.Millisecond, calls: times(2, handicap)}
+	calendar := &operation{name: "calendar", service: season, number: 0, work: 90 * time.Millisecond, calls: times(1, ledger)}
+	return graph{
+		name: "rota-mesh", zones: 4, client: 8 * time.Millisecond, hop: time.Millisecond,
+		services: []serviceSpec{
+			{"season", 5, 150, 1000},
+			{"dues", 4, 188, 1228},
+			{"rota", 4, 188, 1228},
+			{"lawns", 4, 24, 256},
+		},
+		roots: []rootSpec{
+			{outcome.Sheddable, 0.49, calendar},
+			{outcome.Critical, 0.20, fee},
+			{outcome.Critical, 0.14, booking},
+			{outcome.Normal, 0.17, slots},
+		},
+		deep: lawns,
+	}
+}
+
+// wholesalerMesh is Sarr & Fils on the users' platform: a stock check and an
+// order make ten calls each to the deepest service.
+func wholesalerMesh() graph {
+	const (
+		stockview = iota
+		orderdesk
+		creditbook
+		pricelist
+	)
+	tariff := &operation{name: "tariff", service: pricelist, number: 0, work: 22 * time.Millisecond}
+	price := &operation{name: "price", service: pricelist, number: 1, work: 35 * time.Millisecond}
+	limit := &operation{name: "limit", service: creditbook, number: 0, work: 15 * time.Millisecond, calls: times(5, tariff)}
+	debit := &operation{name: "debit", service: creditbook, number: 1, work: 62 * time.Millisecond}
+	slot := &operation{name: "slot", service: orderdesk, number: 0, work: 15 * time.Millisecond, calls: times(1, limit)}
+	order := &operation{name: "order", service: orderdesk, number: 1, work: 120 * time.Millisecond, calls: times(2, limit)}
+	check := &operation{name: "check", service: stockview, number: 0, work: 89 * time.Millisecond, calls: times(2, slot)}
+	return graph{
+		name: "wholesaler-mesh", zones: 3, client: 3 * time.Millisecond, hop: time.Millisecond,
+		services: []serviceSpec{
+			{"stockview", 5, 205, 1330},
+			{"orderdesk", 4, 257, 1642},
+			{"creditbook", 3, 342, 2152},
+			{"pricelist", 3, 53, 442},
+		},
+		roots: []rootSpec{
+			{outcome.Sheddable, 0.48, check},
+			{outcome.Critical, 0.23, order},
+			{outcome.Critical, 0.14, debit},
+			{outcome.Normal, 0.15, price},
+		},
+		deep: pricelist,
+	}
 }
 
 // rota is Kenttävuoro: calendar views reach lawn availability through the rota;
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -159,16 +159,17 @@
 	endpoint.Begin()
 	response := d.exchange(ctx, endpoint.Target().Address, request, o.deadline)
 	now := time.Now()
+	// The report comes first, because it decides how the end is judged.
+	if response.GetGate() != nil {
+		endpoint.Report(now, route.ReportFromProto(response.GetGate()))
+		d.learned(endpoint.Target().Address, response.GetConfigVersion())
+	}
 	endpoint.End(now, route.Result{
 		Latency:     now.Sub(started),
 		Outcome:     outcome.Outcome(response.GetOutcome()),
 		Reason:      outcome.Reason(response.GetReason()),
 		ErrorAnswer: response.GetTargetFailed(),
 	})
-	if response.GetGate() != nil {
-		endpoint.Report(now, route.ReportFromProto(response.GetGate()))
-		d.learned(endpoint.Target().Address, response.GetConfigVersion())
-	}
 	return response
 }
 
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/primrosemount/primrosemount/core/gate"
 	"github.com/primrosemount/primrosemount/core/limit"
 	"github.com/primrosemount/primrosemount/core/outcome"
@@ -62,9 +64,13 @@
 	waiting  map[uint64]chan admission
 	stopping bool
 	downTill time.Time
+	// logger tells of changes of what the gate admits.
+	logger *zap.Logger
+	// logged is the threshold of the last line about it.
+	logged outcome.Level
 }
 
-func newGateTask(address, service string, changed func(gateView)) *gateTask {
+func newGateTask(address, service string, logger *zap.Logger, changed func(gateView)) *gateTask {
 	now := time.Now()
 	t := &gateTask{
 		events:  make(chan func(time.Time), gateEvents),
@@ -78,6 +84,8 @@
 		}, now),
 		state:   targetstate.New(address, service),
 		waiting: make(map[uint64]chan admission),
+		logger:  logger,
+		logged:  outcome.MaxLevel,
 	}
 	t.gate.SetDown(true)
 	t.publish()
@@ -112,6 +120,19 @@
 		t.answer(e.ID, admission{Decision: e.Decision, waited: e.Waited})
 	}
 	t.publish()
+	t.logThreshold()
+}
+
+// logThreshold writes a line when the gate begins or ceases to shed a class.
+func (t *gateTask) logThreshold() {
+	threshold := t.gate.Threshold()
+	if threshold.Class() == t.logged.Class() && (threshold == outcome.MaxLevel) == (t.logged == outcome.MaxLevel) {
+		return
+	}
+	t.logger.Info("The gate changes what it admits.", zap.Uint16("threshold", uint16(threshold)),
+		zap.Uint16("before", uint16(t.logged)), zap.Int("in_flight", t.gate.InFlight()),
+		zap.Int("queued", t.gate.Queued()), zap.Int("limit", t.gate.Limit()))
+	t.logged = threshold
 }
 
 func (t *gateTask) answer(id uint64, a admission) {
--- a/operator/server.go
+++ b/operator/server.go
@@ -256,7 +256,7 @@
 }
 
 func (s *server) notFound(ctx iris.Context) {
-	writeProblem(ctx, http.StatusNotFound, outcome.NotRun, "there is no such path; see docs/operations.md for the paths")
+	writeProblem(ctx, http.StatusNotFound, outcome.NotRun, "there is no such path; see docs/OPERATIONS.md for the paths")
 }
 
 func (s *server) wrongMethod(ctx iris.Context) {
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -50,7 +50,7 @@
 		status                          int
 		detail                          string
 	}{
-		{"GET", "/v2/nothing", "", "", 404, "docs/operations.md"},
+		{"GET", "/v2/nothing", "", "", 404, "docs/OPERATIONS.md"},
 		{"POST", PathStatus, "", "", 405, "use POST for"},
 		{"GET", PathExplain, "", "", 400, "give exactly one of request=HEX and target=VM"},
 		{"GET", PathExplain + "?request=12&target=vm", "", "", 400, "write 32 hexadecimal digits"},
