Never report a request as not run after an attempt that may have run

Found by reading: an idempotent request whose first answer was lost and whose second attempt was refused got 503. Also: a target that does not take connections closes its gate after 400 ms; bodies that a node holds and that it forwards have one bound; answers that nobody reads are given up after 60 s.

--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -104,7 +105,9 @@
 
 func (d *dispatcher) attempts(ctx context.Context, o *outgoing, budget *retry.ShareBudget) *pb.ForwardResponse {
 	var tried []uint64
-	var last *pb.ForwardResponse
+	// last is the result of the last attempt, ran that of the last one that may
+	// have run. A request that may have run is never reported as not run.
+	var last, ran *pb.ForwardResponse
 	arrivals := 0
 	for tries := 1; ; tries++ {
 		endpoint, none := d.pick(o, last, tried)
@@ -113,17 +116,20 @@
 				last = notRun(none.Reason, 0)
 			}
 			d.events.noTarget(o, none.Reason, len(tried))
-			return last
+			return cmp.Or(ran, last)
 		}
 		tried = append(tried, endpoint.Target().Incarnation)
 		last = d.attempt(ctx, o, endpoint)
 		if last.GetReachedTarget() {
 			arrivals++
 		}
+		if last.GetOutcome() != pb.Outcome_OUTCOME_NOT_RUN {
+			ran = last
+		}
 		if !d.again(ctx, o, last, arrivals, tries, budget) {
-			return last
+			return cmp.Or(ran, last)
 		}
-		o.repeat = o.repeat || last.GetOutcome() != pb.Outcome_OUTCOME_NOT_RUN
+		o.repeat = o.repeat || ran != nil
 		d.events.repeated(o, last, endpoint.Target().VM)
 	}
 }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -45,7 +45,8 @@
 	headerBytes = 64 << 10
 	// headerTimeout bounds the arrival of a header.
 	headerTimeout = 10 * time.Second
-	// bodyTimeout bounds the arrival of a whole request.
+	// bodyTimeout bounds the arrival of a whole request, and the time until its
+	// answer was read, so that clients that stop reading hold no memory for ever.
 	bodyTimeout = 60 * time.Second
 	// clientIdle is how long a client's connection may be idle. It is longer
 	// than any client keeps one.
@@ -102,6 +103,12 @@
 	Metrics *telemetry.Metrics
 }
 
+// bufferShare is the part of the memory, as a divisor, for bodies that are held.
+const bufferShare = 4
+
+// bufferBytes bounds the bodies that a node holds, and so a single one.
+func (o Options) bufferBytes() int64 { return o.MemoryBytes / bufferShare }
+
 // Relay is a running node.
 type Relay struct {
 	options  Options
@@ -153,12 +160,12 @@
 	downstream := threshold.NewDownstream(start)
 	graph := callgraph.New()
 	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.PeerAddress, Service: o.Service, Incarnation: incarnation}
-	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.MemoryBytes / 8, IdleTimeout: peerIdle})
+	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.bufferBytes(), IdleTimeout: peerIdle})
 	r.config = &configuration{decode: o.Decode, logger: telemetry.Named(o.Logger, telemetry.PartControl)}
 	r.members = newMembersTask(self, o.Members, router, r.pool, r.config, telemetry.Named(o.Logger, telemetry.PartControl))
 	r.gate = newGateTask(o.TargetAddress, o.Service, events.gate, r.members.targetChanged)
 	r.members.recall = r.gate.recall
-	r.targets = newTargetClient(o.Wire, o.MemoryBytes/8)
+	r.targets = newTargetClient(o.Wire, o.bufferBytes())
 	r.receiver = &receiver{
 		gate:       r.gate,
 		targets:    r.targets,
@@ -192,7 +199,7 @@
 		origin:      func() string { return r.target.Load().service },
 		metrics:     o.Metrics,
 		events:      events,
-		bufferLimit: o.MemoryBytes / 4,
+		bufferLimit: o.bufferBytes(),
 	}
 }
 
@@ -210,12 +217,13 @@
 		Handler:                      r.entry,
 		ReadHeaderTimeout:            headerTimeout,
 		ReadTimeout:                  bodyTimeout,
+		WriteTimeout:                 bodyTimeout,
 		IdleTimeout:                  clientIdle,
 		MaxHeaderBytes:               headerBytes,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     zap.NewStdLog(telemetry.Named(r.options.Logger, telemetry.PartEntry)),
 	}
-	r.peers = transport.NewServer(transport.ServerConfig{Relay: r.receiver, MaxBodyBytes: r.options.MemoryBytes / 8, MaxConnections: maxPeers})
+	r.peers = transport.NewServer(transport.ServerConfig{Relay: r.receiver, MaxBodyBytes: r.options.bufferBytes(), MaxConnections: maxPeers})
 	r.peerListener = peerListener
 	r.serve("entry", func() error { return r.server.Serve(entryListener) })
 	r.serve("peers", func() error { return r.peers.Serve(peerListener) })
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -21,7 +21,7 @@
 
 const (
 	// targetDialTimeout bounds the opening of a connection on the same VM.
-	targetDialTimeout = time.Second
+	targetDialTimeout = 400 * time.Millisecond
 	// targetIdle is how long a connection is kept that names no limit itself.
 	targetIdle = 8 * time.Second
 	// idleMargin is taken off the idle time that a target names, so that the
@@ -374,10 +374,13 @@
 
 // notSent classifies a request for which no connection could be opened.
 func notSent(ctx context.Context, err error) targetResult {
-	result := targetResult{outcome: outcome.NotRun, reason: outcome.TargetDown, unreachable: errors.Is(err, syscall.ECONNREFUSED)}
+	result := targetResult{outcome: outcome.NotRun, reason: outcome.TargetDown}
 	if ctx.Err() != nil {
 		result.reason = outcome.DeadlineExceeded
+		return result
 	}
+	var timeout net.Error
+	result.unreachable = errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &timeout) && timeout.Timeout()
 	return result
 }
 
--- a/transport/client.go
+++ b/transport/client.go
@@ -43,7 +43,7 @@
 
 // dialTimeout bounds the opening of a connection. Opening one takes about 1 ms
 // within a region.
-const dialTimeout = 500 * time.Millisecond
+const dialTimeout = 300 * time.Millisecond
 
 // ClientConfig configures a Pool.
 type ClientConfig struct {
