--- a/core/threshold/success.go
+++ b/core/threshold/success.go
@@ -25,8 +25,8 @@
 	// leastFall is the least move down in levels.
 	leastFall = 24
 	// successRise is how fast the threshold rises by itself, in levels per second.
-	// It finds the end of a fault when nothing is let in any more.
-	successRise = outcome.Cohorts
+	// It finds the end of a fault within 1.5 s when nothing is let in any more.
+	successRise = 2 * outcome.Cohorts
 	// soundRise is the rise with each window in which the requests that are let
 	// in succeed: the whole range is open again within a second.
 	soundRise = outcome.Cohorts / 2
