--- a/node/executor/target.go
+++ b/node/executor/target.go
@@ -155,17 +155,13 @@
 	return once.Result{Outcome: o, Reason: reason}
 }
 
-// hopHeaders are headers that belong to one connection.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Date": true,
-}
+// dateHeader is set anew by the entry.
+const dateHeader = "Date"
 
 func answerHeaders(header http.Header) []*pb.Header {
 	headers := make([]*pb.Header, 0, len(header))
 	for name, values := range header {
-		if hopHeaders[name] {
+		if wire.HopByHop(name) || name == dateHeader {
 			continue
 		}
 		for _, value := range values {
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -17,6 +17,7 @@
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/internal/socket"
+	"github.com/primrosemount/primrosemount/wire"
 )
 
 const (
@@ -35,6 +36,8 @@
 	// foreignAnswers is the number of answers to other requests that are read
 	// over before the connection is given up.
 	foreignAnswers = 2
+	// expectHeader asks for an interim answer, which the entry has given already.
+	expectHeader = "Expect"
 	// maxHeadBytes bounds the head that is kept for reuse of its buffer.
 	maxHeadBytes = 16 << 10
 )
@@ -57,7 +60,7 @@
 // targetClient sends requests to the target over kept connections. It is safe
 // for concurrent use.
 type targetClient struct {
-	wire     Wire
+	headers  Wire
 	maxBytes int64
 	mu       sync.Mutex
 	idle     []*targetConn
@@ -75,8 +78,8 @@
 	reused   bool
 }
 
-func newTargetClient(wire Wire, maxBytes int64) *targetClient {
-	return &targetClient{wire: wire, maxBytes: maxBytes}
+func newTargetClient(headers Wire, maxBytes int64) *targetClient {
+	return &targetClient{headers: headers, maxBytes: maxBytes}
 }
 
 // send sends a request once and reads the whole answer.
@@ -107,7 +110,7 @@
 		if err != nil {
 			return lost(ctx), false
 		}
-		said := c.wire.ReadAnswer(answer.StatusCode, answer.Header)
+		said := c.headers.ReadAnswer(answer.StatusCode, answer.Header)
 		body, err := c.readBody(answer)
 		if err != nil {
 			return unwhole(ctx, err), false
@@ -219,7 +222,7 @@
 	listed := header["Connection"]
 	headers := make([]*pb.Header, 0, len(header))
 	for name, values := range header {
-		if hopHeaders[name] || listedIn(listed, name) || owned != nil && owned(name) {
+		if wire.HopByHop(name) || name == expectHeader || listedIn(listed, name) || owned != nil && owned(name) {
 			continue
 		}
 		for _, value := range values {
@@ -255,7 +258,7 @@
 		head = append(head, h.GetValue()...)
 		head = append(head, "\r\n"...)
 	}
-	head = c.wire.AppendRequest(head, TargetEnvelope{
+	head = c.headers.AppendRequest(head, TargetEnvelope{
 		AttemptID:     request.GetAttemptId(),
 		Remaining:     remaining,
 		TargetID:      targetID,
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -53,11 +53,3 @@
 	// wait.
 	RefusalHeaders(header http.Header, retryAfter time.Duration)
 }
-
-// hopHeaders belong to one connection and are not passed on. Content-Length is
-// set anew, because bodies are buffered whole.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
-}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -56,3 +56,15 @@
 	RequestID string `json:"request_id,omitempty"`
 	Remedy    string `json:"remedy"`
 }
+
+// hopByHop are the headers that belong to one connection. Content-Length is among
+// them because nodes buffer bodies whole and set it anew.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+// HopByHop tells whether a header of this canonical name belongs to one
+// connection and is not passed on.
+func HopByHop(name string) bool { return hopByHop[name] }
