--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -267,8 +267,9 @@
 	r.tasks.Go(func() { members.run(ctx) })
 }
 
-// memberPause gathers member changes that come close together.
-const memberPause = 300 * time.Millisecond
+// memberPause gathers member changes that come close together. A target that
+// drains refuses work at its gate meanwhile, and one that joins waits this long.
+const memberPause = 500 * time.Millisecond
 
 func (r *Relay) applyConfig(records []Record) {
 	for _, record := range records {
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -43,8 +43,9 @@
 )
 
 const (
-	// followWait is how long one read waits for new records.
-	followWait = 10 * time.Second
+	// followWait is how long one read waits for new records. The store allows
+	// 30 s, and each call is paid for.
+	followWait = 25 * time.Second
 	// retryFirst and retryLongest are the waits after failed calls.
 	retryFirst   = 100 * time.Millisecond
 	retryLongest = time.Second
