Apply the operator's limits on headers and connections; drop what nothing uses

A request whose header is above max_header_bytes gets 431; a target never gets more requests at a time than it accepts connections. Roster.Remove and its test go, as no code called it; members of removed machines are an open point.

--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -80,18 +80,14 @@
 // Service is what the configuration says about one service.
 type Service struct {
 	Name string
-	// HealthPath is the path of the targets' health check.
-	HealthPath string
 	// MaxConnections bounds the connections to one target; 0 means no bound.
 	MaxConnections int
 }
 
-// Limits bound what a client may send and how long it may take.
+// Limits bound what a client may send; 0 means no bound.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Table is one version of the configuration.
--- a/core/ingress/ingress_test.go
+++ b/core/ingress/ingress_test.go
@@ -18,7 +18,7 @@
 		{Name: "split", Host: "split.example", PathPrefix: "/", Priority: 4,
 			Parts: []ingress.Part{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}}},
 		{Name: "empty", Host: "empty.example", PathPrefix: "/"},
-	}, []ingress.Service{{Name: "stock", HealthPath: "/healthz"}}, ingress.Limits{BodyBytes: 10})
+	}, []ingress.Service{{Name: "stock", MaxConnections: 7}}, ingress.Limits{BodyBytes: 10})
 }
 
 func TestLongestPrefixWins(t *testing.T) {
@@ -68,7 +68,7 @@
 func TestService(t *testing.T) {
 	s, ok := table().Service("stock")
 	require.True(t, ok)
-	require.Equal(t, "/healthz", s.HealthPath)
+	require.Equal(t, 7, s.MaxConnections)
 	_, ok = table().Service("none")
 	require.False(t, ok)
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -57,16 +57,6 @@
 	return a.GetRevision() > b.GetRevision()
 }
 
-// Remove forgets a member if nothing newer than the incarnation is known.
-func (r *Roster) Remove(vm string, incarnation uint64) bool {
-	known, ok := r.members[vm]
-	if !ok || known.GetIncarnation() > incarnation {
-		return false
-	}
-	delete(r.members, vm)
-	return true
-}
-
 // Get returns the announcement of a VM, or nil.
 func (r *Roster) Get(vm string) *pb.RelayMember { return r.members[vm] }
 
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -40,14 +40,6 @@
 	require.Equal(t, "c", services["s"][0].GetVm())
 }
 
-func TestRemoveKeepsALaterLife(t *testing.T) {
-	r := roster.New()
-	r.Merge(member("a", 5, 1))
-	require.False(t, r.Remove("a", 4))
-	require.True(t, r.Remove("a", 5))
-	require.False(t, r.Remove("a", 5))
-}
-
 // Guards against views that depend on the order in which announcements arrive.
 func TestMergeOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -28,6 +28,17 @@
 	return 0
 }
 
+// connections returns how many connections a target of a service accepts, 0 if
+// that is not known.
+func (c *configuration) connections(service string) int {
+	table := c.table.Load()
+	if table == nil {
+		return 0
+	}
+	known, _ := table.Service(service)
+	return known.MaxConnections
+}
+
 // offer puts a document in force if it is newer. A document that cannot be read
 // leaves the version in force as it is.
 func (c *configuration) offer(document []byte, from string) {
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -76,6 +76,9 @@
 	if err != nil {
 		return nil, outcome.New(outcome.NotRun, outcome.BadRequest, err.Error())
 	}
+	if table.Limits.HeaderBytes > 0 && headerSize(r) > table.Limits.HeaderBytes {
+		return nil, errHeaderTooLarge
+	}
 	target := requestTarget(r)
 	path, _, _ := strings.Cut(target, "?")
 	found := table.Match(r.Host, path)
@@ -132,6 +135,23 @@
 	return o
 }
 
+// errHeaderTooLarge refuses a request whose header is above the limit.
+var errHeaderTooLarge = outcome.New(outcome.NotRun, outcome.TooLarge, "the header is larger than the configuration allows")
+
+// headerLineExtra is the size of a header line besides name and value.
+const headerLineExtra = len(": \r\n")
+
+// headerSize returns the size of request line and header lines in bytes.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerLineExtra
+		}
+	}
+	return size
+}
+
 // requestTarget returns path and query as the client sent them.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -242,6 +262,9 @@
 // statusOf returns the HTTP status of a failure. 503 states that the request
 // has not run and will not.
 func statusOf(failed *outcome.Error) int {
+	if failed == errHeaderTooLarge {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
 	switch failed.Reason {
 	case outcome.BadRequest:
 		return http.StatusBadRequest
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -58,6 +58,10 @@
 	// the target changed.
 	changed func(gateView)
 
+	// connections returns how many connections a target of a service accepts; 0
+	// if that is not known.
+	connections func(service string) int
+
 	gate     *gate.Gate
 	state    *targetstate.State
 	sequence uint64
@@ -70,11 +74,12 @@
 	logged outcome.Level
 }
 
-func newGateTask(address, service string, logger *zap.Logger, changed func(gateView)) *gateTask {
+func newGateTask(address, service string, connections func(string) int, logger *zap.Logger, changed func(gateView)) *gateTask {
 	now := time.Now()
 	t := &gateTask{
-		events:  make(chan func(time.Time), gateEvents),
-		changed: changed,
+		events:      make(chan func(time.Time), gateEvents),
+		changed:     changed,
+		connections: connections,
 		gate: gate.New(gate.Config{
 			Slots: defaultSlots,
 			// The target tells its slots and does not lie about them, and the time
@@ -114,7 +119,7 @@
 func (t *gateTask) advance(now time.Time) {
 	if !t.downTill.IsZero() && now.After(t.downTill) {
 		t.downTill = time.Time{}
-		t.applyState(now)
+		t.applyState()
 	}
 	for _, e := range t.gate.Poll(now) {
 		t.answer(e.ID, admission{Decision: e.Decision, waited: e.Waited})
@@ -223,18 +228,18 @@
 			return
 		}
 		t.downTill = now.Add(downFor)
-		t.applyState(now)
+		t.applyState()
 	}
 }
 
 // announce takes in an announcement of the target and waits until it counts.
 func (t *gateTask) announce(a targetstate.Announcement) error {
 	result := make(chan error, 1)
-	t.events <- func(now time.Time) {
+	t.events <- func(time.Time) {
 		changed, err := t.state.Announce(a)
 		if err == nil && changed {
 			t.downTill = time.Time{}
-			t.applyState(now)
+			t.applyState()
 			t.notify()
 		}
 		result <- err
@@ -245,9 +250,9 @@
 // leave takes in that the target leaves and waits until it counts.
 func (t *gateTask) leave(targetID string) {
 	result := make(chan struct{})
-	t.events <- func(now time.Time) {
+	t.events <- func(time.Time) {
 		if t.state.Leave(targetID) {
-			t.applyState(now)
+			t.applyState()
 			t.notify()
 		}
 		close(result)
@@ -257,18 +262,18 @@
 
 // recall passes on what an earlier life of this node had published.
 func (t *gateTask) recall(published targetstate.Announcement, final bool) {
-	t.events <- func(now time.Time) {
+	t.events <- func(time.Time) {
 		t.state.Recall(published, final)
-		t.applyState(now)
+		t.applyState()
 		t.notify()
 	}
 }
 
 // reconfigure changes the target after a change of the settings.
 func (t *gateTask) reconfigure(address, service string) {
-	t.events <- func(now time.Time) {
+	t.events <- func(time.Time) {
 		t.state.Reconfigure(address, service)
-		t.applyState(now)
+		t.applyState()
 		t.notify()
 	}
 }
@@ -276,9 +281,9 @@
 // stop refuses new work from now on, for the stop of this node.
 func (t *gateTask) stop() {
 	done := make(chan struct{})
-	t.events <- func(now time.Time) {
+	t.events <- func(time.Time) {
 		t.stopping = true
-		t.applyState(now)
+		t.applyState()
 		t.publish()
 		close(done)
 	}
@@ -286,9 +291,13 @@
 }
 
 // applyState passes the state of the target on to the gate.
-func (t *gateTask) applyState(time.Time) {
+func (t *gateTask) applyState() {
 	current := t.state.Current()
-	t.gate.SetCapacity(usableSlots(current.Slots), 0)
+	slots := current.Slots
+	if bound := t.connections(current.Service); bound > 0 {
+		slots = min(slots, bound)
+	}
+	t.gate.SetCapacity(usableSlots(slots), 0)
 	t.gate.SetDraining(t.state.Leaving() || t.stopping)
 	t.gate.SetDown(!t.state.Serving() && !t.state.Leaving() || !t.downTill.IsZero())
 }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -165,7 +165,7 @@
 	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.bufferBytes(), IdleTimeout: peerIdle})
 	r.config = &configuration{decode: o.Decode, logger: telemetry.Named(o.Logger, telemetry.PartControl)}
 	r.members = newMembersTask(self, o.Members, router, r.pool, r.config, telemetry.Named(o.Logger, telemetry.PartControl))
-	r.gate = newGateTask(o.TargetAddress, o.Service, events.gate, r.members.targetChanged)
+	r.gate = newGateTask(o.TargetAddress, o.Service, r.config.connections, events.gate, r.members.targetChanged)
 	r.members.recall = r.gate.recall
 	r.targets = newTargetClient(o.Wire, o.bufferBytes())
 	r.receiver = &receiver{
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -61,7 +61,7 @@
 	pause time.Duration
 	// apply takes in records in the order of their offsets.
 	apply func(records []Record)
-	// ready is called once the first whole copy was taken in.
+	// ready is called each time that a whole copy was taken in.
 	ready func()
 	lost  bool
 }
