Rely on the announcement of an orderly stop once only

Found by reading: a second restart relied on it again although the life between had acknowledged that the target leaves and was killed before it could publish that; the target then got new work. The next life now replaces the announcement on the store before it relies on it.

--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -137,6 +137,25 @@
 
 // recallSelf passes on what an earlier life of this node had published.
 func (t *membersTask) recallSelf() {
+	if t.recall == nil {
+		return
+	}
+	t.merge([]*pb.RelayMember{t.self})
+	if t.earlier.GetStopped() {
+		// The announcement of the stop may be relied on once only. This life
+		// replaces it on the store first, and passes it on when that is done;
+		// otherwise the next life would rely on it after a drain that this one
+		// acknowledged.
+		t.self = proto.CloneOf(t.self)
+		t.self.Revision++
+		t.merge([]*pb.RelayMember{t.self})
+		return
+	}
+	t.passOnEarlier()
+}
+
+// passOnEarlier ends the recall of what the earlier life had published.
+func (t *membersTask) passOnEarlier() {
 	if t.recall == nil {
 		return
 	}
@@ -146,7 +165,6 @@
 	}
 	t.recall(published, t.earlier.GetStopped())
 	t.recall = nil
-	t.merge([]*pb.RelayMember{t.self})
 }
 
 func announcementOf(m *pb.RelayMember) targetstate.Announcement {
@@ -255,6 +273,7 @@
 		t.writing = false
 		if err == nil {
 			t.published = self.GetRevision()
+			t.passOnEarlier()
 		}
 	}
 }
