Recall the earlier life of a node also when the clock went back

Found by reading: a record of an earlier life with a later incarnation only raised the own incarnation; the leaving of the target in it was forgotten.

--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -204,6 +204,9 @@
 	if m.GetIncarnation() == t.self.GetIncarnation() && m.GetRevision() <= t.self.GetRevision() {
 		return false
 	}
+	if !t.loaded && (t.earlier == nil || roster.Newer(m, t.earlier)) {
+		t.earlier = m
+	}
 	if m.GetIncarnation() >= t.self.GetIncarnation() {
 		t.self = proto.CloneOf(t.self)
 		t.self.Incarnation = m.GetIncarnation() + 1
@@ -212,9 +215,6 @@
 			zap.Uint64("incarnation", t.self.GetIncarnation()))
 		return t.roster.Merge(t.self)
 	}
-	if !t.loaded && (t.earlier == nil || roster.Newer(m, t.earlier)) {
-		t.earlier = m
-	}
 	return false
 }
 
--- /dev/null
+++ b/node/relay/members_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/route"
+	"github.com/primrosemount/primrosemount/core/targetstate"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+const testIncarnation = 100
+
+// recalled returns what a members task passes on after it has read a record of
+// its own VM from the store.
+func recalled(t *testing.T, earlier *pb.RelayMember) (targetstate.Announcement, bool) {
+	t.Helper()
+	self := &pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: testIncarnation}
+	router := route.New(route.Config{Start: time.Now()})
+	task := newMembersTask(self, nil, router, nil, &configuration{}, zap.NewNop())
+	var got targetstate.Announcement
+	called := false
+	task.recall = func(published targetstate.Announcement, _ bool) { got, called = published, true }
+	task.merge([]*pb.RelayMember{earlier})
+	task.loaded = true
+	task.recallSelf()
+	require.Equal(t, "vm", task.roster.Get("vm").GetVm())
+	require.Greater(t, task.self.GetIncarnation(), earlier.GetIncarnation())
+	return got, called
+}
+
+// Guards against a leaving that is forgotten when the clock went back before the
+// restart, so that the record of the earlier life seems to be the later one.
+func TestEarlierLifeIsRecalledWhateverTheClockSays(t *testing.T) {
+	for _, incarnation := range []uint64{testIncarnation - 1, testIncarnation, testIncarnation + 50} {
+		earlier := &pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: incarnation, Revision: 3, TargetId: "t", TargetLeaving: true, TargetSequence: 7}
+		got, called := recalled(t, earlier)
+		require.True(t, called)
+		require.Equal(t, "t", got.TargetID)
+		require.Equal(t, targetstate.Draining, got.Phase)
+		require.Equal(t, uint64(7), got.Sequence)
+	}
+}
