--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -54,8 +54,7 @@
 	defer e.running.Add(-1)
 	o, refused := e.accept(r, started)
 	if refused != nil {
-		e.events.rejected(r, refused)
-		e.fail(w, r, nil, refused, 0)
+		e.reject(w, r, refused, started)
 		return
 	}
 	defer e.buffered.Add(-int64(len(o.message.GetBody())))
@@ -66,6 +65,18 @@
 	e.answer(w, r, o, response)
 }
 
+// unrouted is the service in metrics of requests that were not taken in.
+const unrouted = "unrouted"
+
+// reject answers a request that was not taken in.
+func (e *entry) reject(w http.ResponseWriter, r *http.Request, refused *outcome.Error, started time.Time) {
+	// The envelope is read again for the id; its error is the refusal itself.
+	envelope, _ := e.wire.ReadRequest(r.Header)
+	e.events.rejected(r, envelope.AttemptID, refused)
+	e.metrics.Request(unrouted, outcome.Normal, refused.Outcome, refused.Reason, time.Since(started))
+	e.fail(w, r, nil, refused, 0)
+}
+
 // accept reads a request and finds its route. The error has outcome not run.
 func (e *entry) accept(r *http.Request, started time.Time) (*outgoing, *outcome.Error) {
 	table := e.config.table.Load()
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -38,8 +38,8 @@
 }
 
 // rejected tells of a request that the entry did not take in.
-func (l *eventLog) rejected(r *http.Request, refused *outcome.Error) {
-	l.entry.Info("The request was rejected.", zap.String("host", r.Host), zap.String("path", r.URL.Path),
+func (l *eventLog) rejected(r *http.Request, attemptID string, refused *outcome.Error) {
+	l.entry.Info("The request was rejected.", zap.String("request", attemptID), zap.String("host", r.Host), zap.String("path", r.URL.Path),
 		zap.String("reason", refused.Reason.String()), zap.String("detail", refused.Detail))
 }
 
