--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -229,22 +229,25 @@
 	r.peerListener = peerListener
 	r.serve("entry", func() error { return r.server.Serve(entryListener) })
 	r.serve("peers", func() error { return r.peers.Serve(peerListener) })
-	return r.listenMetrics(ctx)
+	r.listenMetrics(ctx)
+	return nil
 }
 
-func (r *Relay) listenMetrics(ctx context.Context) error {
+// listenMetrics serves metrics. A node whose port is taken serves requests
+// without them.
+func (r *Relay) listenMetrics(ctx context.Context) {
 	if r.options.MetricsAddress == "" {
-		return nil
+		return
 	}
 	listener, err := socket.Listen(ctx, r.options.MetricsAddress)
 	if err != nil {
-		return errors.Wrap(err, "relay: the listener for metrics; check the address in the settings")
+		r.logger.Error("Metrics are not served; choose another port.", zap.String("address", r.options.MetricsAddress), telemetry.ErrorField(err))
+		return
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.options.Metrics.Handler())
 	r.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
-	return nil
 }
 
 // serve runs a server in its own goroutine and logs an end that was not asked for.
@@ -265,6 +268,15 @@
 	members := &follower{name: "members", topic: r.options.Members, logger: control, pause: memberPause, ready: r.members.storeRead, apply: r.members.records}
 	r.tasks.Go(func() { config.run(ctx) })
 	r.tasks.Go(func() { members.run(ctx) })
+	r.tasks.Go(func() { r.closeIdlePeers(ctx) })
+}
+
+// closeIdlePeers closes connections to nodes that get no more work.
+func (r *Relay) closeIdlePeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, peerIdle/2)
+		r.pool.CloseIdle(time.Now())
+	}
 }
 
 // memberPause gathers member changes that come close together. A target that
