--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -82,8 +82,12 @@
 	return &targetClient{headers: headers, maxBytes: maxBytes}
 }
 
-// send sends a request once and reads the whole answer.
+// send sends a request once and reads the whole answer. Nothing is sent after
+// the end of the context.
 func (c *targetClient) send(ctx context.Context, address, targetID string, request *pb.ForwardRequest, deadline time.Time) targetResult {
+	if err := ctx.Err(); err != nil {
+		return notSent(ctx, err)
+	}
 	conn, err := c.connection(ctx, address, request.GetIdempotent())
 	if err != nil {
 		return notSent(ctx, err)
--- a/node/relay/targetclient_test.go
+++ b/node/relay/targetclient_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,6 +122,28 @@
 	require.Equal(t, outcome.Completed, sendOne(t, c, address, "interim").outcome)
 }
 
+// Guards against a request that reaches the target after its client has left
+// while it waited at the gate.
+func TestNothingIsSentAfterTheEndOfTheContext(t *testing.T) {
+	var reached atomic.Int64
+	address := scripted(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		reached.Add(1)
+		reply(conn, request.Header.Get("Id"), "own")
+		return true
+	})
+	c := newTargetClient(plainWire{}, 1<<20)
+	defer c.closeIdle()
+	require.Equal(t, outcome.Completed, sendOne(t, c, address, "first").outcome)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		got := c.send(ctx, address, "t", &pb.ForwardRequest{Method: http.MethodGet, Target: "/", Host: "h", AttemptId: "late"}, time.Now().Add(time.Second))
+		require.Equal(t, outcome.NotRun, got.outcome)
+		require.False(t, got.sent)
+	}
+	require.Equal(t, int64(1), reached.Load())
+}
+
 func TestRefusedConnectionHasNotRun(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
