Add a fault soak with real processes

cmd/soak runs nodes as processes behind loopback proxies, injects faults drawn from a seed (signals, links, store, targets, configuration, an earlier life with its clock ahead) and checks answers, runs, drains, configuration, repeats and recovery against the stated bounds.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,82 @@
+// Command soak runs real nodes as processes under random faults and checks what
+// callers and targets see. Each seed is one schedule of faults.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/primrosemount/primrosemount/internal/soak"
+)
+
+type arguments struct {
+	Binary   string        `arg:"--binary,required" help:"the program primrosemount, built"`
+	Folder   string        `arg:"--folder" default:"target/soak" help:"folder for settings, logs, schedules and findings; a folder a seed"`
+	Seed     uint64        `arg:"--seed" help:"first seed; 0 takes one from the clock"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	VMs      int           `arg:"--vms" default:"6" help:"number of VMs, at least 2"`
+	Clients  int           `arg:"--clients" default:"3" help:"clients on each VM"`
+	Faults   time.Duration `arg:"--faults" default:"20s" help:"time in which faults begin"`
+	Calm     time.Duration `arg:"--calm" default:"3s" help:"time of load after the recovery"`
+	Sabotage bool          `arg:"--sabotage" help:"duplicate what is sent to targets, which the checks must find"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "soak runs real nodes under random faults and checks their promises. It exits with 1 if one was broken."
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	if args.VMs < 2 || args.Seeds < 1 || args.Clients < 1 {
+		parser.Fail("--vms needs at least 2, --seeds and --clients at least 1")
+	}
+	if args.Seed == 0 {
+		args.Seed = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	broken := 0
+	for seed := args.Seed; seed < args.Seed+uint64(args.Seeds); seed++ {
+		sound, err := args.play(seed)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "soak:", err)
+			os.Exit(1)
+		}
+		if !sound {
+			broken++
+		}
+	}
+	fmt.Printf("%d seeds, %d with findings\n", args.Seeds, broken)
+	if broken > 0 {
+		os.Exit(1)
+	}
+}
+
+// play runs one seed; false means that there are findings.
+func (a *arguments) play(seed uint64) (bool, error) {
+	folder := filepath.Join(a.Folder, fmt.Sprint(seed))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return false, err
+	}
+	binary, err := filepath.Abs(a.Binary)
+	if err != nil {
+		return false, err
+	}
+	report, err := soak.Run(soak.Options{
+		Binary: binary, Folder: folder, Seed: seed, VMs: a.VMs, Clients: a.Clients,
+		Faults: a.Faults, Calm: a.Calm, Sabotage: a.Sabotage,
+	})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d steps, %d requests, %d served, %d reached targets, %d MB at most, %d findings\n",
+		seed, len(report.Steps), report.Attempts, report.Served, report.Arrivals, report.PeakMB, len(report.Findings))
+	for _, finding := range report.Findings {
+		fmt.Println("  ", finding)
+	}
+	return len(report.Findings) == 0, nil
+}
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// start is when the histories of these tests begin.
+var start = time.Unix(5000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// served is a request that was answered properly, with its arrival at a target.
+func served(id string, route Route, vm int, at time.Duration) (*Attempt, Arrival) {
+	a := newAttempt(id, route, 1, vm, 1)
+	a.Sent, a.Ended, a.Status, a.Answer, a.Sealed = after(at), after(at+10*time.Millisecond), 200, answerOf(id), true
+	return a, Arrival{
+		ID: id, TargetID: "t-1", VM: 1, Service: route.service(), At: after(at + 5*time.Millisecond),
+		Method: a.Method, Target: a.Target, Body: a.Body, Caller: serviceOf(vm), Deadline: a.Deadline - 5*time.Millisecond, Ran: true,
+	}
+}
+
+func rules(findings []Finding) []string {
+	names := make([]string, 0, len(findings))
+	for _, f := range findings {
+		names = append(names, f.Rule)
+	}
+	return names
+}
+
+// Guards against checks that cannot fail: each case is a proper history with one
+// promise broken, and the check of that promise has to notice it.
+func TestEachBrokenPromiseIsFound(t *testing.T) {
+	cases := map[string]func(h *History, a *Attempt, arrival *Arrival){
+		"MIXED":   func(_ *History, a *Attempt, _ *Arrival) { a.Answer = answerOf("other") },
+		"UNASKED": func(_ *History, _ *Attempt, arrival *Arrival) { arrival.Body = "three sacks" },
+		"ROUTE":   func(_ *History, _ *Attempt, arrival *Arrival) { arrival.Service = "elsewhere" },
+		"TWICE":   func(h *History, _ *Attempt, arrival *Arrival) { h.Arrivals = append(h.Arrivals, *arrival) },
+		"REFUSED": func(_ *History, a *Attempt, _ *Arrival) { a.Status, a.Sealed = 503, false },
+		"DENIED":  func(_ *History, a *Attempt, _ *Arrival) { a.Status, a.Sealed = 404, false },
+		"BUDGET":  func(_ *History, a *Attempt, arrival *Arrival) { arrival.Deadline = a.Deadline + time.Second },
+		"LOST":    func(_ *History, a *Attempt, _ *Arrival) { a.Status = 0 },
+		"DRAIN": func(h *History, _ *Attempt, arrival *Arrival) {
+			h.leaving(Leaving{TargetID: arrival.TargetID, Acked: arrival.At.Add(-drainTimeout - time.Millisecond)})
+		},
+		"RECOVER": func(h *History, a *Attempt, _ *Arrival) {
+			h.Healed, a.Status = a.Sent.Add(-RecoveryBound), 502
+			later, arrival := served("r-2", RouteView, 0, 2*time.Minute)
+			h.attempt(later)
+			h.arrival(arrival)
+		},
+		"ENDS": func(h *History, _ *Attempt, _ *Arrival) { h.endedByItself("a node") },
+	}
+	for rule, breakIt := range cases {
+		t.Run(rule, func(t *testing.T) {
+			h := &History{}
+			a, arrival := served("r-1", RouteOrder, 0, time.Minute)
+			h.attempt(a)
+			breakIt(h, a, &arrival)
+			h.arrival(arrival)
+			require.Equal(t, []string{rule}, rules(Check(h)))
+		})
+	}
+}
+
+func TestProperHistoryHasNoFinding(t *testing.T) {
+	h := &History{Healed: start}
+	for i, route := range []Route{RouteView, RouteOrder, RoutePrice, RouteDebit} {
+		a, arrival := served(string(rune('a'+i)), route, i, time.Minute)
+		h.attempt(a)
+		h.arrival(arrival)
+	}
+	require.Empty(t, Check(h))
+}
+
+// Guards against nodes that lag behind the configuration, or go back, unnoticed.
+func TestStaleConfigurationIsFound(t *testing.T) {
+	h := &History{}
+	h.change(Change{Generation: 1, Sent: start, Acked: start})
+	h.change(Change{Generation: 2, Sent: after(time.Minute), Acked: after(time.Minute)})
+	probe := func(id string, generation, status int, at time.Duration) {
+		a := newAttempt(id, RouteGeneration, generation, 1, 1)
+		a.Sent, a.Ended, a.Status = after(at), after(at+time.Millisecond), status
+		if status == 200 {
+			a.Answer, a.Sealed = answerOf(id), true
+		}
+		h.attempt(a)
+	}
+	probe("in time", 1, 200, time.Minute+configApply)
+	probe("new", 2, 200, time.Minute+configApply)
+	require.Empty(t, Check(h))
+	probe("back", 1, 200, time.Minute+configApply-time.Second+downgradeSlack)
+	require.Empty(t, Check(h), "the new one was not seen before")
+	probe("late", 2, 404, 2*time.Minute)
+	probe("old", 1, 200, 2*time.Minute)
+	require.Equal(t, []string{"CONFIG", "CONFIG", "CONFIG"}, rules(Check(h)))
+}
+
+// Guards against rules with a time bound that are held against a VM under a fault.
+func TestDisturbedVMIsNotBound(t *testing.T) {
+	h := &History{}
+	a, arrival := served("r-1", RouteView, 0, time.Minute)
+	a.Status = 0
+	h.attempt(a)
+	h.arrival(arrival)
+	h.Disturbances = []*Disturbance{{Kind: NodeKill, VM: 1, From: after(50 * time.Second), To: after(58 * time.Second)}}
+	require.Empty(t, Check(h))
+	h.Disturbances[0].To = after(time.Minute - contact - time.Millisecond)
+	require.Equal(t, []string{"LOST"}, rules(Check(h)))
+}
+
+// Guards against repeats that exceed the fleet's budget unnoticed.
+func TestBudgetIsCheckedOverWindows(t *testing.T) {
+	h := &History{}
+	for i := range budgetSlack + 2 {
+		a, arrival := served("r-"+string(rune('A'+i)), RouteView, 0, time.Duration(i)*10*time.Millisecond)
+		h.attempt(a)
+		h.arrival(arrival)
+		h.arrival(arrival)
+	}
+	require.Empty(t, Check(h), "50 repeats are within 48 and a fifth of 50")
+	for i := range budgetSlack {
+		_, arrival := served("r-"+string(rune('A'+i)), RouteView, 0, time.Second)
+		h.arrival(arrival)
+	}
+	require.Contains(t, rules(Check(h)), "BUDGET")
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,253 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosemount/primrosemount/core/roster"
+	"github.com/primrosemount/primrosemount/internal/freeport"
+	"github.com/primrosemount/primrosemount/internal/standin/logservice"
+)
+
+// Services of the soak.
+const (
+	serviceStock  = "stock"
+	servicePrices = "prices"
+)
+
+const (
+	// routeAttempts and routeTimeout are those of all routes.
+	routeAttempts = 2
+	routeTimeout  = 2 * time.Second
+	// gracePeriod is the time from SIGTERM to SIGKILL.
+	gracePeriod = 6 * time.Second
+	// memoryMB is what a node may use.
+	memoryMB = 184
+	// zones is the number of availability zones.
+	zones = 3
+	// addressesPerVM is the number of listeners of one VM, proxies included.
+	addressesPerVM = 9
+)
+
+// serviceOf returns the service of a VM; every other one serves prices.
+func serviceOf(vm int) string {
+	if vm%2 == 0 {
+		return serviceStock
+	}
+	return servicePrices
+}
+
+// vm is one VM: a node process, a target, and the proxies of the node's links.
+type vm struct {
+	index           int
+	name            string
+	zone            string
+	service         string
+	settingsPath    string
+	entryAddress    string
+	announceAddress string
+	targetAddress   string
+	node            *node
+	target          *target
+	clients         *proxy
+	peers           *proxy
+	toTarget        *proxy
+	toStore         *proxy
+}
+
+func (v *vm) lives() int { return v.node.lives() }
+
+func (v *vm) links() []*proxy { return []*proxy{v.clients, v.peers, v.toTarget, v.toStore} }
+
+// fleet is all VMs and the store.
+type fleet struct {
+	history  *History
+	store    *logservice.Service
+	server   *http.Server
+	address  string
+	vms      []*vm
+	mutex    sync.Mutex
+	current  int
+	changing sync.Mutex
+}
+
+func newFleet(o Options, history *History) (*fleet, error) {
+	f := &fleet{history: history, store: logservice.New(logservice.Config{})}
+	addresses, err := freeport.Addresses(1 + o.VMs*addressesPerVM)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", addresses[0])
+	if err != nil {
+		return nil, err
+	}
+	f.address = addresses[0]
+	f.server = &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: connectTimeout}
+	go func() { _ = f.server.Serve(listener) }()
+	for i := range o.VMs {
+		if err := f.add(o, i, addresses[1+i*addressesPerVM:][:addressesPerVM]); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// add prepares one VM.
+func (f *fleet) add(o Options, index int, addresses []string) error {
+	v := &vm{
+		index: index, name: fmt.Sprintf("vm-%d", index+1), zone: fmt.Sprintf("zone-%d", index%zones+1), service: serviceOf(index),
+		entryAddress: addresses[0], announceAddress: addresses[2], targetAddress: addresses[4],
+	}
+	v.settingsPath = filepath.Join(o.Folder, v.name+".yaml")
+	v.node = &node{vm: v, binary: o.Binary, folder: o.Folder, history: f.history}
+	v.target = &target{vm: v, history: f.history}
+	links := []struct {
+		place    **proxy
+		upstream string
+	}{{&v.clients, addresses[0]}, {&v.peers, addresses[3]}, {&v.toTarget, addresses[4]}, {&v.toStore, f.address}}
+	for i, l := range links {
+		var err error
+		if *l.place, err = newProxy(addresses[5+i], l.upstream); err != nil {
+			return err
+		}
+	}
+	f.vms = append(f.vms, v)
+	return os.WriteFile(v.settingsPath, []byte(v.settings(addresses[1], addresses[3])), 0o600)
+}
+
+func (v *vm) settings(ready, peer string) string {
+	port := peer[strings.LastIndexByte(peer, ':')+1:]
+	return fmt.Sprintf(`node_name: %q
+ip: "127.0.0.1"
+zone: %q
+region: "north"
+listen: {outbound: %q, ready_addr: %q, control: %q}
+internal_ports: [%s, %s]
+limits: {memory_mb: %d}
+bounds: ["grace_period=%s", "retry_budget_ratio=%g", "budget_slack=%d", "drain_timeout=%s"]
+app_addr: %q
+service: %q
+platform: {address: %q}
+`, v.name, v.zone, v.entryAddress, ready, v.announceAddress, port, port, memoryMB,
+		gracePeriod, budgetRatio, budgetSlack, drainTimeout, v.toTarget.address(), v.service, v.toStore.address())
+}
+
+// start starts targets and nodes at once.
+func (f *fleet) start(done <-chan struct{}) error {
+	if err := f.configure(); err != nil {
+		return err
+	}
+	for _, v := range f.vms {
+		if err := errors.CombineErrors(v.target.start(false), v.node.start()); err != nil {
+			return err
+		}
+		go v.target.announceUntil(done)
+	}
+	return nil
+}
+
+// generation returns the newest generation that the store acknowledged.
+func (f *fleet) generation() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.current
+}
+
+// configTries bounds the tries to store a configuration while the store is down.
+const configTries = 200
+
+// configure stores the next generation as an operator does: again until it is
+// acknowledged.
+func (f *fleet) configure() error {
+	f.changing.Lock()
+	defer f.changing.Unlock()
+	next := f.generation() + 1
+	change := Change{Generation: next, Sent: time.Now()}
+	record := append([]byte("\x06config"), document(next)...)
+	for range configTries {
+		if _, err := f.store.Append(context.Background(), "keyed.op", record); err == nil {
+			change.Acked = time.Now()
+			f.history.change(change)
+			f.mutex.Lock()
+			f.current = next
+			f.mutex.Unlock()
+			return nil
+		}
+		time.Sleep(linkPoll)
+	}
+	return errors.New("the store took no configuration; look at its faults in the schedule")
+}
+
+// document is the configuration of a generation.
+func document(generation int) string {
+	var routes strings.Builder
+	add := func(name, host, prefix, kind string, priority int, service string) {
+		fmt.Fprintf(&routes, `{"type":"routes","metadata":{"name":%q},"spec":{"hostname":%q,"path_prefix":%q,"kind":%q,"timeout":"%dms","target_latency":"500ms","priority":%d,"service":%q,"attempts":%d}},`,
+			name, host, prefix, kind, routeTimeout.Milliseconds(), priority, service, routeAttempts)
+	}
+	add("view", hostShop, "/view/", "safe", 2, serviceStock)
+	add("order", hostShop, "/order/", "unsafe", 0, serviceStock)
+	add("price", hostPrice, "/price/", "safe", 1, servicePrices)
+	add("debit", hostPrice, "/debit/", "unsafe", 0, servicePrices)
+	name := "generation-" + strconv.Itoa(generation)
+	add(name, hostPrice, "/"+name+"/", "safe", 2, servicePrices)
+	return fmt.Sprintf(`{"version":"%08x","resources":[%s
+{"type":"services","metadata":{"name":"stock"},"spec":{"health_path":"/healthz","max_connections":200}},
+{"type":"services","metadata":{"name":"prices"},"spec":{"health_path":"/healthz","max_connections":200}},
+{"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout":"3000ms","idle_timeout":"15000ms"}}]}`,
+		generation, routes.String())
+}
+
+// clockAhead is by how much the clock of a node's earlier life was ahead.
+const clockAhead = time.Hour
+
+// leaveLaterLife makes the record of the VM look as if a life had written it
+// whose clock was ahead.
+func (f *fleet) leaveLaterLife(v *vm) error {
+	record, known := f.store.Newest("keyed.members")[v.name]
+	if !known {
+		return nil
+	}
+	m, err := roster.Decode(record)
+	if err != nil {
+		return err
+	}
+	m.Incarnation += uint64(clockAhead)
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	key := append([]byte{byte(len(v.name))}, v.name...)
+	_, err = f.store.Append(context.Background(), "keyed.members", append(key, data...))
+	return err
+}
+
+// close ends every process and listener of the fleet.
+func (f *fleet) close() {
+	var ending sync.WaitGroup
+	for _, v := range f.vms {
+		ending.Go(func() {
+			v.node.kill()
+			v.target.stop()
+			for _, link := range v.links() {
+				if link != nil {
+					link.close()
+				}
+			}
+		})
+	}
+	ending.Wait()
+	_ = f.server.Close()
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault or of planned work.
+type Kind uint8
+
+// Kinds of faults. The comment after each says what the step's fields hold
+// besides the victim.
+const (
+	// NodeKill kills a node process and starts it again after For.
+	NodeKill Kind = iota
+	// NodePause stops a node process from running for For.
+	NodePause
+	// NodeStop asks a node to stop, waits for its end and starts it again.
+	NodeStop
+	// NodeReload sends SIGHUP.
+	NodeReload
+	// NodeClockBack restarts a node whose clock was an hour ahead before.
+	NodeClockBack
+	// ClientLink, PeerLink, TargetLink and StoreLink put Link on a link for For.
+	ClientLink
+	PeerLink
+	TargetLink
+	StoreLink
+	// StoreDown, StoreSlow and StoreLosesAnswers last for For.
+	StoreDown
+	StoreSlow
+	StoreLosesAnswers
+	// TargetCrash ends a target; after For a new life starts at its address.
+	TargetCrash
+	// TargetRestart ends a target; its next life has the same id.
+	TargetRestart
+	// TargetDrain announces that the target leaves, waits, ends it and starts a
+	// new life.
+	TargetDrain
+	// TargetSlow and TargetFaulty last for For.
+	TargetSlow
+	TargetFaulty
+	// ConfigChange replaces the routes of one generation by those of the next.
+	ConfigChange
+	kinds
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	return [...]string{
+		"node killed", "node paused", "node stopped", "node reloads", "node with its clock back",
+		"link of clients", "link of nodes", "link of the target", "link of the store",
+		"store down", "store slow", "store loses answers",
+		"target crashes", "target restarts", "target drains", "target slow", "target faulty", "configuration changes",
+	}[k]
+}
+
+// Planned tells whether the kind is planned work, which must cut no request.
+func (k Kind) Planned() bool {
+	return k == NodeStop || k == NodeReload || k == TargetDrain || k == ConfigChange
+}
+
+// Step is one entry of a schedule.
+type Step struct {
+	At   time.Duration
+	Kind Kind
+	// VM is the index of the VM that is struck.
+	VM   int
+	For  time.Duration
+	Link LinkFault
+}
+
+// String describes the step.
+func (s Step) String() string {
+	text := fmt.Sprintf("%6.2fs %s, VM %d, for %.2fs", s.At.Seconds(), s.Kind, s.VM+1, s.For.Seconds())
+	if s.Link != LinkSound {
+		text += ", " + s.Link.String()
+	}
+	return text
+}
+
+const (
+	// calmStart is the time before the first fault.
+	calmStart = 2 * time.Second
+	// meanGap is the mean time between two series of faults.
+	meanGap = 900 * time.Millisecond
+	// shortestFault and longestFault bound the length of a fault.
+	shortestFault = 200 * time.Millisecond
+	longestFault  = 3500 * time.Millisecond
+	// seriesShare is one over the share of faults that come again on several VMs
+	// in short succession.
+	seriesShare = 4
+	// seriesGap is the longest time between two steps of a series.
+	seriesGap = 600 * time.Millisecond
+)
+
+// Plan draws a schedule for the VMs: faults from calmStart on, the last of which
+// ends at the length at the latest.
+func Plan(seed uint64, vms int, length time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, uint64(vms)))
+	var steps []Step
+	for at := calmStart; at < length-shortestFault; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
+		first := drawStep(r, at, vms)
+		steps = append(steps, first)
+		if r.IntN(seriesShare) > 0 {
+			continue
+		}
+		next := first
+		for range r.IntN(vms) {
+			next.At += time.Duration(r.Int64N(int64(seriesGap)))
+			next.VM = r.IntN(vms)
+			steps = append(steps, next)
+		}
+	}
+	return clip(steps, length)
+}
+
+func drawStep(r *rand.Rand, at time.Duration, vms int) Step {
+	step := Step{
+		At: at, Kind: Kind(r.IntN(int(kinds))), VM: r.IntN(vms),
+		For: shortestFault + time.Duration(r.Int64N(int64(longestFault-shortestFault))),
+	}
+	switch step.Kind {
+	case ClientLink, PeerLink, TargetLink, StoreLink:
+		step.Link = drawLinkFault(r)
+	}
+	return step
+}
+
+// clip orders the steps and ends them with the schedule.
+func clip(steps []Step, length time.Duration) []Step {
+	kept := steps[:0]
+	for _, step := range steps {
+		if step.At < length {
+			step.For = min(step.For, length-step.At)
+			kept = append(kept, step)
+		}
+	}
+	slices.SortStableFunc(kept, func(a, b Step) int { return int(a.At - b.At) })
+	return kept
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func build(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "primrosemount")
+	output, err := exec.Command("go", "build", "-o", binary, "github.com/primrosemount/primrosemount/cmd/primrosemount").CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
+// Plays a short schedule with real processes. A longer run of cmd/soak with the
+// seed that is printed plays the same faults.
+func TestSoak(t *testing.T) {
+	report, err := Run(Options{
+		Binary: build(t), Folder: t.TempDir(), Seed: 7, VMs: 4, Clients: 2,
+		Faults: 8 * time.Second, Calm: time.Second,
+	})
+	require.NoError(t, err)
+	require.Empty(t, report.Findings, "seed %d", report.Seed)
+	require.NotEmpty(t, report.Steps)
+	require.NotZero(t, report.Served)
+}
+
+// Guards against a schedule that differs between two runs of a seed, and against
+// faults that no schedule plays.
+func TestPlanFollowsTheSeed(t *testing.T) {
+	require.Equal(t, Plan(3, 6, 20*time.Second), Plan(3, 6, 20*time.Second))
+	played := make(map[Kind]bool)
+	for seed := range uint64(50) {
+		last := time.Duration(0)
+		for _, step := range Plan(seed, 6, 20*time.Second) {
+			require.GreaterOrEqual(t, step.At, max(last, calmStart))
+			require.LessOrEqual(t, step.At+step.For, 20*time.Second)
+			require.Less(t, step.VM, 6)
+			played[step.Kind], last = true, step.At
+		}
+	}
+	require.Len(t, played, int(kinds))
+}
+
+// Guards against a list of seeds that names no cause, or that cannot be read.
+func TestSeedsThatFailedNameTheirCause(t *testing.T) {
+	file, err := os.Open("testdata/seeds.txt")
+	require.NoError(t, err)
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		seed, cause, _ := strings.Cut(line, " ")
+		_, err := strconv.ParseUint(seed, 10, 64)
+		require.NoError(t, err, line)
+		require.NotEmpty(t, cause, line)
+	}
+	require.NoError(t, lines.Err())
+}
--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -56,8 +56,10 @@
 	ID string
 	// Work is how long a request takes.
 	Work time.Duration
-	// Answer is the body of answers.
+	// Answer is the body of answers, unless AnswerTo is set.
 	Answer string
+	// AnswerTo returns the body of the answer to one request.
+	AnswerTo func(run Run) string
 	// Fault chooses what happens to a request; nil means None.
 	Fault func(run Run) Fault
 	// Called is called while a request runs, for calls of the target's own; its
@@ -182,15 +184,15 @@
 	case LoseAnswer:
 		panic(http.ErrAbortHandler)
 	case Truncate:
-		w.Header().Set("Content-Length", strconv.Itoa(len(t.config.Answer)+10))
-		_, _ = io.WriteString(w, t.config.Answer)
+		w.Header().Set("Content-Length", strconv.Itoa(len(t.answerTo(run))+10))
+		_, _ = io.WriteString(w, t.answerTo(run))
 		panic(http.ErrAbortHandler)
 	case Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case Extra, ResetUnframed:
 		t.raw(w, run, fault)
 	default:
-		_, _ = io.WriteString(w, t.config.Answer)
+		_, _ = io.WriteString(w, t.answerTo(run))
 	}
 }
 
@@ -201,7 +203,7 @@
 		return
 	}
 	if fault == ResetUnframed {
-		writeAnswer(buffer.Writer, run.AttemptID, t.config.Answer, false)
+		writeAnswer(buffer.Writer, run.AttemptID, t.answerTo(run), false)
 		_ = buffer.Flush()
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
@@ -209,7 +211,7 @@
 		_ = conn.Close()
 		return
 	}
-	writeAnswer(buffer.Writer, run.AttemptID, t.config.Answer, true)
+	writeAnswer(buffer.Writer, run.AttemptID, t.answerTo(run), true)
 	writeAnswer(buffer.Writer, "stale-"+run.AttemptID, "another request's answer", true)
 	_ = buffer.Flush()
 	_ = conn.Close()
@@ -222,3 +224,10 @@
 	}
 	fmt.Fprintf(w, "\r\n%s", body)
 }
+
+func (t *Target) answerTo(run Run) string {
+	if t.config.AnswerTo != nil {
+		return t.config.AnswerTo(run)
+	}
+	return t.config.Answer
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -18,6 +18,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -85,6 +86,9 @@
 	EntryAddress string
 	// PeerAddress takes the requests of other nodes.
 	PeerAddress string
+	// AdvertisedAddress is where other nodes reach PeerAddress; empty if they reach
+	// it as it is.
+	AdvertisedAddress string
 	// MetricsAddress serves metrics; empty for none.
 	MetricsAddress string
 	// GracePeriod is the time from the request to stop until the process is killed.
@@ -111,6 +115,9 @@
 // bufferBytes bounds the bodies that a node holds, and so a single one.
 func (o Options) bufferBytes() int64 { return o.MemoryBytes / bufferShare }
 
+// advertised returns the address that other nodes use.
+func (o Options) advertised() string { return cmp.Or(o.AdvertisedAddress, o.PeerAddress) }
+
 // Relay is a running node.
 type Relay struct {
 	options  Options
@@ -161,7 +168,7 @@
 	router := route.New(route.Config{Self: incarnation, Zone: o.Zone, Region: o.Region, Seed: incarnation, Start: start, Policy: route.NearestRoom})
 	downstream := threshold.NewDownstream(start)
 	graph := callgraph.New()
-	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.PeerAddress, Service: o.Service, Incarnation: incarnation}
+	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.advertised(), Service: o.Service, Incarnation: incarnation}
 	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.bufferBytes(), IdleTimeout: peerIdle})
 	r.config = &configuration{decode: o.Decode, logger: telemetry.Named(o.Logger, telemetry.PartControl)}
 	r.members = newMembersTask(self, o.Members, router, r.pool, r.config, telemetry.Named(o.Logger, telemetry.PartControl))
@@ -186,7 +193,7 @@
 		router:     router,
 		pool:       r.pool,
 		local:      r.receiver,
-		self:       func() string { return o.PeerAddress },
+		self:       o.advertised,
 		downstream: downstream,
 		budgets:    newBudgets(o.RepeatRatio, o.RepeatSlack),
 		sender:     incarnation,
