Let a few readers of each zone follow the store for the others

Change: two members of a zone, or one in sixteen, follow the store; others compare with them each second, follow the store themselves when no reader has told for 1.7 s that it does, and get only what changed since their last comparison. The first announcement of a node waits for that of its target.

The digest of the view is kept up to date instead of being worked out anew.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -29,11 +29,17 @@
 // Roster is the merged view. The zero value is not usable; call New.
 type Roster struct {
 	members map[string]*pb.RelayMember
+	// digest is the sum of the hashes of all announcements.
+	digest uint64
+	// changes counts the announcements that changed the view; changed holds the
+	// count at the latest change of each member.
+	changes uint64
+	changed map[string]uint64
 }
 
 // New returns an empty Roster.
 func New() *Roster {
-	return &Roster{members: make(map[string]*pb.RelayMember)}
+	return &Roster{members: make(map[string]*pb.RelayMember), changed: make(map[string]uint64)}
 }
 
 // Merge takes in one announcement and reports whether it changed the view.
@@ -42,13 +48,35 @@
 	if m.GetVm() == "" || m.GetAddress() == "" {
 		return false
 	}
-	if known, ok := r.members[m.GetVm()]; ok && !Newer(m, known) {
+	known, ok := r.members[m.GetVm()]
+	if ok && !Newer(m, known) {
 		return false
 	}
+	if ok {
+		r.digest -= hashOf(known)
+	}
+	r.digest += hashOf(m)
+	r.changes++
+	r.changed[m.GetVm()] = r.changes
 	r.members[m.GetVm()] = m
 	return true
 }
 
+// Changes returns how many announcements changed the view so far.
+func (r *Roster) Changes() uint64 { return r.changes }
+
+// ChangedSince returns the members that changed after the view had the number of
+// changes, in no particular order.
+func (r *Roster) ChangedSince(changes uint64) []*pb.RelayMember {
+	var members []*pb.RelayMember
+	for vm, at := range r.changed {
+		if at > changes {
+			members = append(members, r.members[vm])
+		}
+	}
+	return members
+}
+
 // Newer tells whether a is a later announcement than b.
 func Newer(a, b *pb.RelayMember) bool {
 	if a.GetIncarnation() != b.GetIncarnation() {
@@ -84,18 +112,19 @@
 }
 
 // Digest returns a hash of the view; equal views have equal digests.
-func (r *Roster) Digest() uint64 {
-	hash := xxhash.New()
-	var number [16]byte
-	for _, m := range r.Members() {
-		_, _ = hash.WriteString(m.GetVm())
-		binary.LittleEndian.PutUint64(number[:8], m.GetIncarnation())
-		binary.LittleEndian.PutUint64(number[8:], m.GetRevision())
-		_, _ = hash.Write(number[:])
-	}
-	return hash.Sum64()
+func (r *Roster) Digest() uint64 { return r.digest }
+
+// hashOf returns the hash of what names one announcement.
+func hashOf(m *pb.RelayMember) uint64 {
+	key := make([]byte, 0, len(m.GetVm())+announcementKey)
+	key = binary.LittleEndian.AppendUint64(key, m.GetIncarnation())
+	key = binary.LittleEndian.AppendUint64(key, m.GetRevision())
+	return xxhash.Sum64(append(key, m.GetVm()...))
 }
 
+// announcementKey is the size of incarnation and revision in a key.
+const announcementKey = 16
+
 // Encode returns the record of an announcement for the store.
 func Encode(m *pb.RelayMember) ([]byte, error) { return proto.Marshal(m) }
 
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -72,3 +72,46 @@
 	_, err = roster.Decode([]byte{0xff})
 	require.Error(t, err)
 }
+
+// Guards against fleets in which every node reads the store, in which a zone has
+// no reader, and in which nodes choose different readers.
+func TestReadersAreFewAndTheSameEverywhere(t *testing.T) {
+	one, other := roster.New(), roster.New()
+	var members []*pb.RelayMember
+	for i := range 300 {
+		m := member("vm-"+strconv.Itoa(i), 1, 1)
+		m.Zone = "zone-" + strconv.Itoa(i%3)
+		members = append(members, m)
+		one.Merge(m)
+	}
+	for i := range members {
+		other.Merge(members[len(members)-1-i])
+	}
+	for zone, want := range map[string]int{"zone-0": 7, "zone-1": 7, "zone-2": 7, "elsewhere": 0} {
+		require.Len(t, one.Readers(zone), want)
+		require.Equal(t, one.Readers(zone), other.Readers(zone))
+	}
+	stopped := one.Readers("zone-0")[0]
+	left := member(stopped.GetVm(), 1, 2)
+	left.Zone, left.Stopped = "zone-0", true
+	one.Merge(left)
+	require.Len(t, one.Readers("zone-0"), 7)
+	require.NotContains(t, one.Readers("zone-0"), left)
+}
+
+// Guards against changes that a node which compares regularly never gets.
+func TestChangedSinceReturnsWhatIsMissing(t *testing.T) {
+	r := roster.New()
+	r.Merge(member("a", 1, 1))
+	r.Merge(member("b", 1, 1))
+	seen := r.Changes()
+	require.Len(t, r.ChangedSince(0), 2)
+	require.Empty(t, r.ChangedSince(seen))
+	r.Merge(member("a", 1, 1))
+	require.Empty(t, r.ChangedSince(seen), "a known announcement is no change")
+	r.Merge(member("a", 1, 2))
+	r.Merge(member("a", 1, 3))
+	changed := r.ChangedSince(seen)
+	require.Len(t, changed, 1)
+	require.Equal(t, uint64(3), changed[0].GetRevision())
+}
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -28,6 +28,9 @@
 	publishTimeout = 2 * time.Second
 	// publishPause gathers changes that come close together into one write.
 	publishPause = 50 * time.Millisecond
+	// targetWait is how long the first announcement of a node waits for that of
+	// its target, which comes within one heartbeat.
+	targetWait = 2 * time.Second
 )
 
 // membersTask owns the view of all members and what this node says about
@@ -54,11 +57,33 @@
 	// was read.
 	earlier *pb.RelayMember
 	writing bool
+	// started is when this task was made.
+	started time.Time
 	// fetching holds the addresses of comparisons under way.
 	fetching map[string]bool
-	digest   uint64
+	// role is what chooseRole decides.
+	role *storeRole
+	// storeAnswers tells whether the followers of this node get answers.
+	storeAnswers func() bool
+	// followed is when a reader last told that it follows the store.
+	followed time.Time
+	// turn counts the comparisons that were due.
+	turn int
+	// seen holds how much of the view of other nodes this one has, by address.
+	seen map[string]viewSeen
 }
 
+// viewSeen is a part of the view of another node: all that had changed when its
+// view had seen that many changes.
+type viewSeen struct {
+	incarnation uint64
+	changes     uint64
+}
+
+// maxSeen bounds the nodes whose view is remembered; without it a whole view is
+// sent again.
+const maxSeen = 64
+
 func newMembersTask(self *pb.RelayMember, topic Topic, router *route.Router, pool *transport.Pool, config *configuration, logger *zap.Logger) *membersTask {
 	return &membersTask{
 		events:   make(chan func(), memberEvents),
@@ -71,6 +96,11 @@
 		self:     self,
 		routed:   make(map[string]bool),
 		fetching: make(map[string]bool),
+		started:  time.Now(),
+		role:     newStoreRole(),
+		seen:     make(map[string]viewSeen),
+		// relay.go sets the real one once the followers exist.
+		storeAnswers: func() bool { return true },
 	}
 }
 
@@ -85,7 +115,8 @@
 		case event := <-t.events:
 			event()
 		case <-ticker.C:
-			t.syncWithRandom(ctx)
+			t.chooseRole(time.Now())
+			t.compare(ctx)
 		}
 		t.publish(ctx)
 	}
@@ -194,7 +225,6 @@
 	if !changed {
 		return
 	}
-	t.digest = t.roster.Digest()
 	t.route()
 }
 
@@ -251,13 +281,21 @@
 
 // publish writes this node's announcement if the store does not have it.
 func (t *membersTask) publish(ctx context.Context) {
-	if t.writing || !t.loaded || t.published >= t.self.GetRevision() {
+	if t.writing || !t.loaded || t.published >= t.self.GetRevision() || t.awaitsTarget() {
 		return
 	}
 	t.writing = true
 	go t.write(ctx)
 }
 
+// awaitsTarget tells whether the first announcement of this node waits for that
+// of its target, which spares a write. A last announcement of an earlier life is
+// replaced at once.
+func (t *membersTask) awaitsTarget() bool {
+	return t.published == 0 && t.self.GetTargetId() == "" && !t.self.GetStopped() && !t.earlier.GetStopped() &&
+		time.Since(t.started) < targetWait
+}
+
 // write puts the newest announcement on the store and reports back.
 func (t *membersTask) write(ctx context.Context) {
 	sleep(ctx, publishPause)
@@ -314,53 +352,103 @@
 	t.logger.Warn("The store does not have the last announcement of this node.")
 }
 
-// syncWithRandom compares with one other node.
-func (t *membersTask) syncWithRandom(ctx context.Context) {
-	members := t.roster.Members()
-	others := slices.DeleteFunc(members, func(m *pb.RelayMember) bool { return m.GetVm() == t.self.GetVm() })
+// isSelf tells whether a member is this node.
+func (t *membersTask) isSelf(m *pb.RelayMember) bool { return m.GetVm() == t.self.GetVm() }
+
+// isReader tells whether this node is one of the readers of its zone.
+func (t *membersTask) isReader() bool {
+	return slices.ContainsFunc(t.roster.Readers(t.self.GetZone()), t.isSelf)
+}
+
+// chooseRole decides whether this node follows the store itself.
+func (t *membersTask) chooseRole(now time.Time) {
+	reader := t.isReader()
+	follows := followDue(reader, t.followed, now)
+	if t.role.set(follows) {
+		t.logger.Info("The node changes how it learns of changes.", zap.Bool("follows_store", follows),
+			zap.Bool("reader", reader), zap.Duration("reader_heard", now.Sub(t.followed)), zap.Int("members", t.roster.Len()))
+	}
+}
+
+// followsStore tells whether others may rely on this node to follow the store.
+func (t *membersTask) followsStore() bool { return t.role.active() && t.storeAnswers() }
+
+// compare compares with another node: a reader with any node, others with the
+// readers of their zone in turn, and now and then with any node besides.
+func (t *membersTask) compare(ctx context.Context) {
+	t.turn++
+	readers := slices.DeleteFunc(t.roster.Readers(t.self.GetZone()), t.isSelf)
+	if t.isReader() || len(readers) == 0 {
+		t.compareWithAny(ctx)
+		return
+	}
+	first := readers[t.turn%len(readers)].GetAddress()
+	second := readers[(t.turn+1)%len(readers)].GetAddress()
+	t.syncWith(ctx, first, second)
+	if t.turn%strangerTurns == 0 {
+		t.compareWithAny(ctx)
+	}
+}
+
+// compareWithAny compares with one other node.
+func (t *membersTask) compareWithAny(ctx context.Context) {
+	others := slices.DeleteFunc(t.roster.Members(), t.isSelf)
 	if len(others) > 0 {
-		t.syncWith(ctx, others[rand.IntN(len(others))].GetAddress())
+		t.syncWith(ctx, others[rand.IntN(len(others))].GetAddress(), "")
 	}
 }
 
 // syncWith compares with the node at the address, unless a comparison with it
-// is under way.
-func (t *membersTask) syncWith(ctx context.Context, address string) {
+// is under way. If it fails, the node at the other address is asked.
+func (t *membersTask) syncWith(ctx context.Context, address, otherwise string) {
 	if t.fetching[address] {
 		return
 	}
 	t.fetching[address] = true
+	seen := t.seen[address]
 	request := &pb.SyncRequest{
 		ConfigVersion: t.config.version(),
 		SenderAddress: t.self.GetAddress(),
 		Self:          t.self,
-		MembersDigest: t.digest,
+		MembersDigest: t.roster.Digest(),
+		MembersSeen:   seen.changes,
+		MembersSeenOf: seen.incarnation,
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+		bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 		defer cancel()
-		response, err := t.pool.Sync(ctx, address, request)
-		t.events <- func() {
-			delete(t.fetching, address)
-			if err != nil {
-				t.logger.Debug("A node could not be compared with.", zap.String("address", address), telemetry.ErrorField(err))
-				return
-			}
-			t.take(response)
-		}
+		response, err := t.pool.Sync(bounded, address, request)
+		t.events <- func() { t.synced(ctx, address, otherwise, response, err) }
 	}()
 }
 
+// synced takes in the end of a comparison.
+func (t *membersTask) synced(ctx context.Context, address, otherwise string, response *pb.SyncResponse, err error) {
+	delete(t.fetching, address)
+	if err == nil {
+		t.take(address, response)
+		return
+	}
+	t.logger.Debug("A node could not be compared with.", zap.String("address", address), telemetry.ErrorField(err))
+	if otherwise != "" && otherwise != address {
+		t.syncWith(ctx, otherwise, "")
+	}
+}
+
 // take merges what another node sent.
-func (t *membersTask) take(response *pb.SyncResponse) {
+func (t *membersTask) take(address string, response *pb.SyncResponse) {
 	if document := response.GetConfig(); len(document) > 0 {
 		t.config.offer(document, "peer")
 	}
-	members := make([]*pb.RelayMember, 0, len(response.GetMembers()))
-	for _, shared := range response.GetMembers() {
-		members = append(members, shared.GetMember())
+	t.merge(response.GetMembers())
+	if len(t.seen) >= maxSeen {
+		clear(t.seen)
+	}
+	t.seen[address] = viewSeen{incarnation: response.GetIncarnation(), changes: response.GetMembersCount()}
+	if response.GetFollowsStore() {
+		t.followed = time.Now()
+		t.chooseRole(t.followed)
 	}
-	t.merge(members)
 }
 
 // serveSync answers the comparison of another node.
@@ -371,27 +459,39 @@
 		if request.GetSelf() != nil {
 			t.merge([]*pb.RelayMember{request.GetSelf()})
 		}
-		if request.GetConfigVersion() > t.config.version() || request.GetMembersDigest() != t.digest {
-			t.syncWith(ctx, request.GetSenderAddress())
-		}
-		response.ConfigVersion = t.config.version()
-		response.Config = t.config.newerThan(request.GetConfigVersion())
-		if request.GetMembersDigest() != t.digest {
-			for _, m := range t.roster.Members() {
-				response.Members = append(response.Members, &pb.SharedMember{Member: m})
-			}
+		differs := request.GetMembersDigest() != t.roster.Digest()
+		if request.GetConfigVersion() > t.config.version() || differs && !t.followsStore() {
+			t.syncWith(ctx, request.GetSenderAddress(), "")
 		}
+		t.fill(response, request, differs)
 	}
 	<-done
 }
 
+// fill writes what the sender of the request lacks.
+func (t *membersTask) fill(response *pb.SyncResponse, request *pb.SyncRequest, differs bool) {
+	response.ConfigVersion = t.config.version()
+	response.Config = t.config.newerThan(request.GetConfigVersion())
+	response.Incarnation = t.self.GetIncarnation()
+	response.MembersCount = t.roster.Changes()
+	response.FollowsStore = t.followsStore()
+	if !differs {
+		return
+	}
+	seen := uint64(0)
+	if request.GetMembersSeenOf() == t.self.GetIncarnation() {
+		seen = request.GetMembersSeen()
+	}
+	response.Members = t.roster.ChangedSince(seen)
+}
+
 // noticed tells of a configuration version that another node has.
 func (t *membersTask) noticed(ctx context.Context, address string, version uint64) {
 	if version <= t.config.version() {
 		return
 	}
 	select {
-	case t.events <- func() { t.syncWith(ctx, address) }:
+	case t.events <- func() { t.syncWith(ctx, address, "") }:
 	default:
 		// The next answer of the node, or the next comparison, tells it again.
 	}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -270,9 +270,10 @@
 func (r *Relay) startTasks(ctx context.Context) {
 	control := telemetry.Named(r.options.Logger, telemetry.PartControl)
 	r.tasks.Go(func() { r.gate.run(ctx) })
+	config := &follower{name: "configuration", topic: r.options.Config, logger: control, role: r.members.role, ready: func() {}, apply: r.applyConfig}
+	members := &follower{name: "members", topic: r.options.Members, logger: control, role: r.members.role, pause: memberPause, ready: r.members.storeRead, apply: r.members.records}
+	r.members.storeAnswers = func() bool { return !config.lost.Load() && !members.lost.Load() }
 	r.tasks.Go(func() { r.members.run(ctx) })
-	config := &follower{name: "configuration", topic: r.options.Config, logger: control, ready: func() {}, apply: r.applyConfig}
-	members := &follower{name: "members", topic: r.options.Members, logger: control, pause: memberPause, ready: r.members.storeRead, apply: r.members.records}
 	r.tasks.Go(func() { config.run(ctx) })
 	r.tasks.Go(func() { members.run(ctx) })
 	r.tasks.Go(func() { r.closeIdlePeers(ctx) })
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,7 +64,10 @@
 	apply func(records []Record)
 	// ready is called each time that a whole copy was taken in.
 	ready func()
-	lost  bool
+	// role tells whether to go on reading after the first copy.
+	role *storeRole
+	// lost is set while the store does not answer.
+	lost atomic.Bool
 }
 
 // run follows the topic until the context ends.
@@ -71,6 +75,9 @@
 	wait := retryFirst
 	next, known := uint64(0), false
 	for ctx.Err() == nil {
+		if known {
+			f.role.await(ctx)
+		}
 		after, err := f.step(ctx, next, known)
 		if ctx.Err() != nil {
 			return
@@ -113,12 +120,12 @@
 // note logs the loss and the return of the store, once each.
 func (f *follower) note(err error) {
 	switch {
-	case err != nil && !f.lost && !errors.Is(err, ErrHistoryDropped):
+	case err != nil && !f.lost.Load() && !errors.Is(err, ErrHistoryDropped):
 		f.logger.Warn("The store does not answer.", zap.String("topic", f.name), telemetry.ErrorField(err))
-		f.lost = true
-	case err == nil && f.lost:
+		f.lost.Store(true)
+	case err == nil && f.lost.Load():
 		f.logger.Info("The store answers again.", zap.String("topic", f.name))
-		f.lost = false
+		f.lost.Store(false)
 	}
 }
 
--- /dev/null
+++ b/node/relay/storerole_test.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/route"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// zoneOf returns the members task of one node among others of its zone.
+func zoneOf(t *testing.T, self, members int) *membersTask {
+	t.Helper()
+	record := func(i int) *pb.RelayMember {
+		vm := fmt.Sprintf("vm-%d", i)
+		return &pb.RelayMember{Vm: vm, Zone: "a", Address: vm + ":1", Service: "s", TargetId: "t", Incarnation: uint64(i + 1), Revision: 1}
+	}
+	task := newMembersTask(record(self), nil, route.New(route.Config{Start: time.Now()}), nil, &configuration{logger: zap.NewNop()}, zap.NewNop())
+	for i := range members {
+		if i != self {
+			task.merge([]*pb.RelayMember{record(i)})
+		}
+	}
+	task.merge([]*pb.RelayMember{task.self})
+	return task
+}
+
+// Guards against a node without a reader that nevertheless waits for one, and
+// against fleets in which every node reads the store.
+func TestNodeFollowsTheStoreWhenNoReaderDoes(t *testing.T) {
+	const members = 20
+	now := time.Now()
+	readers := 0
+	for i := range members {
+		task := zoneOf(t, i, members)
+		task.chooseRole(now)
+		require.True(t, task.role.active(), "no reader was heard yet")
+		task.take("reader:1", &pb.SyncResponse{FollowsStore: true})
+		if task.role.active() {
+			readers++
+			continue
+		}
+		task.take("reader:1", &pb.SyncResponse{})
+		task.chooseRole(task.followed.Add(followPatience))
+		require.False(t, task.role.active())
+		task.chooseRole(task.followed.Add(followPatience + time.Millisecond))
+		require.True(t, task.role.active(), "the readers no longer follow the store")
+	}
+	require.Equal(t, 2, readers)
+}
+
+// countingTopic counts waiting reads.
+type countingTopic struct {
+	Topic
+	reads atomic.Int64
+}
+
+func (c *countingTopic) Newest(context.Context) ([]Record, uint64, error) { return nil, 0, nil }
+
+func (c *countingTopic) Read(context.Context, uint64, time.Duration) ([]Record, uint64, error) {
+	return nil, uint64(c.reads.Add(1)), nil
+}
+
+// Guards against nodes that read on although others follow the store, and that do
+// not begin again.
+func TestFollowerPausesWithItsRole(t *testing.T) {
+	topic := &countingTopic{}
+	ready := make(chan struct{}, 1)
+	f := &follower{name: "members", topic: topic, logger: zap.NewNop(), role: newStoreRole(), pause: time.Millisecond,
+		apply: func([]Record) {}, ready: func() { ready <- struct{}{} }}
+	require.True(t, f.role.set(false))
+	require.False(t, f.role.set(false))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		f.run(ctx)
+		close(ended)
+	}()
+	<-ready
+	time.Sleep(20 * time.Millisecond)
+	require.Zero(t, topic.reads.Load())
+	f.role.set(true)
+	require.Eventually(t, func() bool { return topic.reads.Load() > 2 }, time.Second, time.Millisecond)
+	cancel()
+	<-ended
+}
+
+// Guards against comparisons that send the whole view each time, and against
+// changes that are left out.
+func TestComparisonSendsWhatIsMissing(t *testing.T) {
+	task := zoneOf(t, 0, 10)
+	ask := func(seen viewSeen) *pb.SyncResponse {
+		response := &pb.SyncResponse{}
+		task.fill(response, &pb.SyncRequest{MembersSeen: seen.changes, MembersSeenOf: seen.incarnation}, true)
+		return response
+	}
+	whole := ask(viewSeen{})
+	require.Len(t, whole.GetMembers(), 10)
+	seen := viewSeen{incarnation: whole.GetIncarnation(), changes: whole.GetMembersCount()}
+	require.Empty(t, ask(seen).GetMembers())
+	task.merge([]*pb.RelayMember{{Vm: "vm-3", Zone: "a", Address: "vm-3:1", Incarnation: 4, Revision: 2}})
+	require.Len(t, ask(seen).GetMembers(), 1)
+	require.Len(t, ask(viewSeen{incarnation: seen.incarnation - 1, changes: seen.changes}).GetMembers(), 10, "another life of the node")
+}
