Spend repeats on what they complete, and shed failing operations within their class

Half of the allowed repeats was not used, and unimportant calls took half of the rest.

Repeats are ranked: requests of clients first, calls of important requests next; lower ranks leave what higher ones ask for. A request may be refused by eight targets (4 before).

--- a/core/threshold/operations.go
+++ b/core/threshold/operations.go
@@ -102,6 +102,7 @@
 type Run struct {
 	operations *Operations
 	operation  string
+	level      outcome.Level
 	// refused holds the calls that were refused because of their level, in the
 	// order of the refusals. It is guarded by the lock of operations.
 	refused []Dependency
@@ -110,9 +111,10 @@
 	callFailed bool
 }
 
-// Start begins a request. Requests that are not finished leave nothing behind.
-func (o *Operations) Start(operation string) *Run {
-	return &Run{operations: o, operation: operation}
+// Start begins a request of a level. Requests that are not finished leave nothing
+// behind.
+func (o *Operations) Start(operation string, level outcome.Level) *Run {
+	return &Run{operations: o, operation: operation, level: level}
 }
 
 // Refused notes that a call of this request finally failed because of its level:
@@ -190,7 +192,7 @@
 		s = &success{}
 		o.successes[r.operation] = s
 	}
-	s.note(now, failed && r.callFailed)
+	s.note(now, r.level, failed && r.callFailed)
 }
 
 // note adds evidence about a call.
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -248,7 +248,7 @@
 		ctx:          ctx,
 		cancel:       cancel,
 		Allowance:    retry.NewAllowance(call.Request.GetContext().GetRetryAllowance()),
-		Dependencies: e.config.Operations.Start(call.Request.GetOperation()),
+		Dependencies: e.config.Operations.Start(call.Request.GetOperation(), call.level()),
 	}
 }
 
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -23,7 +23,9 @@
 	// is refused as a whole; their refusals do not reach a target.
 	maxRefusals = 3
 	// maxRefusedArrivals is the number of targets that may refuse one request.
-	maxRefusedArrivals = 4
+	// Where every target refuses half of its requests, eight tries let nine
+	// requests of ten make all of eight calls.
+	maxRefusedArrivals = 8
 	// repeatMargin is the share of the time of a request, as a divisor, that must
 	// be left for a repeat to be worth its cost.
 	repeatMargin = 8
@@ -164,7 +166,7 @@
 			return false
 		}
 	}
-	return d.mayArrive(o, last, arrivals) && budget.Spend(time.Now(), o.level.Class())
+	return d.mayArrive(o, last, arrivals) && budget.Spend(time.Now(), retry.Repeat{Class: o.level.Class(), Call: o.parent != nil})
 }
 
 // mayArrive tells whether the request may reach one more target. The attempts of
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -80,7 +80,7 @@
 // run sends an admitted request to the target.
 func (r *receiver) run(ctx context.Context, request *pb.ForwardRequest, response *pb.ForwardResponse, deadline time.Time, admitted admission) {
 	started := time.Now()
-	run := r.operations.Start(request.GetRoute())
+	run := r.operations.Start(request.GetRoute(), outcome.Level(request.GetLevel()))
 	r.graph.Start(request.GetAttemptId(), callgraph.Parent{
 		Route: request.GetRoute(), Level: outcome.Level(request.GetLevel()), Trial: request.GetTrial(), Repeat: request.GetRepeat(), Run: run,
 	})
