--- a/operator/explain.go
+++ b/operator/explain.go
@@ -14,13 +14,15 @@
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
-// ExplainCommand prints what the journals hold about a request or a target.
+// ExplainCommand prints what the journals hold about a request or a target, or
+// what log files hold about a request.
 type ExplainCommand struct {
 	NodeFlags
 	OutputFlags
-	Request string `arg:"--request" placeholder:"ID" help:"root request id, 32 hexadecimal digits"`
-	Target  string `arg:"--target" placeholder:"VM" help:"VM of a target"`
-	Max     uint32 `arg:"--max" default:"200" help:"most entries of one node"`
+	Request string   `arg:"--request" placeholder:"ID" help:"root request id, 32 hexadecimal digits; with --logs any id of an attempt or call"`
+	Target  string   `arg:"--target" placeholder:"VM" help:"VM of a target"`
+	Max     uint32   `arg:"--max" default:"200" help:"most entries of one node"`
+	Logs    []string `arg:"--logs,separate" placeholder:"FILE" help:"read the log of a node instead of asking nodes; may be repeated, - is standard input"`
 }
 
 // request checks the arguments.
@@ -39,6 +41,9 @@
 }
 
 func (c *ExplainCommand) run(ctx context.Context, out Output) (int, error) {
+	if len(c.Logs) > 0 {
+		return c.explainLogs(out)
+	}
 	request, err := c.request()
 	if err != nil {
 		return ExitUsage, err
