--- a/core/threshold/success.go
+++ b/core/threshold/success.go
@@ -31,10 +31,11 @@
 	leastFall = 24
 	// successHold is how long a threshold stays as it is without a move, and
 	// successRise how fast it rises by itself afterwards, in levels per second. It
-	// opens a class within 1.5 s when none of it is let in any more, and sooner with
-	// each request that succeeds.
-	successHold = 500 * time.Millisecond
-	successRise = outcome.Cohorts
+	// opens all classes within 2 s when nothing is let in any more. The hold lasts
+	// until the few requests of a node in a large fleet have shown whether the fault
+	// goes on.
+	successHold = time.Second
+	successRise = 4 * outcome.Cohorts
 	// firstRise is the first move up in levels when requests that are let in
 	// succeed. Each further one in a row is twice as large, so that the whole
 	// range is open again within a second, and a fault that lasts lets in only a
