--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Faults   time.Duration `arg:"--faults" default:"20s" help:"time in which faults begin"`
 	Calm     time.Duration `arg:"--calm" default:"3s" help:"time of load after the recovery"`
 	Sabotage bool          `arg:"--sabotage" help:"duplicate what is sent to targets, which the checks must find"`
+	Failed   bool          `arg:"--regression" help:"play the schedules that failed once instead of seeds"`
 }
 
 // Description implements arg.Described.
@@ -39,26 +40,46 @@
 	if args.Seed == 0 {
 		args.Seed = uint64(time.Now().UnixNano()) % 1_000_000
 	}
+	schedules, err := args.schedules()
+	if err != nil {
+		fail(err)
+	}
 	broken := 0
-	for seed := args.Seed; seed < args.Seed+uint64(args.Seeds); seed++ {
-		sound, err := args.play(seed)
+	for _, s := range schedules {
+		sound, err := args.play(s)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "soak:", err)
-			os.Exit(1)
+			fail(err)
 		}
 		if !sound {
 			broken++
 		}
 	}
-	fmt.Printf("%d seeds, %d with findings\n", args.Seeds, broken)
+	fmt.Printf("%d schedules, %d with findings\n", len(schedules), broken)
 	if broken > 0 {
 		os.Exit(1)
 	}
 }
 
-// play runs one seed; false means that there are findings.
-func (a *arguments) play(seed uint64) (bool, error) {
-	folder := filepath.Join(a.Folder, fmt.Sprint(seed))
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "soak:", err)
+	os.Exit(1)
+}
+
+// schedules returns what to play.
+func (a *arguments) schedules() ([]soak.Regression, error) {
+	if a.Failed {
+		return soak.Regressions()
+	}
+	list := make([]soak.Regression, 0, a.Seeds)
+	for seed := a.Seed; seed < a.Seed+uint64(a.Seeds); seed++ {
+		list = append(list, soak.Regression{Seed: seed, VMs: a.VMs, Faults: a.Faults})
+	}
+	return list, nil
+}
+
+// play runs one schedule; false means that there are findings.
+func (a *arguments) play(s soak.Regression) (bool, error) {
+	folder := filepath.Join(a.Folder, fmt.Sprint(s.Seed))
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return false, err
 	}
@@ -67,14 +88,14 @@
 		return false, err
 	}
 	report, err := soak.Run(soak.Options{
-		Binary: binary, Folder: folder, Seed: seed, VMs: a.VMs, Clients: a.Clients,
-		Faults: a.Faults, Calm: a.Calm, Sabotage: a.Sabotage,
+		Binary: binary, Folder: folder, Seed: s.Seed, VMs: s.VMs, Clients: a.Clients,
+		Faults: s.Faults, Calm: a.Calm, Sabotage: a.Sabotage,
 	})
 	if err != nil {
 		return false, err
 	}
 	fmt.Printf("seed %d: %d steps, %d requests, %d served, %d reached targets, %d MB at most, %d findings\n",
-		seed, len(report.Steps), report.Attempts, report.Served, report.Arrivals, report.PeakMB, len(report.Findings))
+		s.Seed, len(report.Steps), report.Attempts, report.Served, report.Arrivals, report.PeakMB, len(report.Findings))
 	for _, finding := range report.Findings {
 		fmt.Println("  ", finding)
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -101,35 +101,18 @@
 	Healed time.Time
 }
 
-func (h *History) attempt(a *Attempt) {
+// add appends to one of the lists of a history.
+func add[T any](h *History, list *[]T, item T) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.Attempts = append(h.Attempts, a)
+	*list = append(*list, item)
 }
 
-func (h *History) arrival(a Arrival) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.Arrivals = append(h.Arrivals, a)
-}
-
-func (h *History) leaving(l Leaving) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.Leavings = append(h.Leavings, l)
-}
-
-func (h *History) change(c Change) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.Changes = append(h.Changes, c)
-}
-
-func (h *History) endedByItself(what string) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.Ends = append(h.Ends, what)
-}
+func (h *History) attempt(a *Attempt)        { add(h, &h.Attempts, a) }
+func (h *History) arrival(a Arrival)         { add(h, &h.Arrivals, a) }
+func (h *History) leaving(l Leaving)         { add(h, &h.Leavings, l) }
+func (h *History) change(c Change)           { add(h, &h.Changes, c) }
+func (h *History) endedByItself(what string) { add(h, &h.Ends, what) }
 
 // disturb begins a disturbance; the returned function ends it.
 func (h *History) disturb(kind Kind, vm int) func() {
--- /dev/null
+++ b/internal/soak/seeds.go
@@ -0,0 +1,63 @@
+package soak
+
+import (
+	"bufio"
+	_ "embed" // for seeds.txt
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+//go:embed seeds.txt
+var seedsFile string
+
+// Regression is a schedule that failed once.
+type Regression struct {
+	Seed   uint64
+	VMs    int
+	Faults time.Duration
+	// Cause is what the failure came from.
+	Cause string
+}
+
+// Regressions returns the schedules that failed once.
+func Regressions() ([]Regression, error) { return parseRegressions(seedsFile) }
+
+// parseRegressions reads one schedule a line; empty lines and those that begin
+// with # are left out.
+func parseRegressions(text string) ([]Regression, error) {
+	var list []Regression
+	lines := bufio.NewScanner(strings.NewReader(text))
+	for lines.Scan() {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		r, err := parseRegression(line)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, r)
+	}
+	return list, lines.Err()
+}
+
+func parseRegression(line string) (Regression, error) {
+	var r Regression
+	var faults string
+	if _, err := fmt.Sscan(line, &r.Seed, &r.VMs, &faults); err != nil {
+		return r, errors.Newf("soak: %q is no regression (%v); write seed, number of VMs, time of faults and cause", line, err)
+	}
+	var err error
+	if r.Faults, err = time.ParseDuration(faults); err != nil {
+		return r, errors.Newf("soak: %q: %v; write the time of faults with its unit", line, err)
+	}
+	_, cause, _ := strings.Cut(line, faults)
+	r.Cause = strings.TrimSpace(cause)
+	if r.Cause == "" {
+		return r, errors.Newf("soak: %q names no cause; add it after the time of faults", line)
+	}
+	return r, nil
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,12 +1,8 @@
 package soak
 
 import (
-	"bufio"
-	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -50,21 +46,16 @@
 	require.Len(t, played, int(kinds))
 }
 
-// Guards against a list of seeds that names no cause, or that cannot be read.
-func TestSeedsThatFailedNameTheirCause(t *testing.T) {
-	file, err := os.Open("testdata/seeds.txt")
+// Guards against a list of failed schedules that names no cause, or that cannot be
+// played again.
+func TestRegressionsCanBePlayedAgain(t *testing.T) {
+	_, err := Regressions()
 	require.NoError(t, err)
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		line := strings.TrimSpace(lines.Text())
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
-		seed, cause, _ := strings.Cut(line, " ")
-		_, err := strconv.ParseUint(seed, 10, 64)
-		require.NoError(t, err, line)
-		require.NotEmpty(t, cause, line)
+	list, err := parseRegressions("# note\n\n12 6 20s the node forgot a drain\n")
+	require.NoError(t, err)
+	require.Equal(t, []Regression{{Seed: 12, VMs: 6, Faults: 20 * time.Second, Cause: "the node forgot a drain"}}, list)
+	for _, line := range []string{"12", "12 6 20s", "12 6 twenty cause", "x 6 20s cause"} {
+		_, err := parseRegressions(line)
+		require.Error(t, err, line)
 	}
-	require.NoError(t, lines.Err())
 }
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,10 +18,6 @@
 const (
 	// memberEvents is the number of messages that may wait for the members task.
 	memberEvents = 256
-	// syncInterval is the time between two comparisons with another node.
-	syncInterval = time.Second
-	// syncTimeout bounds one comparison.
-	syncTimeout = 700 * time.Millisecond
 	// publishTimeout bounds one write to the store.
 	publishTimeout = 2 * time.Second
 	// publishPause gathers changes that come close together into one write.
@@ -73,17 +67,6 @@
 	seen map[string]viewSeen
 }
 
-// viewSeen is a part of the view of another node: all that had changed when its
-// view had seen that many changes.
-type viewSeen struct {
-	incarnation uint64
-	changes     uint64
-}
-
-// maxSeen bounds the nodes whose view is remembered; without it a whole view is
-// sent again.
-const maxSeen = 64
-
 func newMembersTask(self *pb.RelayMember, topic Topic, router *route.Router, pool *transport.Pool, config *configuration, logger *zap.Logger) *membersTask {
 	return &membersTask{
 		events:   make(chan func(), memberEvents),
@@ -351,148 +334,3 @@
 	}
 	t.logger.Warn("The store does not have the last announcement of this node.")
 }
-
-// isSelf tells whether a member is this node.
-func (t *membersTask) isSelf(m *pb.RelayMember) bool { return m.GetVm() == t.self.GetVm() }
-
-// isReader tells whether this node is one of the readers of its zone.
-func (t *membersTask) isReader() bool {
-	return slices.ContainsFunc(t.roster.Readers(t.self.GetZone()), t.isSelf)
-}
-
-// chooseRole decides whether this node follows the store itself.
-func (t *membersTask) chooseRole(now time.Time) {
-	reader := t.isReader()
-	follows := followDue(reader, t.followed, now)
-	if t.role.set(follows) {
-		t.logger.Info("The node changes how it learns of changes.", zap.Bool("follows_store", follows),
-			zap.Bool("reader", reader), zap.Duration("reader_heard", now.Sub(t.followed)), zap.Int("members", t.roster.Len()))
-	}
-}
-
-// followsStore tells whether others may rely on this node to follow the store.
-func (t *membersTask) followsStore() bool { return t.role.active() && t.storeAnswers() }
-
-// compare compares with another node: a reader with any node, others with the
-// readers of their zone in turn, and now and then with any node besides.
-func (t *membersTask) compare(ctx context.Context) {
-	t.turn++
-	readers := slices.DeleteFunc(t.roster.Readers(t.self.GetZone()), t.isSelf)
-	if t.isReader() || len(readers) == 0 {
-		t.compareWithAny(ctx)
-		return
-	}
-	first := readers[t.turn%len(readers)].GetAddress()
-	second := readers[(t.turn+1)%len(readers)].GetAddress()
-	t.syncWith(ctx, first, second)
-	if t.turn%strangerTurns == 0 {
-		t.compareWithAny(ctx)
-	}
-}
-
-// compareWithAny compares with one other node.
-func (t *membersTask) compareWithAny(ctx context.Context) {
-	others := slices.DeleteFunc(t.roster.Members(), t.isSelf)
-	if len(others) > 0 {
-		t.syncWith(ctx, others[rand.IntN(len(others))].GetAddress(), "")
-	}
-}
-
-// syncWith compares with the node at the address, unless a comparison with it
-// is under way. If it fails, the node at the other address is asked.
-func (t *membersTask) syncWith(ctx context.Context, address, otherwise string) {
-	if t.fetching[address] {
-		return
-	}
-	t.fetching[address] = true
-	seen := t.seen[address]
-	request := &pb.SyncRequest{
-		ConfigVersion: t.config.version(),
-		SenderAddress: t.self.GetAddress(),
-		Self:          t.self,
-		MembersDigest: t.roster.Digest(),
-		MembersSeen:   seen.changes,
-		MembersSeenOf: seen.incarnation,
-	}
-	go func() {
-		bounded, cancel := context.WithTimeout(ctx, syncTimeout)
-		defer cancel()
-		response, err := t.pool.Sync(bounded, address, request)
-		t.events <- func() { t.synced(ctx, address, otherwise, response, err) }
-	}()
-}
-
-// synced takes in the end of a comparison.
-func (t *membersTask) synced(ctx context.Context, address, otherwise string, response *pb.SyncResponse, err error) {
-	delete(t.fetching, address)
-	if err == nil {
-		t.take(address, response)
-		return
-	}
-	t.logger.Debug("A node could not be compared with.", zap.String("address", address), telemetry.ErrorField(err))
-	if otherwise != "" && otherwise != address {
-		t.syncWith(ctx, otherwise, "")
-	}
-}
-
-// take merges what another node sent.
-func (t *membersTask) take(address string, response *pb.SyncResponse) {
-	if document := response.GetConfig(); len(document) > 0 {
-		t.config.offer(document, "peer")
-	}
-	t.merge(response.GetMembers())
-	if len(t.seen) >= maxSeen {
-		clear(t.seen)
-	}
-	t.seen[address] = viewSeen{incarnation: response.GetIncarnation(), changes: response.GetMembersCount()}
-	if response.GetFollowsStore() {
-		t.followed = time.Now()
-		t.chooseRole(t.followed)
-	}
-}
-
-// serveSync answers the comparison of another node.
-func (t *membersTask) serveSync(ctx context.Context, request *pb.SyncRequest, response *pb.SyncResponse) {
-	done := make(chan struct{})
-	t.events <- func() {
-		defer close(done)
-		if request.GetSelf() != nil {
-			t.merge([]*pb.RelayMember{request.GetSelf()})
-		}
-		differs := request.GetMembersDigest() != t.roster.Digest()
-		if request.GetConfigVersion() > t.config.version() || differs && !t.followsStore() {
-			t.syncWith(ctx, request.GetSenderAddress(), "")
-		}
-		t.fill(response, request, differs)
-	}
-	<-done
-}
-
-// fill writes what the sender of the request lacks.
-func (t *membersTask) fill(response *pb.SyncResponse, request *pb.SyncRequest, differs bool) {
-	response.ConfigVersion = t.config.version()
-	response.Config = t.config.newerThan(request.GetConfigVersion())
-	response.Incarnation = t.self.GetIncarnation()
-	response.MembersCount = t.roster.Changes()
-	response.FollowsStore = t.followsStore()
-	if !differs {
-		return
-	}
-	seen := uint64(0)
-	if request.GetMembersSeenOf() == t.self.GetIncarnation() {
-		seen = request.GetMembersSeen()
-	}
-	response.Members = t.roster.ChangedSince(seen)
-}
-
-// noticed tells of a configuration version that another node has.
-func (t *membersTask) noticed(ctx context.Context, address string, version uint64) {
-	if version <= t.config.version() {
-		return
-	}
-	select {
-	case t.events <- func() { t.syncWith(ctx, address, "") }:
-	default:
-		// The next answer of the node, or the next comparison, tells it again.
-	}
-}
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -75,7 +75,6 @@
 	idleFrom time.Time
 	maxIdle  time.Duration
 	head     []byte
-	reused   bool
 }
 
 func newTargetClient(headers Wire, maxBytes int64) *targetClient {
@@ -309,7 +308,6 @@
 		return nil
 	}
 	c.idle = c.idle[:len(c.idle)-1]
-	last.reused = true
 	return last
 }
 
@@ -358,9 +356,6 @@
 // alive looks for an end of the connection, or bytes that belong to no request,
 // without waiting.
 func (c *targetConn) alive() bool {
-	if !c.reused {
-		return true
-	}
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
 		return true
