--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -96,13 +96,31 @@
 	seriesGap = 600 * time.Millisecond
 )
 
+// plannedShare is one over the share of schedules that hold planned work and faults
+// of the store only. Rules about planned work do not bind while anything else is
+// wrong.
+const plannedShare = 3
+
+// drawable returns the kinds that one schedule draws from.
+func drawable(r *rand.Rand) []Kind {
+	planned := r.IntN(plannedShare) == 0
+	var list []Kind
+	for k := range kinds {
+		if !planned || k.Planned() || k.ofStore() {
+			list = append(list, k)
+		}
+	}
+	return list
+}
+
 // Plan draws a schedule for the VMs: faults from calmStart on, the last of which
 // ends at the length at the latest.
 func Plan(seed uint64, vms int, length time.Duration) []Step {
 	r := rand.New(rand.NewPCG(seed, uint64(vms)))
+	from := drawable(r)
 	var steps []Step
 	for at := calmStart; at < length-shortestFault; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
-		first := drawStep(r, at, vms)
+		first := drawStep(r, from, at, vms)
 		steps = append(steps, first)
 		if r.IntN(seriesShare) > 0 {
 			continue
@@ -117,9 +135,9 @@
 	return clip(steps, length)
 }
 
-func drawStep(r *rand.Rand, at time.Duration, vms int) Step {
+func drawStep(r *rand.Rand, from []Kind, at time.Duration, vms int) Step {
 	step := Step{
-		At: at, Kind: Kind(r.IntN(int(kinds))), VM: r.IntN(vms),
+		At: at, Kind: from[r.IntN(len(from))], VM: r.IntN(vms),
 		For: shortestFault + time.Duration(r.Int64N(int64(longestFault-shortestFault))),
 	}
 	switch step.Kind {
