--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -14,16 +14,16 @@
 )
 
 type arguments struct {
-	Binary   string        `arg:"--binary,required" help:"the program primrosemount, built"`
-	Folder   string        `arg:"--folder" default:"target/soak" help:"folder for settings, logs, schedules and findings; a folder a seed"`
-	Seed     uint64        `arg:"--seed" help:"first seed; 0 takes one from the clock"`
-	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
-	VMs      int           `arg:"--vms" default:"6" help:"number of VMs, at least 2"`
-	Clients  int           `arg:"--clients" default:"3" help:"clients on each VM"`
-	Faults   time.Duration `arg:"--faults" default:"20s" help:"time in which faults begin"`
-	Calm     time.Duration `arg:"--calm" default:"3s" help:"time of load after the recovery"`
-	Sabotage bool          `arg:"--sabotage" help:"duplicate what is sent to targets, which the checks must find"`
-	Failed   bool          `arg:"--regression" help:"play the schedules that failed once instead of seeds"`
+	Binary     string        `arg:"--binary,required" help:"the program primrosemount, built"`
+	Folder     string        `arg:"--folder" default:"target/soak" help:"folder for settings, logs, schedules and findings; a folder a seed"`
+	Seed       uint64        `arg:"--seed" help:"first seed; 0 takes one from the clock"`
+	Seeds      int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	VMs        int           `arg:"--vms" default:"6" help:"number of VMs, at least 2"`
+	Clients    int           `arg:"--clients" default:"3" help:"clients on each VM"`
+	Faults     time.Duration `arg:"--faults" default:"20s" help:"time in which faults begin"`
+	Calm       time.Duration `arg:"--calm" default:"3s" help:"time of load after the recovery"`
+	Sabotage   bool          `arg:"--sabotage" help:"duplicate what is sent to targets, which the checks must find"`
+	Regression bool          `arg:"--regression" help:"play the schedules that failed once instead of seeds"`
 }
 
 // Description implements arg.Described.
@@ -66,19 +66,19 @@
 }
 
 // schedules returns what to play.
-func (a *arguments) schedules() ([]soak.Regression, error) {
-	if a.Failed {
+func (a *arguments) schedules() ([]soak.Schedule, error) {
+	if a.Regression {
 		return soak.Regressions()
 	}
-	list := make([]soak.Regression, 0, a.Seeds)
+	list := make([]soak.Schedule, 0, a.Seeds)
 	for seed := a.Seed; seed < a.Seed+uint64(a.Seeds); seed++ {
-		list = append(list, soak.Regression{Seed: seed, VMs: a.VMs, Faults: a.Faults})
+		list = append(list, soak.Schedule{Seed: seed, VMs: a.VMs, Faults: a.Faults})
 	}
 	return list, nil
 }
 
 // play runs one schedule; false means that there are findings.
-func (a *arguments) play(s soak.Regression) (bool, error) {
+func (a *arguments) play(s soak.Schedule) (bool, error) {
 	folder := filepath.Join(a.Folder, fmt.Sprint(s.Seed))
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return false, err
--- a/internal/soak/seeds.go
+++ b/internal/soak/seeds.go
@@ -13,22 +13,22 @@
 //go:embed seeds.txt
 var seedsFile string
 
-// Regression is a schedule that failed once.
-type Regression struct {
+// Schedule names one schedule of faults.
+type Schedule struct {
 	Seed   uint64
 	VMs    int
 	Faults time.Duration
-	// Cause is what the failure came from.
+	// Cause is what its failure came from, if it failed once.
 	Cause string
 }
 
 // Regressions returns the schedules that failed once.
-func Regressions() ([]Regression, error) { return parseRegressions(seedsFile) }
+func Regressions() ([]Schedule, error) { return parseRegressions(seedsFile) }
 
 // parseRegressions reads one schedule a line; empty lines and those that begin
 // with # are left out.
-func parseRegressions(text string) ([]Regression, error) {
-	var list []Regression
+func parseRegressions(text string) ([]Schedule, error) {
+	var list []Schedule
 	lines := bufio.NewScanner(strings.NewReader(text))
 	for lines.Scan() {
 		line := strings.TrimSpace(lines.Text())
@@ -44,8 +44,8 @@
 	return list, lines.Err()
 }
 
-func parseRegression(line string) (Regression, error) {
-	var r Regression
+func parseRegression(line string) (Schedule, error) {
+	var r Schedule
 	var faults string
 	if _, err := fmt.Sscan(line, &r.Seed, &r.VMs, &faults); err != nil {
 		return r, errors.Newf("soak: %q is no regression (%v); write seed, number of VMs, time of faults and cause", line, err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,7 +60,7 @@
 	require.NoError(t, err)
 	list, err := parseRegressions("# note\n\n12 6 20s the node forgot a drain\n")
 	require.NoError(t, err)
-	require.Equal(t, []Regression{{Seed: 12, VMs: 6, Faults: 20 * time.Second, Cause: "the node forgot a drain"}}, list)
+	require.Equal(t, []Schedule{{Seed: 12, VMs: 6, Faults: 20 * time.Second, Cause: "the node forgot a drain"}}, list)
 	for _, line := range []string{"12", "12 6 20s", "12 6 twenty cause", "x 6 20s cause"} {
 		_, err := parseRegressions(line)
 		require.Error(t, err, line)
