Open a connection for a request that must not be repeated when none was used for 250 ms

Cause: a target may forget a connection that rested, without notice, after 300 ms; what is sent on it next is reset and may have run. Requests that must not be repeated used connections that had rested for up to 2 s, so a booking could fail with an unknown result. TestForgottenConnectionsCostNoRequest failed before.

--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -29,8 +29,9 @@
 	// target does not close a connection that a request is about to use.
 	idleMargin = 500 * time.Millisecond
 	// freshFor is how long after its last use a connection may carry a request
-	// that must not be repeated.
-	freshFor = 2 * time.Second
+	// that must not be repeated. Some targets forget connections after 300 ms and
+	// reset what is sent on them next; opening one takes about 1 ms.
+	freshFor = 250 * time.Millisecond
 	// targetBuffer is the size of the read buffer of a connection.
 	targetBuffer = 4 << 10
 	// foreignAnswers is the number of answers to other requests that are read
--- a/node/relay/targetclient_test.go
+++ b/node/relay/targetclient_test.go
@@ -162,3 +162,32 @@
 	require.Equal(t, 5*time.Second-idleMargin, keptFor("max=3, Timeout=5"))
 	require.Equal(t, targetIdle, keptFor("timeout=soon"))
 }
+
+// Plays a target that forgets connections which rested for 300 ms and resets what
+// is sent on them next. Guards against requests that must not be repeated and
+// fail on such a connection.
+func TestForgottenConnectionsCostNoRequest(t *testing.T) {
+	const forgets = 300 * time.Millisecond
+	rested := make(chan time.Time, 1)
+	address := scripted(t, func(conn net.Conn, request *http.Request, number int) bool {
+		if number > 0 && time.Since(<-rested) > forgets {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok", request.Header.Get("Id"))
+		select {
+		case <-rested:
+		default:
+		}
+		rested <- time.Now()
+		return err == nil
+	})
+	client := newTargetClient(plainWire{}, 1<<20)
+	t.Cleanup(client.closeIdle)
+	for i := range 4 {
+		request := &pb.ForwardRequest{AttemptId: fmt.Sprintf("order-%d", i), Method: http.MethodPost, Target: "/", Host: "h"}
+		result := client.send(t.Context(), address, "", request, time.Now().Add(time.Second))
+		require.Equal(t, outcome.Completed, result.outcome, "request %d: %s", i, result.reason)
+		time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+	}
+}
