--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -94,8 +94,8 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d steps, %d requests, %d served, %d reached targets, %d MB at most, %d findings\n",
-		s.Seed, len(report.Steps), report.Attempts, report.Served, report.Arrivals, report.PeakMB, len(report.Findings))
+	fmt.Printf("seed %d: %d steps, %d requests, %d served, %d reached targets, %d MB at most, longest stall of the runner %s, %d findings\n",
+		s.Seed, len(report.Steps), report.Attempts, report.Served, report.Arrivals, report.PeakMB, report.Stall.Round(time.Millisecond), len(report.Findings))
 	for _, finding := range report.Findings {
 		fmt.Println("  ", finding)
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -305,7 +305,7 @@
 	}
 	served := 0
 	for _, a := range c.Attempts {
-		if a.Sent.Before(c.Healed.Add(RecoveryBound)) || a.GaveUp || a.Route == RouteGeneration {
+		if a.Sent.Before(c.Healed.Add(RecoveryBound)) || a.GaveUp || a.Route == RouteGeneration || c.stalled(a.Sent, a.Ended) {
 			continue
 		}
 		if a.Status != 200 {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -127,3 +127,23 @@
 	}
 	require.Contains(t, rules(Check(h)), "BUDGET")
 }
+
+// Guards against requests that are held against the nodes although the soak's own
+// process did not run, and against a stall that excuses what no stall explains.
+func TestStallOfTheRunnerIsNotHeldAgainstNodes(t *testing.T) {
+	h := &History{Healed: start}
+	a, arrival := served("r-1", RouteView, 0, time.Minute)
+	a.Status, a.Ended = 504, a.Sent.Add(7*time.Second)
+	h.attempt(a)
+	h.arrival(arrival)
+	later, after := served("r-2", RouteOrder, 0, 2*time.Minute)
+	h.attempt(later)
+	h.arrival(after)
+	require.Equal(t, []string{"RECOVER"}, rules(Check(h)))
+	h.Disturbances = []*Disturbance{{Kind: RunnerStalled, VM: allVMs, From: a.Sent, To: a.Ended}}
+	require.Empty(t, Check(h))
+	require.Equal(t, 7*time.Second, h.longestStall())
+	h.Disturbances[0].To = after.At
+	h.arrival(after)
+	require.Contains(t, rules(Check(h)), "TWICE", "a stall excuses no second run")
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,10 +45,17 @@
 	// ConfigChange replaces the routes of one generation by those of the next.
 	ConfigChange
 	kinds
+
+	// RunnerStalled is a time in which the soak's own process did not run, so that
+	// clients, targets and links stood still. It is measured, not drawn.
+	RunnerStalled
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
+	if k == RunnerStalled {
+		return "runner stalled"
+	}
 	return [...]string{
 		"node killed", "node paused", "node stopped", "node reloads", "node with its clock back",
 		"link of clients", "link of nodes", "link of the target", "link of the store",
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,7 +41,9 @@
 	Served   int
 	Arrivals int
 	// PeakMB is the largest memory of a node process.
-	PeakMB   int
+	PeakMB int
+	// Stall is the longest time in which the soak's own process did not run.
+	Stall    time.Duration
 	Findings []Finding
 }
 
@@ -76,6 +78,7 @@
 		return nil, err
 	}
 	load := r.load(done)
+	load.Go(func() { history.watchStalls(done) })
 	started := time.Now()
 	r.play(steps, started)
 	r.heal()
@@ -267,6 +270,7 @@
 	for _, text := range r.failed {
 		report.Findings = append(report.Findings, Finding{Rule: "SOAK", Text: text})
 	}
+	report.Stall = r.history.longestStall()
 	report.Attempts, report.Arrivals = len(r.history.Attempts), len(r.history.Arrivals)
 	for _, a := range r.history.Attempts {
 		if a.Status/100 == 2 {
