Keep the platform's names of the soak in a stand-in

internal/standin/plainplatform sends requests, announcements and settings in the platform's own names, so that the soak holds schedules, load and checks only.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -1,15 +1,13 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
+
+	"github.com/primrosemount/primrosemount/internal/standin/plainplatform"
 )
 
 const (
@@ -32,21 +30,6 @@
 	retryAfterCap = time.Second
 )
 
-// connection is one connection of a client. It sends no request twice, which
-// net/http's client does on its own.
-type connection struct {
-	net.Conn
-	reader *bufio.Reader
-}
-
-func connect(address string) (*connection, error) {
-	conn, err := net.DialTimeout("tcp", address, connectTimeout)
-	if err != nil {
-		return nil, err
-	}
-	return &connection{Conn: conn, reader: bufio.NewReader(conn)}, nil
-}
-
 // hosts of the routes.
 const (
 	hostShop  = "shop.example"
@@ -84,46 +67,40 @@
 	return a
 }
 
-// send sends the request and reads its answer into the attempt. It reports
-// whether the connection may be kept, and how long a refusal asks to wait.
-func (c *connection) send(a *Attempt, giveUp time.Duration) (keep bool, retryAfter time.Duration) {
+// send sends the request over the connection and reads its answer into the
+// attempt. It reports whether the connection may be kept, and how long a refusal
+// asks to wait.
+func (a *Attempt) send(c *plainplatform.Connection, giveUp time.Duration) (keep bool, retryAfter time.Duration) {
 	a.Sent = time.Now()
 	limit := a.Deadline + answerSlack
 	if giveUp > 0 {
 		limit = giveUp
 	}
 	_ = c.SetDeadline(a.Sent.Add(limit))
-	keep, retryAfter = c.exchange(a)
+	answer, err := c.Exchange(plainplatform.Request{
+		ID: a.ID, Method: a.Method, Host: a.Route.host(), Target: a.Target, Body: a.Body, Deadline: a.Deadline,
+	})
 	a.Ended = time.Now()
-	a.GaveUp = giveUp > 0 && a.Status == 0 && a.Ended.Sub(a.Sent) >= giveUp
-	return keep && a.Status != 0, retryAfter
+	a.Status, a.Answer, a.Sealed = answer.Status, answer.Body, answer.Sealed
+	a.GaveUp = err != nil && giveUp > 0 && a.Ended.Sub(a.Sent) >= giveUp
+	return answer.Keep, min(answer.RetryAfter, retryAfterCap)
 }
 
-func (c *connection) exchange(a *Attempt) (keep bool, retryAfter time.Duration) {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Request-Deadline: %d\r\n",
-		a.Method, a.Target, a.Route.host(), a.ID, a.Deadline.Milliseconds())
-	if a.Body != "" {
-		head += "Content-Length: " + strconv.Itoa(len(a.Body)) + "\r\n"
-	}
-	if _, err := io.WriteString(c, head+"\r\n"+a.Body); err != nil {
-		return false, 0
-	}
-	response, err := http.ReadResponse(c.reader, nil)
+// sendOnce sends the request over a connection of its own.
+func (a *Attempt) sendOnce(address string) error {
+	conn, err := plainplatform.Connect(address, connectTimeout)
 	if err != nil {
-		return false, 0
+		a.unconnected()
+		return err
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return false, 0
-	}
-	a.Status, a.Answer = response.StatusCode, string(body)
-	a.Sealed = response.Header.Get("X-Response-Seal") == "seal."+a.ID
-	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
-	if err == nil {
-		retryAfter = min(time.Duration(seconds*float64(time.Second)), retryAfterCap)
-	}
-	return !response.Close, retryAfter
+	defer conn.Close()
+	a.send(conn, 0)
+	return nil
+}
+
+// unconnected notes that no connection could be opened.
+func (a *Attempt) unconnected() {
+	a.Sent, a.Ended, a.Unconnected = time.Now(), time.Now(), true
 }
 
 // client sends requests to one VM until the soak ends.
@@ -132,7 +109,7 @@
 	name    string
 	random  *rand.Rand
 	history *History
-	kept    *connection
+	kept    *plainplatform.Connection
 	count   int
 }
 
@@ -164,7 +141,7 @@
 	if !c.open(a) {
 		return 0
 	}
-	keep, retryAfter := c.kept.send(a, giveUp)
+	keep, retryAfter := a.send(c.kept, giveUp)
 	if !keep {
 		c.drop()
 	}
@@ -176,9 +153,9 @@
 	if c.kept != nil {
 		return true
 	}
-	conn, err := connect(c.vm.clients.address())
+	conn, err := plainplatform.Connect(c.vm.clients.address(), connectTimeout)
 	if err != nil {
-		a.Sent, a.Ended, a.Unconnected = time.Now(), time.Now(), true
+		a.unconnected()
 		return false
 	}
 	c.kept = conn
@@ -219,12 +196,7 @@
 
 func (p *probe) ask(id string, generation int) {
 	a := newAttempt(strings.ToLower(id), RouteGeneration, generation, p.vm.index, p.vm.lives())
-	defer p.history.attempt(a)
-	conn, err := connect(p.vm.clients.address())
-	if err != nil {
-		a.Sent, a.Ended, a.Unconnected = time.Now(), time.Now(), true
-		return
-	}
-	defer conn.Close()
-	conn.send(a, 0)
+	// The attempt holds what happened, a failed connection included.
+	_ = a.sendOnce(p.vm.clients.address())
+	p.history.attempt(a)
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/primrosemount/primrosemount/core/roster"
 	"github.com/primrosemount/primrosemount/internal/freeport"
 	"github.com/primrosemount/primrosemount/internal/standin/logservice"
+	"github.com/primrosemount/primrosemount/internal/standin/plainplatform"
 )
 
 // Services of the soak.
@@ -124,24 +125,18 @@
 		}
 	}
 	f.vms = append(f.vms, v)
-	return os.WriteFile(v.settingsPath, []byte(v.settings(addresses[1], addresses[3])), 0o600)
+	return os.WriteFile(v.settingsPath, []byte(v.settings(addresses[1], addresses[3]).File()), 0o600)
 }
 
-func (v *vm) settings(ready, peer string) string {
-	port := peer[strings.LastIndexByte(peer, ':')+1:]
-	return fmt.Sprintf(`node_name: %q
-ip: "127.0.0.1"
-zone: %q
-region: "north"
-listen: {outbound: %q, ready_addr: %q, control: %q}
-internal_ports: [%s, %s]
-limits: {memory_mb: %d}
-bounds: ["grace_period=%s", "retry_budget_ratio=%g", "budget_slack=%d", "drain_timeout=%s"]
-app_addr: %q
-service: %q
-platform: {address: %q}
-`, v.name, v.zone, v.entryAddress, ready, v.announceAddress, port, port, memoryMB,
-		gracePeriod, budgetRatio, budgetSlack, drainTimeout, v.toTarget.address(), v.service, v.toStore.address())
+func (v *vm) settings(ready, peer string) plainplatform.Settings {
+	return plainplatform.Settings{
+		VM: v.name, Zone: v.zone, Service: v.service,
+		Entry: v.entryAddress, Ready: ready, Announce: v.announceAddress,
+		PeerPort: peer[strings.LastIndexByte(peer, ':')+1:],
+		Target:   v.toTarget.address(), Store: v.toStore.address(),
+		MemoryMB: memoryMB, Grace: gracePeriod, Drain: drainTimeout,
+		BudgetRatio: budgetRatio, BudgetSlack: budgetSlack,
+	}
 }
 
 // start starts targets and nodes at once.
@@ -175,9 +170,9 @@
 	defer f.changing.Unlock()
 	next := f.generation() + 1
 	change := Change{Generation: next, Sent: time.Now()}
-	record := append([]byte("\x06config"), document(next)...)
+	record := plainplatform.Keyed(plainplatform.KeyConfig, plainplatform.Configuration(next, routes(next)))
 	for range configTries {
-		if _, err := f.store.Append(context.Background(), "keyed.op", record); err == nil {
+		if _, err := f.store.Append(context.Background(), plainplatform.TopicOperator, record); err == nil {
 			change.Acked = time.Now()
 			f.history.change(change)
 			f.mutex.Lock()
@@ -190,24 +185,20 @@
 	return errors.New("the store took no configuration; look at its faults in the schedule")
 }
 
-// document is the configuration of a generation.
-func document(generation int) string {
-	var routes strings.Builder
-	add := func(name, host, prefix, kind string, priority int, service string) {
-		fmt.Fprintf(&routes, `{"type":"routes","metadata":{"name":%q},"spec":{"hostname":%q,"path_prefix":%q,"kind":%q,"timeout":"%dms","target_latency":"500ms","priority":%d,"service":%q,"attempts":%d}},`,
-			name, host, prefix, kind, routeTimeout.Milliseconds(), priority, service, routeAttempts)
-	}
-	add("view", hostShop, "/view/", "safe", 2, serviceStock)
-	add("order", hostShop, "/order/", "unsafe", 0, serviceStock)
-	add("price", hostPrice, "/price/", "safe", 1, servicePrices)
-	add("debit", hostPrice, "/debit/", "unsafe", 0, servicePrices)
+// routes are those of a generation.
+func routes(generation int) []plainplatform.Route {
 	name := "generation-" + strconv.Itoa(generation)
-	add(name, hostPrice, "/"+name+"/", "safe", 2, servicePrices)
-	return fmt.Sprintf(`{"version":"%08x","resources":[%s
-{"type":"services","metadata":{"name":"stock"},"spec":{"health_path":"/healthz","max_connections":200}},
-{"type":"services","metadata":{"name":"prices"},"spec":{"health_path":"/healthz","max_connections":200}},
-{"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout":"3000ms","idle_timeout":"15000ms"}}]}`,
-		generation, routes.String())
+	list := []plainplatform.Route{
+		{Name: "view", Host: hostShop, PathPrefix: "/view/", Idempotent: true, Priority: 2, Service: serviceStock},
+		{Name: "order", Host: hostShop, PathPrefix: "/order/", Service: serviceStock},
+		{Name: "price", Host: hostPrice, PathPrefix: "/price/", Idempotent: true, Priority: 1, Service: servicePrices},
+		{Name: "debit", Host: hostPrice, PathPrefix: "/debit/", Service: servicePrices},
+		{Name: name, Host: hostPrice, PathPrefix: "/" + name + "/", Idempotent: true, Priority: 2, Service: servicePrices},
+	}
+	for i := range list {
+		list[i].Timeout, list[i].Attempts = routeTimeout, routeAttempts
+	}
+	return list
 }
 
 // clockAhead is by how much the clock of a node's earlier life was ahead.
@@ -216,7 +207,7 @@
 // leaveLaterLife makes the record of the VM look as if a life had written it
 // whose clock was ahead.
 func (f *fleet) leaveLaterLife(v *vm) error {
-	record, known := f.store.Newest("keyed.members")[v.name]
+	record, known := f.store.Newest(plainplatform.TopicMembers)[v.name]
 	if !known {
 		return nil
 	}
@@ -229,8 +220,7 @@
 	if err != nil {
 		return err
 	}
-	key := append([]byte{byte(len(v.name))}, v.name...)
-	_, err = f.store.Append(context.Background(), "keyed.members", append(key, data...))
+	_, err = f.store.Append(context.Background(), plainplatform.TopicMembers, plainplatform.Keyed(v.name, data))
 	return err
 }
 
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/primrosemount/primrosemount/internal/standin/plainplatform"
 	"github.com/primrosemount/primrosemount/internal/standin/plaintarget"
 )
 
@@ -25,8 +25,6 @@
 	callsPerVM = 10_000_000
 	// heartbeat is the time between two announcements.
 	heartbeat = 300 * time.Millisecond
-	// announceTimeout bounds one announcement.
-	announceTimeout = time.Second
 )
 
 // spoils are the faults of a faulty target.
@@ -46,7 +44,7 @@
 	born    time.Time
 	// sequence of the announcements of this life.
 	sequence int
-	state    string
+	draining bool
 	silent   bool
 	slow     bool
 	faulty   bool
@@ -75,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	t.running, t.born, t.sequence, t.state, t.silent = started, time.Now(), 0, "ready", false
+	t.running, t.born, t.sequence, t.draining, t.silent = started, time.Now(), 0, false, false
 	return nil
 }
 
@@ -117,13 +115,10 @@
 	a := newAttempt(fmt.Sprintf("%s.%d", run.AttemptID, t.nextCall()), RoutePrice, 0, t.vm.index, t.vm.lives())
 	a.Call, a.Deadline = true, run.Deadline
 	defer t.history.attempt(a)
-	conn, err := connect(t.vm.entryAddress)
-	if err != nil {
-		a.Sent, a.Ended, a.Unconnected = time.Now(), time.Now(), true
+	if err := a.sendOnce(t.vm.entryAddress); err != nil {
 		return err
 	}
-	defer conn.Close()
-	if conn.send(a, 0); a.Status != http.StatusOK {
+	if a.Status != http.StatusOK {
 		return errors.New("the call failed")
 	}
 	return nil
@@ -156,33 +151,24 @@
 		return false
 	}
 	t.sequence++
-	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
-		t.vm.toTarget.address(), t.born.UnixMilli(), t.vm.service, t.vm.zone, targetSlots, t.state, t.sequence)
-	path := "/v1/Instances.Heartbeat/" + t.id
-	t.mutex.Unlock()
-	return t.post(path, body)
-}
-
-func (t *target) post(path, body string) bool {
-	client := &http.Client{Timeout: announceTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Post("http://"+t.vm.announceAddress+path, "application/json", strings.NewReader(body))
-	if err != nil {
-		return false
+	announcement := plainplatform.Announcement{
+		TargetID: t.id, Address: t.vm.toTarget.address(), Service: t.vm.service, Zone: t.vm.zone,
+		Slots: targetSlots, Born: t.born, Draining: t.draining, Sequence: t.sequence,
 	}
-	defer response.Body.Close()
-	return response.StatusCode/100 == 2
+	t.mutex.Unlock()
+	return plainplatform.Announce(t.vm.announceAddress, announcement)
 }
 
 // drain announces that the target leaves, goes on for the time that it has to,
 // and begins a new life. abrupt targets say so by leaving at once.
 func (t *target) drain(abrupt bool) error {
 	t.mutex.Lock()
-	id, path, body := t.id, "/v1/Instances.Leave/"+t.id, "{}"
-	t.state, t.silent = "draining", abrupt
+	id := t.id
+	t.draining, t.silent = true, abrupt
 	t.mutex.Unlock()
 	acked := false
 	for try := 0; try < 5 && !acked; try++ {
-		acked = abrupt && t.post(path, body) || !abrupt && t.announce()
+		acked = abrupt && plainplatform.Leave(t.vm.announceAddress, id) || !abrupt && t.announce()
 		if acked {
 			t.history.leaving(Leaving{TargetID: id, Acked: time.Now()})
 		}
@@ -191,7 +177,7 @@
 	t.mutex.Lock()
 	t.silent = true
 	t.mutex.Unlock()
-	t.post(path, body)
+	plainplatform.Leave(t.vm.announceAddress, id)
 	t.stop()
 	return t.start(false)
 }
--- /dev/null
+++ b/internal/standin/plainplatform/caller.go
@@ -0,0 +1,82 @@
+// Package plainplatform is a stand-in for what the users' platform and its clients
+// say to a node: requests, announcements of targets, the operator's configuration
+// and the settings file, in the platform's own names.
+package plainplatform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Request is one request of a client or of a target.
+type Request struct {
+	// ID is the id of the attempt.
+	ID       string
+	Method   string
+	Host     string
+	Target   string
+	Body     string
+	Deadline time.Duration
+}
+
+// Answer is what came back for a request.
+type Answer struct {
+	Status int
+	Body   string
+	// Sealed tells that the answer bears the seal of the target for this request.
+	Sealed bool
+	// RetryAfter is the wait that a refusal asks for; 0 if none.
+	RetryAfter time.Duration
+	// Keep tells that the connection may carry another request.
+	Keep bool
+}
+
+// Connection is one connection of a client. It sends no request twice, which
+// net/http's client does on its own.
+type Connection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// Connect opens a connection to an entry.
+func Connect(address string, timeout time.Duration) (*Connection, error) {
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &Connection{Conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+// Exchange sends a request and reads its whole answer.
+func (c *Connection) Exchange(r Request) (Answer, error) {
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Request-Deadline: %d\r\n",
+		r.Method, r.Target, r.Host, r.ID, r.Deadline.Milliseconds())
+	if r.Body != "" {
+		head += "Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n"
+	}
+	if _, err := io.WriteString(c, head+"\r\n"+r.Body); err != nil {
+		return Answer{}, err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Answer{}, err
+	}
+	answer := Answer{
+		Status: response.StatusCode, Body: string(body), Keep: !response.Close,
+		Sealed: response.Header.Get("X-Response-Seal") == "seal."+r.ID,
+	}
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		answer.RetryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/standin/plainplatform/settings.go
@@ -0,0 +1,84 @@
+package plainplatform
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Route is one route of a configuration.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Idempotent bool
+	Timeout    time.Duration
+	Priority   int
+	Service    string
+	Attempts   int
+}
+
+// Topics and key of the store that the stand-in writes to.
+const (
+	TopicOperator = "keyed.op"
+	TopicMembers  = "keyed.members"
+	KeyConfig     = "config"
+)
+
+// Keyed returns the record of a key in a topic that keeps the newest of each.
+func Keyed(key string, value []byte) []byte {
+	return append(append([]byte{byte(len(key))}, key...), value...)
+}
+
+// Configuration returns the operator's document with the routes.
+func Configuration(version int, routes []Route) []byte {
+	var resources strings.Builder
+	services := make(map[string]bool)
+	for _, r := range routes {
+		kind := "unsafe"
+		if r.Idempotent {
+			kind = "safe"
+		}
+		fmt.Fprintf(&resources, `{"type":"routes","metadata":{"name":%q},"spec":{"hostname":%q,"path_prefix":%q,"kind":%q,"timeout":"%dms","target_latency":"500ms","priority":%d,"service":%q,"attempts":%d}},`,
+			r.Name, r.Host, r.PathPrefix, kind, r.Timeout.Milliseconds(), r.Priority, r.Service, r.Attempts)
+		services[r.Service] = true
+	}
+	for service := range services {
+		fmt.Fprintf(&resources, `{"type":"services","metadata":{"name":%q},"spec":{"health_path":"/healthz","max_connections":200}},`, service)
+	}
+	return fmt.Appendf(nil, `{"version":"%08x","resources":[%s
+{"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout":"3000ms","idle_timeout":"15000ms"}}]}`,
+		version, resources.String())
+}
+
+// Settings is what the platform tells one process.
+type Settings struct {
+	VM, Zone, Service string
+	// Entry, Ready and Announce are listeners of the node, IP:port.
+	Entry, Ready, Announce string
+	// PeerPort is the port for other nodes on 127.0.0.1.
+	PeerPort string
+	// Target and Store are what the node connects to, IP:port.
+	Target, Store string
+	MemoryMB      int
+	Grace, Drain  time.Duration
+	BudgetRatio   float64
+	BudgetSlack   int
+}
+
+// File returns the settings file.
+func (s Settings) File() string {
+	return fmt.Sprintf(`node_name: %q
+ip: "127.0.0.1"
+zone: %q
+region: "north"
+listen: {outbound: %q, ready_addr: %q, control: %q}
+internal_ports: [%s, %s]
+limits: {memory_mb: %d}
+bounds: ["grace_period=%s", "retry_budget_ratio=%g", "budget_slack=%d", "drain_timeout=%s"]
+app_addr: %q
+service: %q
+platform: {address: %q}
+`, s.VM, s.Zone, s.Entry, s.Ready, s.Announce, s.PeerPort, s.PeerPort, s.MemoryMB,
+		s.Grace, s.BudgetRatio, s.BudgetSlack, s.Drain, s.Target, s.Service, s.Store)
+}
