--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -64,9 +64,9 @@
 // times the first attempts, plus slack. First attempts are those of the window,
 // of the one before it or of the one half a window before it, whichever are
 // most, so that the budget does not shrink at the moment when fewer requests are
-// let in because of a fault. A quiet
-// node earns nothing, because many nodes that earn by time would exceed the
-// fleet's bound together. It is safe for concurrent use.
+// let in because of a fault. A quiet node earns nothing, because many nodes that
+// earn by time would exceed the fleet's bound together. It is safe for concurrent
+// use.
 type ShareBudget struct {
 	mu    sync.Mutex
 	ratio float64
