--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -50,6 +50,8 @@
 		output: output, ended: make(chan struct{})}
 	p.command.Env = append(os.Environ(), "PRIMROSEMOUNT_SETTINGS="+n.vm.settingsPath)
 	p.command.Stdout, p.command.Stderr = output, output
+	// A node must not outlive a soak that is ended by a signal.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
 		return err
 	}
