--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -20,23 +20,39 @@
 // Readers returns the members of a zone that follow the platform's store for
 // the others, in the order in which they are asked. Each node works them out
 // from its view. Views that differ lead to some more readers, which does no
-// harm.
+// harm. The caller must not change the slice.
 func (r *Roster) Readers(zone string) []*pb.RelayMember {
-	var members []*pb.RelayMember
+	readers, known := r.readers[zone]
+	if !known {
+		readers = r.chooseReaders(zone)
+		r.readers[zone] = readers
+	}
+	return readers
+}
+
+// ranked is a member with its place in the order.
+type ranked struct {
+	rank   uint64
+	member *pb.RelayMember
+}
+
+func (r *Roster) chooseReaders(zone string) []*pb.RelayMember {
+	var members []ranked
 	for _, m := range r.members {
 		if m.GetZone() == zone && !m.GetStopped() {
-			members = append(members, m)
+			members = append(members, ranked{rank: xxhash.Sum64String(m.GetVm()), member: m})
 		}
 	}
-	slices.SortFunc(members, func(a, b *pb.RelayMember) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.GetVm(), b.GetVm()))
+	slices.SortFunc(members, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.member.GetVm(), b.member.GetVm()))
 	})
-	return members[:min(readerCount(len(members)), len(members))]
+	readers := make([]*pb.RelayMember, 0, readerCount(len(members)))
+	for _, m := range members[:min(readerCount(len(members)), len(members))] {
+		readers = append(readers, m.member)
+	}
+	return readers
 }
 
 func readerCount(members int) int {
 	return max(leastReaders, (members+membersPerReader-1)/membersPerReader)
 }
-
-// rank orders the members of a zone independently of their names' order.
-func rank(m *pb.RelayMember) uint64 { return xxhash.Sum64String(m.GetVm()) }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -35,11 +35,18 @@
 	// count at the latest change of each member.
 	changes uint64
 	changed map[string]uint64
+	// readers holds the readers of zones that were asked for since the latest
+	// change.
+	readers map[string][]*pb.RelayMember
 }
 
 // New returns an empty Roster.
 func New() *Roster {
-	return &Roster{members: make(map[string]*pb.RelayMember), changed: make(map[string]uint64)}
+	return &Roster{
+		members: make(map[string]*pb.RelayMember),
+		changed: make(map[string]uint64),
+		readers: make(map[string][]*pb.RelayMember),
+	}
 }
 
 // Merge takes in one announcement and reports whether it changed the view.
@@ -59,6 +66,7 @@
 	r.changes++
 	r.changed[m.GetVm()] = r.changes
 	r.members[m.GetVm()] = m
+	clear(r.readers)
 	return true
 }
 
--- a/node/relay/compare.go
+++ b/node/relay/compare.go
@@ -55,8 +55,8 @@
 // readers of their zone in turn, and now and then with any node besides.
 func (t *membersTask) compare(ctx context.Context) {
 	t.turn++
-	readers := slices.DeleteFunc(t.roster.Readers(t.self.GetZone()), t.isSelf)
-	if t.isReader() || len(readers) == 0 {
+	readers := t.roster.Readers(t.self.GetZone())
+	if len(readers) == 0 || slices.ContainsFunc(readers, t.isSelf) {
 		t.compareWithAny(ctx)
 		return
 	}
