Keep the messages that explain reads in one place; log the advertised address

explain compared copies of three messages. The line at a start names the address at which other nodes reach this one, so that explain finds the log of a node that is reached at another address than it listens on.

--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -39,7 +39,7 @@
 
 // rejected tells of a request that the entry did not take in.
 func (l *eventLog) rejected(r *http.Request, attemptID string, refused *outcome.Error) {
-	l.entry.Info("The request was rejected.", zap.String("request", attemptID), zap.String("host", r.Host), zap.String("path", r.URL.Path),
+	l.entry.Info(telemetry.MessageRequestRejected, zap.String("request", attemptID), zap.String("host", r.Host), zap.String("path", r.URL.Path),
 		zap.String("reason", refused.Reason.String()), zap.String("detail", refused.Detail))
 }
 
@@ -64,7 +64,7 @@
 
 // failed tells how a request without a whole answer ended.
 func (l *eventLog) failed(o *outgoing, response *pb.ForwardResponse) {
-	l.entry.Info("The request failed.", append(requestFields(o.message),
+	l.entry.Info(telemetry.MessageRequestFailed, append(requestFields(o.message),
 		zap.Stringer("outcome", outcome.Outcome(response.GetOutcome())),
 		zap.String("reason", outcome.Reason(response.GetReason()).String()),
 		zap.Duration("took", time.Since(o.started)),
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -155,8 +155,8 @@
 		return nil, err
 	}
 	r.startTasks(ctx)
-	r.logger.Info("The node has started.", zap.String("vm", options.VM), zap.String("zone", options.Zone),
-		zap.String("service", options.Service), zap.String("entry", options.EntryAddress), zap.String("peers", options.PeerAddress))
+	r.logger.Info(telemetry.MessageNodeStarted, zap.String("vm", options.VM), zap.String("zone", options.Zone),
+		zap.String("service", options.Service), zap.String("entry", options.EntryAddress), zap.String("peers", options.advertised()))
 	return r, nil
 }
 
--- a/operator/explainlogs.go
+++ b/operator/explainlogs.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 const (
@@ -61,13 +63,6 @@
 	Address string    `json:"address"`
 }
 
-// Messages that a story needs to tell what is missing.
-const (
-	messageStarted = "The node has started."
-	messageFailed  = "The request failed."
-	messageReject  = "The request was rejected."
-)
-
 // shownApart are the fields that have their own column.
 var shownApart = []string{"level", "time", "part", "message", "request"}
 
@@ -82,11 +77,11 @@
 		if json.Unmarshal(lines.Bytes(), &entry) != nil || entry.Message == "" {
 			continue
 		}
-		if entry.Message == messageStarted {
+		if entry.Message == telemetry.MessageNodeStarted {
 			log.node, log.address = cmp.Or(entry.VM, log.node), entry.Peers
 		}
 		line := logLine{Time: entry.Time, Part: entry.Part, Message: entry.Message, Request: entry.Request, Inputs: inputs(lines.Bytes())}
-		if entry.Part == "peers" {
+		if entry.Part == string(telemetry.PartPeers) {
 			line.lost = entry.Address
 		}
 		log.lines = append(log.lines, line)
@@ -179,7 +174,7 @@
 	}
 	var texts []string
 	ended := slices.ContainsFunc(lines, func(l logLine) bool {
-		return l.Request == root && (l.Message == messageFailed || l.Message == messageReject)
+		return l.Request == root && (l.Message == telemetry.MessageRequestFailed || l.Message == telemetry.MessageRequestRejected)
 	})
 	if !ended {
 		texts = append(texts, "No line tells that "+root+" failed: the target's own answer was passed on, or the line was left out.")
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -25,6 +25,13 @@
 	PartOperators Part = "operators"
 )
 
+// Messages of lines that are read again, to explain a request from logs.
+const (
+	MessageNodeStarted     = "The node has started."
+	MessageRequestFailed   = "The request failed."
+	MessageRequestRejected = "The request was rejected."
+)
+
 // Bounds of repeated lines: of lines with the same level and message, the first
 // lineBurst in linePeriod are written and then one in lineShare.
 const (
