--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/primrosemount/primrosemount/internal/standin/plainplatform"
@@ -195,7 +194,7 @@
 }
 
 func (p *probe) ask(id string, generation int) {
-	a := newAttempt(strings.ToLower(id), RouteGeneration, generation, p.vm.index, p.vm.lives())
+	a := newAttempt(id, RouteGeneration, generation, p.vm.index, p.vm.lives())
 	// The attempt holds what happened, a failed connection included.
 	_ = a.sendOnce(p.vm.clients.address())
 	p.history.attempt(a)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -34,9 +34,7 @@
 	Generation int
 	// VM is the index of the VM whose entry took the request, Life the number of
 	// its node's process.
-	VM, Life int
-	// Call tells that a target made the request.
-	Call                 bool
+	VM, Life             int
 	Method, Target, Body string
 	Deadline             time.Duration
 	Sent, Ended          time.Time
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -113,7 +113,7 @@
 		return nil
 	}
 	a := newAttempt(fmt.Sprintf("%s.%d", run.AttemptID, t.nextCall()), RoutePrice, 0, t.vm.index, t.vm.lives())
-	a.Call, a.Deadline = true, run.Deadline
+	a.Deadline = run.Deadline
 	defer t.history.attempt(a)
 	if err := a.sendOnce(t.vm.entryAddress); err != nil {
 		return err
@@ -156,9 +156,12 @@
 		Slots: targetSlots, Born: t.born, Draining: t.draining, Sequence: t.sequence,
 	}
 	t.mutex.Unlock()
-	return plainplatform.Announce(t.vm.announceAddress, announcement)
+	return acknowledged(plainplatform.Announce(t.vm.announceAddress, announcement))
 }
 
+// acknowledged tells whether the node took a call of the target in.
+func acknowledged(status int, err error) bool { return err == nil && status/100 == 2 }
+
 // drain announces that the target leaves, goes on for the time that it has to,
 // and begins a new life. abrupt targets say so by leaving at once.
 func (t *target) drain(abrupt bool) error {
@@ -168,7 +171,7 @@
 	t.mutex.Unlock()
 	acked := false
 	for try := 0; try < 5 && !acked; try++ {
-		acked = abrupt && plainplatform.Leave(t.vm.announceAddress, id) || !abrupt && t.announce()
+		acked = abrupt && acknowledged(plainplatform.Leave(t.vm.announceAddress, id)) || !abrupt && t.announce()
 		if acked {
 			t.history.leaving(Leaving{TargetID: id, Acked: time.Now()})
 		}
@@ -177,7 +180,8 @@
 	t.mutex.Lock()
 	t.silent = true
 	t.mutex.Unlock()
-	plainplatform.Leave(t.vm.announceAddress, id)
+	// The target ends whether its leaving is acknowledged or not.
+	_, _ = plainplatform.Leave(t.vm.announceAddress, id)
 	t.stop()
 	return t.start(false)
 }
--- a/internal/standin/plainplatform/announce.go
+++ b/internal/standin/plainplatform/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -22,30 +23,31 @@
 	Sequence int
 }
 
-// Announce sends an announcement to the node at the address; it reports whether
-// the node acknowledged it.
-func Announce(node string, a Announcement) bool {
+// Announce sends an announcement to the node at the address and returns the status
+// of the answer; a 2xx status acknowledges it.
+func Announce(node string, a Announcement) (int, error) {
 	state := "ready"
 	if a.Draining {
 		state = "draining"
 	}
 	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
 		a.Address, a.Born.UnixMilli(), a.Service, a.Zone, a.Slots, state, a.Sequence)
-	return post(node, "/v1/Instances.Heartbeat/"+a.TargetID, body)
+	return Post(node, "/v1/Instances.Heartbeat/"+a.TargetID, body)
 }
 
-// Leave tells the node that a target leaves; it reports whether the node
-// acknowledged it.
-func Leave(node, targetID string) bool {
-	return post(node, "/v1/Instances.Leave/"+targetID, "{}")
+// Leave tells the node that a target leaves and returns the status of the answer.
+func Leave(node, targetID string) (int, error) {
+	return Post(node, "/v1/Instances.Leave/"+targetID, "{}")
 }
 
-func post(node, path, body string) bool {
+// Post sends any call of a target and returns the status of the answer.
+func Post(node, path, body string) (int, error) {
 	client := &http.Client{Timeout: announceTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Post("http://"+node+path, "application/json", strings.NewReader(body))
 	if err != nil {
-		return false
+		return 0, err
 	}
 	defer response.Body.Close()
-	return response.StatusCode/100 == 2
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
 }
