Tell what each gate started, refused and left unused

Refusals had log lines, but what a gate started, how full its target was and whether the work ended well had none, so the hypotheses about the short stock checks could not be told apart. The gate counts requests by class and decision and the time that requests are at the target; a node writes one line for each second in which its gate refused requests, and serves the same as metrics.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -62,6 +62,7 @@
 	// nextExpiry is the earliest time at which a queued request may expire.
 	nextExpiry time.Duration
 
+	totals  Totals
 	pending []Event
 	events  []Event
 }
@@ -122,7 +123,16 @@
 	r.Level = min(r.Level, outcome.MaxLevel)
 	g.window.offers++
 	g.threshold.seen[r.Level]++
+	g.totals.Offered.add(r.Level)
 	g.sampleUse()
+	d := g.decide(at, r)
+	if d.Kind == Refuse {
+		g.totals.Refused.add(r.Level)
+	}
+	return d
+}
+
+func (g *Gate) decide(at time.Duration, r Request) Decision {
 	if d := g.refusal(at, r); d.Kind == Refuse {
 		return d
 	}
@@ -262,6 +272,7 @@
 	g.inFlight++
 	g.window.starts++
 	it := &g.queue.slab[index]
+	g.totals.Started.add(it.level)
 	it.started = true
 	it.inFlight = g.inFlight
 }
@@ -308,6 +319,7 @@
 	if !ok || g.queue.slab[index].started {
 		return false
 	}
+	g.totals.Cancelled.add(g.queue.slab[index].level)
 	g.queue.remove(index)
 	g.forget(index)
 	return true
--- a/core/gate/property_test.go
+++ b/core/gate/property_test.go
@@ -63,6 +63,14 @@
 		}
 	}
 	require.LessOrEqual(m.t, m.gate.Queued(), len(m.queued))
+	m.requireTotals()
+}
+
+// requireTotals checks that each request that was offered is counted once.
+func (m *model) requireTotals() {
+	totals := m.gate.Totals()
+	decided := totals.Started.Sum() + totals.Refused.Sum() + totals.Cancelled.Sum()
+	require.Equal(m.t, totals.Offered.Sum(), decided+uint64(m.gate.Queued()), "a request is missing in the totals")
 }
 
 // requireNoWorseClass checks the order of classes after a refusal for lack of
--- a/core/gate/waiting.go
+++ b/core/gate/waiting.go
@@ -47,6 +47,9 @@
 
 func (g *Gate) report(at time.Duration, index int32, d Decision) {
 	it := &g.queue.slab[index]
+	if d.Kind == Refuse {
+		g.totals.Refused.add(it.level)
+	}
 	g.pending = append(g.pending, Event{ID: it.id, Decision: d, Waited: at - it.arrived})
 }
 
--- a/core/gate/window.go
+++ b/core/gate/window.go
@@ -13,7 +13,9 @@
 // tick converts the time and closes the window if it is due. A time before the
 // latest one is taken as the latest one.
 func (g *Gate) tick(now time.Time) time.Duration {
+	before := g.latest
 	g.latest = max(g.latest, now.Sub(g.epoch))
+	g.totals.Busy += time.Duration(g.inFlight) * (g.latest - before)
 	age := g.latest - g.window.start
 	if age < g.config.Window {
 		return g.latest
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -92,7 +92,7 @@
 		Latency:   time.Since(started),
 		Refused:   result.reason == outcome.TargetRefused,
 		Failed:    result.outcome != outcome.Completed,
-	})
+	}, resultOf(result, run.HadFailedCall()))
 	if result.unreachable || result.misdirected {
 		r.gate.unreachable(admitted.targetID)
 	}
--- /dev/null
+++ b/node/relay/gateload.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/gate"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/telemetry"
+)
+
+// loadPeriod is the time between two lines about the load of the gate.
+const loadPeriod = time.Second
+
+// runResult is what became of a request that was sent to the target.
+type runResult uint8
+
+// Results of requests at the target.
+const (
+	// runAnswered is a whole answer that is no failure of the server.
+	runAnswered runResult = iota
+	// runCallFailed is a failure after a call of the request had failed: the work
+	// done for it is wasted.
+	runCallFailed
+	// runFailed is a failure of the target, or none or no whole answer.
+	runFailed
+	runResults
+)
+
+// runCounts counts requests at the target by result.
+type runCounts [runResults]uint64
+
+func resultOf(result targetResult, callFailed bool) runResult {
+	switch {
+	case result.outcome == outcome.Completed && result.status < http.StatusInternalServerError:
+		return runAnswered
+	case callFailed:
+		return runCallFailed
+	default:
+		return runFailed
+	}
+}
+
+// gateTotals is what the gate did since its start.
+type gateTotals struct {
+	gate gate.Totals
+	runs runCounts
+}
+
+// loadMeter counts results and keeps what the last line about the load covered.
+type loadMeter struct {
+	since time.Time
+	runs  runCounts
+	// covered is read by metrics, too.
+	covered atomic.Pointer[gateTotals]
+}
+
+// measureLoad writes a line about each second in which the gate refused requests.
+func (t *gateTask) measureLoad(now time.Time) {
+	span := now.Sub(t.load.since)
+	if span < loadPeriod {
+		return
+	}
+	before := t.load.covered.Load()
+	after := &gateTotals{gate: t.gate.Totals(), runs: t.load.runs}
+	added := after.gate.Since(before.gate)
+	if added.Refused.Sum() > 0 {
+		t.logger.Info("The load of the gate.", append(t.loadFields(added, after.runs.minus(before.runs)),
+			zap.Duration("span", span), zap.Float64("busy", float64(added.Busy)/float64(span)))...)
+	}
+	t.load.since = now
+	t.load.covered.Store(after)
+}
+
+func (c runCounts) minus(other runCounts) runCounts {
+	for result := range c {
+		c[result] -= other[result]
+	}
+	return c
+}
+
+func (t *gateTask) loadFields(added gate.Totals, runs runCounts) []zap.Field {
+	return []zap.Field{
+		classCounts("offered", added.Offered), classCounts("started", added.Started), classCounts("refused", added.Refused),
+		zap.Uint64("answered", runs[runAnswered]), zap.Uint64("call_failed", runs[runCallFailed]), zap.Uint64("failed", runs[runFailed]),
+		zap.Int("limit", t.gate.Limit()), zap.Int("queued", t.gate.Queued()), zap.Duration("service_time", t.gate.ServiceTime()),
+		zap.Uint16("threshold", uint16(t.gate.Threshold())),
+	}
+}
+
+// classCounts is a field with the numbers of the critical, the normal and the
+// sheddable class.
+func classCounts(name string, counts gate.Counts) zap.Field {
+	return zap.Uint64s(name, counts[outcome.Critical:])
+}
+
+// sample returns the state of the gate for metrics.
+func (t *gateTask) sample() telemetry.GateSample {
+	view := t.view.Load()
+	return telemetry.GateSample{
+		InFlight:  int64(view.inFlight),
+		Waiting:   int64(view.queued),
+		Limit:     int64(view.limit),
+		Threshold: int64(view.threshold),
+	}
+}
+
+// flow returns what the gate did until the last second, for metrics.
+func (t *gateTask) flow() telemetry.GateFlow {
+	total := t.load.covered.Load()
+	flow := telemetry.GateFlow{
+		Busy: total.gate.Busy,
+		Runs: []telemetry.RunCount{
+			{Result: "answered", Count: total.runs[runAnswered]},
+			{Result: "call_failed", Count: total.runs[runCallFailed]},
+			{Result: "failed", Count: total.runs[runFailed]},
+		},
+	}
+	for class := outcome.Critical; class <= outcome.Sheddable; class++ {
+		flow.Admissions = append(flow.Admissions,
+			telemetry.AdmissionCount{Class: class, Decision: "started", Count: total.gate.Started[class]},
+			telemetry.AdmissionCount{Class: class, Decision: "refused", Count: total.gate.Refused[class]},
+			telemetry.AdmissionCount{Class: class, Decision: "cancelled", Count: total.gate.Cancelled[class]})
+	}
+	return flow
+}
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -72,6 +72,7 @@
 	logger *zap.Logger
 	// logged is the threshold of the last line about it.
 	logged outcome.Level
+	load   loadMeter
 }
 
 func newGateTask(address, service string, connections func(string) int, logger *zap.Logger, changed func(gateView)) *gateTask {
@@ -91,7 +92,9 @@
 		waiting: make(map[uint64]chan admission),
 		logger:  logger,
 		logged:  outcome.MaxLevel,
+		load:    loadMeter{since: now},
 	}
+	t.load.covered.Store(&gateTotals{})
 	t.gate.SetDown(true)
 	t.publish()
 	return t
@@ -126,6 +129,7 @@
 	}
 	t.publish()
 	t.logThreshold()
+	t.measureLoad(now)
 }
 
 // logThreshold writes a line when the gate begins or ceases to shed a class.
@@ -217,8 +221,11 @@
 }
 
 // done ends an admitted request.
-func (t *gateTask) done(id uint64, sample gate.Sample) {
-	t.events <- func(now time.Time) { t.gate.Done(now, id, sample) }
+func (t *gateTask) done(id uint64, sample gate.Sample, result runResult) {
+	t.events <- func(now time.Time) {
+		t.gate.Done(now, id, sample)
+		t.load.runs[result]++
+	}
 }
 
 // unreachable notes that the target refused a connection.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -155,6 +155,7 @@
 		return nil, err
 	}
 	r.startTasks(ctx)
+	r.observeGate()
 	r.logger.Info(telemetry.MessageNodeStarted, zap.String("vm", options.VM), zap.String("zone", options.Zone),
 		zap.String("service", options.Service), zap.String("entry", options.EntryAddress), zap.String("peers", options.advertised()))
 	return r, nil
@@ -257,6 +258,15 @@
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
 
+// observeGate registers the metrics of the gate. A node without them serves
+// requests.
+func (r *Relay) observeGate() {
+	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateFlow(r.gate.flow))
+	if err != nil {
+		r.logger.Error("The gate has no metrics; report this to the developers.", telemetry.ErrorField(err))
+	}
+}
+
 // serve runs a server in its own goroutine and logs an end that was not asked for.
 func (r *Relay) serve(name string, serve func() error) {
 	r.tasks.Go(func() {
