Give up answers without end

A target in trouble may send bytes without end, in a head or a body. The node read a head of any size into memory, read interim answers until the deadline, and read a body past its bound to the end, because closing the body of an answer consumes what is left of it. Many large bodies together had no bound at all.

TestAnswerWithoutEndIsGivenUp failed before in six of ten ways: the target wrote all 128 MiB that it had (bytes that are no answer, header line, header lines, interim answers, body in chunks, body of an absurd length). Now a head has 64 KiB, interim answers included, all bodies that are read share the buffer of the node, a promised length takes memory only as it comes, and what exceeds a bound costs the connection.

--- /dev/null
+++ b/node/relay/answer.go
@@ -0,0 +1,174 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A target may send bytes without end in each part of an answer. Each part has a
+// bound of its own, after which the connection is closed.
+const (
+	// answerHeadBytes bounds the head of an answer, interim answers included.
+	answerHeadBytes = 64 << 10
+	// interimAnswers is the number of interim answers before the final one.
+	interimAnswers = 5
+	// foreignAnswers is the number of answers to other requests that are read
+	// over before the connection is given up.
+	foreignAnswers = 2
+	// unknownBodyBytes is the first memory for a body without a length, and
+	// promisedBodyBytes the most that one with a length gets before it has come.
+	unknownBodyBytes  = 16 << 10
+	promisedBodyBytes = 256 << 10
+)
+
+var (
+	errHeadTooLarge   = errors.New("relay: the head of the answer is too large")
+	errTooManyInterim = errors.New("relay: too many interim answers precede the answer")
+	errBodyTooLarge   = errors.New("relay: the answer is larger than the node buffers")
+)
+
+// boundedReader reads from a connection until its bound is used up.
+type boundedReader struct {
+	conn net.Conn
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
+// targetConn is one connection to the target; one request uses it at a time.
+type targetConn struct {
+	net.Conn
+	bound    *boundedReader
+	reader   *bufio.Reader
+	idleFrom time.Time
+	maxIdle  time.Duration
+	head     []byte
+}
+
+func newTargetConn(conn net.Conn) *targetConn {
+	bound := &boundedReader{conn: conn}
+	return &targetConn{Conn: conn, bound: bound, reader: bufio.NewReaderSize(bound, targetBuffer)}
+}
+
+var (
+	headRequest = &http.Request{Method: http.MethodHead}
+	bodyRequest = &http.Request{Method: http.MethodGet}
+)
+
+// readAnswer reads the head of the next final answer.
+func (c *targetConn) readAnswer(method string) (*http.Response, error) {
+	request := bodyRequest
+	if method == http.MethodHead {
+		request = headRequest
+	}
+	c.bound.left = answerHeadBytes
+	for range interimAnswers + 1 {
+		answer, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if answer.StatusCode >= http.StatusOK {
+			c.bound.left = math.MaxInt64
+			return answer, nil
+		}
+	}
+	return nil, errTooManyInterim
+}
+
+// reusable tells whether another request may follow on the connection. Bytes
+// after the answer belong to no request.
+func (c *targetConn) reusable(answer *http.Response) bool {
+	if answer.Close || c.reader.Buffered() > 0 {
+		return false
+	}
+	c.maxIdle = keptFor(answer.Header.Get("Keep-Alive"))
+	return c.maxIdle > 0
+}
+
+// keptFor returns how long a connection may be idle, from the Keep-Alive header.
+func keptFor(header string) time.Duration {
+	for field := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return targetIdle
+}
+
+// bodyReader reads the bodies of answers. All bodies that are read at one time
+// share its bound.
+type bodyReader struct {
+	maxBytes int64
+	held     atomic.Int64
+}
+
+// read returns the whole body. The body of the answer is not closed, because
+// that would read what is left of it; the caller closes the connection instead.
+func (r *bodyReader) read(answer *http.Response) ([]byte, error) {
+	if answer.ContentLength > r.maxBytes {
+		return nil, errBodyTooLarge
+	}
+	if answer.ContentLength == 0 {
+		return nil, nil
+	}
+	size := int64(unknownBodyBytes)
+	if answer.ContentLength > 0 {
+		size = min(answer.ContentLength, promisedBodyBytes)
+	}
+	if !r.reserve(size) {
+		return nil, errBodyTooLarge
+	}
+	reserved := size
+	defer func() { r.held.Add(-reserved) }()
+	body := make([]byte, 0, size)
+	for {
+		n, err := answer.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		case int64(len(body)) == answer.ContentLength:
+			return body, nil
+		case len(body) < cap(body):
+			continue
+		}
+		more := int64(cap(body))
+		if !r.reserve(more) {
+			return nil, errBodyTooLarge
+		}
+		reserved += more
+		body = append(make([]byte, 0, reserved), body...)
+	}
+}
+
+// reserve takes memory out of the bound, if there is enough left.
+func (r *bodyReader) reserve(size int64) bool {
+	if r.held.Add(size) <= r.maxBytes {
+		return true
+	}
+	r.held.Add(-size)
+	return false
+}
--- /dev/null
+++ b/node/relay/answer_test.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/core/outcome"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+const (
+	// endlessBound is the number of bytes that a target may get rid of before its
+	// connection is closed: the bounds of the node and what sockets buffer.
+	endlessBound = 32 << 20
+	// endlessTime is far below the deadline of the requests in these tests.
+	endlessTime     = 5 * time.Second
+	endlessDeadline = 20 * time.Second
+)
+
+// pour writes the same bytes until the connection is closed or far more than the
+// bound was written, and returns how many.
+func pour(conn net.Conn, piece string) int64 {
+	block := bytes.Repeat([]byte(piece), max(1, (32<<10)/len(piece)))
+	written := int64(0)
+	for written < 4*endlessBound {
+		n, err := conn.Write(block)
+		written += int64(n)
+		if err != nil {
+			break
+		}
+	}
+	return written
+}
+
+// Guards against a node that runs out of memory or time on an answer without end.
+func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
+	for _, c := range []struct{ name, begin, piece string }{
+		{"bytes that are no answer", "", "x"},
+		{"header line", "HTTP/1.1 200 OK\r\nName: ", "x"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		{"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"answers to other requests", "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+		{"body without length", "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\n", "x"},
+		{"body in chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + string(bytes.Repeat([]byte("x"), 0x400)) + "\r\n"},
+		{"chunk extension", "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		{"trailer", "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
+		{"body of an absurd length", "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			poured := make(chan int64, 1)
+			address := scripted(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = fmt.Fprint(conn, c.begin)
+				poured <- pour(conn, c.piece)
+				return false
+			})
+			client := newTargetClient(plainWire{}, 16<<20)
+			started := time.Now()
+			result := sendUntil(client, address, "1", endlessDeadline)
+			require.Equal(t, outcome.Unknown, result.outcome)
+			require.Less(t, time.Since(started), endlessTime)
+			require.LessOrEqual(t, <-poured, int64(endlessBound))
+		})
+	}
+}
+
+// Guards against answers that are within the bound one by one and use up the
+// memory of the node together.
+func TestAnswersShareTheMemoryOfTheNode(t *testing.T) {
+	const limit = 1 << 20
+	part := bytes.Repeat([]byte("x"), limit/2+limit/8)
+	var stalled atomic.Bool
+	release := make(chan struct{})
+	address := scripted(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n\r\n", request.Header.Get("Id"))
+		_, _ = conn.Write(part)
+		if request.Header.Get("Id") == "stalls" {
+			stalled.Store(true)
+			<-release
+		}
+		return false
+	})
+	client := newTargetClient(plainWire{}, limit)
+	first := make(chan targetResult, 1)
+	go func() { first <- sendUntil(client, address, "stalls", endlessDeadline) }()
+	require.Eventually(t, func() bool { return stalled.Load() && client.bodies.held.Load() >= int64(len(part)) }, endlessTime, time.Millisecond)
+
+	second := sendUntil(client, address, "2", endlessDeadline)
+	require.Equal(t, outcome.TooLarge, second.reason)
+
+	close(release)
+	require.Equal(t, outcome.Completed, (<-first).outcome)
+	third := sendUntil(client, address, "3", endlessDeadline)
+	require.Equal(t, outcome.Completed, third.outcome)
+	require.Len(t, third.body, len(part))
+	require.Zero(t, client.bodies.held.Load())
+}
+
+// Guards against memory that a target takes by the length that it promises.
+func TestPromisedLengthTakesNoMemoryFromOtherAnswers(t *testing.T) {
+	const limit = 4 << 20
+	release := make(chan struct{})
+	defer close(release)
+	var promised atomic.Int64
+	address := scripted(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		if request.Header.Get("Id") == "whole" {
+			reply(conn, "whole", "body")
+			return true
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: %d\r\n\r\n", limit)
+		promised.Add(1)
+		<-release
+		return false
+	})
+	client := newTargetClient(plainWire{}, limit)
+	for range 2 {
+		go sendUntil(client, address, "1", endlessDeadline)
+	}
+	require.Eventually(t, func() bool { return promised.Load() == 2 }, endlessTime, time.Millisecond)
+	require.Equal(t, outcome.Completed, sendUntil(client, address, "whole", endlessDeadline).outcome)
+}
+
+func sendUntil(c *targetClient, address, id string, within time.Duration) targetResult {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	request := &pb.ForwardRequest{Method: http.MethodGet, Target: "/", Host: "h", AttemptId: id, Idempotent: true}
+	return c.send(ctx, address, "t", request, time.Now().Add(within))
+}
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,9 +32,6 @@
 	freshFor = 250 * time.Millisecond
 	// targetBuffer is the size of the read buffer of a connection.
 	targetBuffer = 4 << 10
-	// foreignAnswers is the number of answers to other requests that are read
-	// over before the connection is given up.
-	foreignAnswers = 2
 	// expectHeader asks for an interim answer, which the entry has given already.
 	expectHeader = "Expect"
 	// maxHeadBytes bounds the head that is kept for reuse of its buffer.
@@ -61,25 +56,16 @@
 // targetClient sends requests to the target over kept connections. It is safe
 // for concurrent use.
 type targetClient struct {
-	headers  Wire
-	maxBytes int64
-	mu       sync.Mutex
-	idle     []*targetConn
+	headers Wire
+	bodies  bodyReader
+	mu      sync.Mutex
+	idle    []*targetConn
 	// address of the connections in idle.
 	address string
 }
 
-// targetConn is one connection to the target; one request uses it at a time.
-type targetConn struct {
-	net.Conn
-	reader   *bufio.Reader
-	idleFrom time.Time
-	maxIdle  time.Duration
-	head     []byte
-}
-
 func newTargetClient(headers Wire, maxBytes int64) *targetClient {
-	return &targetClient{headers: headers, maxBytes: maxBytes}
+	return &targetClient{headers: headers, bodies: bodyReader{maxBytes: maxBytes}}
 }
 
 // send sends a request once and reads the whole answer. Nothing is sent after
@@ -115,7 +101,7 @@
 			return lost(ctx), false
 		}
 		said := c.headers.ReadAnswer(answer.StatusCode, answer.Header)
-		body, err := c.readBody(answer)
+		body, err := c.bodies.read(answer)
 		if err != nil {
 			return unwhole(ctx, err), false
 		}
@@ -137,71 +123,6 @@
 	return err
 }
 
-var (
-	headRequest = &http.Request{Method: http.MethodHead}
-	bodyRequest = &http.Request{Method: http.MethodGet}
-)
-
-// readAnswer reads the head of the next final answer.
-func (c *targetConn) readAnswer(method string) (*http.Response, error) {
-	request := bodyRequest
-	if method == http.MethodHead {
-		request = headRequest
-	}
-	for {
-		answer, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if answer.StatusCode >= http.StatusOK {
-			return answer, nil
-		}
-	}
-}
-
-var errBodyTooLarge = errors.New("relay: the answer is larger than the node buffers")
-
-func (c *targetClient) readBody(answer *http.Response) ([]byte, error) {
-	defer answer.Body.Close()
-	if answer.ContentLength > c.maxBytes {
-		return nil, errBodyTooLarge
-	}
-	if answer.ContentLength >= 0 {
-		body := make([]byte, answer.ContentLength)
-		_, err := io.ReadFull(answer.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, c.maxBytes+1))
-	if err == nil && int64(len(body)) > c.maxBytes {
-		err = errBodyTooLarge
-	}
-	return body, err
-}
-
-// reusable tells whether another request may follow on the connection. Bytes
-// after the answer belong to no request.
-func (c *targetConn) reusable(answer *http.Response) bool {
-	if answer.Close || c.reader.Buffered() > 0 {
-		return false
-	}
-	c.maxIdle = keptFor(answer.Header.Get("Keep-Alive"))
-	return c.maxIdle > 0
-}
-
-// keptFor returns how long a connection may be idle, from the Keep-Alive header.
-func keptFor(header string) time.Duration {
-	for field := range strings.SplitSeq(header, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
-		}
-	}
-	return targetIdle
-}
-
 func classify(answer *http.Response, said TargetAnswer, body []byte) targetResult {
 	result := targetResult{sent: true, status: answer.StatusCode}
 	switch {
@@ -351,7 +272,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &targetConn{Conn: conn, reader: bufio.NewReaderSize(conn, targetBuffer)}, nil
+	return newTargetConn(conn), nil
 }
 
 // alive looks for an end of the connection, or bytes that belong to no request,
