--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -148,6 +148,9 @@
 	return s.confirmed && s.current.Phase == Ready
 }
 
+// Recalled tells whether it is known what earlier lives of the node published.
+func (s *State) Recalled() bool { return s.recalled }
+
 // Leaving tells whether the target leaves.
 func (s *State) Leaving() bool { return s.current.Phase == Draining }
 
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -317,5 +317,9 @@
 
 func (t *gateTask) notify() {
 	t.publish()
-	t.changed(*t.view.Load())
+	view := t.view.Load()
+	t.logger.Info("The state of the target changes.", zap.String("target", view.target.TargetID), zap.Uint64("sequence", view.target.Sequence),
+		zap.Int64("born", view.target.BornMillis), zap.Int("slots", view.target.Slots), zap.Bool("serving", view.serving),
+		zap.Bool("leaving", view.targetLeaving), zap.Bool("recalled", t.state.Recalled()))
+	t.changed(*view)
 }
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -293,6 +293,8 @@
 	t.events <- func() {
 		t.writing = false
 		if err == nil {
+			t.logger.Info("The announcement of this node is on the store.", zap.Uint64("incarnation", self.GetIncarnation()),
+				zap.Uint64("revision", self.GetRevision()), zap.String("target", self.GetTargetId()), zap.Bool("draining", self.GetDraining()))
 			t.published = self.GetRevision()
 			t.passOnEarlier()
 		}
