Use all targets whose nodes started at the same moment

Cause: a life of a node was named by the time of its start in nanoseconds, and the router keeps one target for each name. Of two nodes of one service that started in the same nanosecond, every node knew only one; the target beside the other one got no request for as long as both nodes lived.

Fix: routing, and the numbers under which calls are cancelled, use an identity made of the name of the VM and the incarnation. The incarnation only orders the lives of one VM. The calls had the same fault: two nodes with one sender number could cancel each other's calls.

TestNodesThatStartAtTheSameMomentAreAllUsed failed before: of a, b and c only c was used.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -123,15 +123,21 @@
 func (r *Roster) Digest() uint64 { return r.digest }
 
 // hashOf returns the hash of what names one announcement.
-func hashOf(m *pb.RelayMember) uint64 {
-	key := make([]byte, 0, len(m.GetVm())+announcementKey)
-	key = binary.LittleEndian.AppendUint64(key, m.GetIncarnation())
-	key = binary.LittleEndian.AppendUint64(key, m.GetRevision())
-	return xxhash.Sum64(append(key, m.GetVm()...))
-}
+func hashOf(m *pb.RelayMember) uint64 { return hash(m.GetVm(), m.GetIncarnation(), m.GetRevision()) }
+
+// Identity names one life of one node. Its incarnation alone does not: it is the
+// time of its start, and many nodes may start at the same moment.
+func Identity(vm string, incarnation uint64) uint64 { return hash(vm, incarnation) }
+
+const uint64Bytes = 8
 
-// announcementKey is the size of incarnation and revision in a key.
-const announcementKey = 16
+func hash(vm string, numbers ...uint64) uint64 {
+	key := make([]byte, 0, len(vm)+uint64Bytes*len(numbers))
+	for _, number := range numbers {
+		key = binary.LittleEndian.AppendUint64(key, number)
+	}
+	return xxhash.Sum64(append(key, vm...))
+}
 
 // Encode returns the record of an announcement for the store.
 func Encode(m *pb.RelayMember) ([]byte, error) { return proto.Marshal(m) }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -115,3 +115,11 @@
 	require.Len(t, changed, 1)
 	require.Equal(t, uint64(3), changed[0].GetRevision())
 }
+
+// Guards against nodes that are taken for one another, in routing or when calls
+// are cancelled, because they started at the same moment.
+func TestIdentityTellsNodesAndLivesApart(t *testing.T) {
+	require.NotEqual(t, roster.Identity("a", 1), roster.Identity("b", 1))
+	require.NotEqual(t, roster.Identity("a", 1), roster.Identity("a", 2))
+	require.Equal(t, roster.Identity("a", 1), roster.Identity("a", 1))
+}
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -251,7 +251,7 @@
 	targets := make([]route.Target, 0, len(members))
 	for _, m := range members {
 		targets = append(targets, route.Target{
-			Incarnation: m.GetIncarnation(),
+			Incarnation: roster.Identity(m.GetVm(), m.GetIncarnation()),
 			VM:          m.GetVm(),
 			Zone:        m.GetZone(),
 			Region:      m.GetRegion(),
--- a/node/relay/members_test.go
+++ b/node/relay/members_test.go
@@ -44,3 +44,17 @@
 		require.Equal(t, uint64(7), got.Sequence)
 	}
 }
+
+// Guards against targets that nobody uses because their nodes started at the same
+// moment as others.
+func TestNodesThatStartAtTheSameMomentAreAllUsed(t *testing.T) {
+	self := &pb.RelayMember{Vm: "self", Address: "self:1", Incarnation: testIncarnation}
+	router := route.New(route.Config{Start: time.Now(), Policy: route.NearestRoom})
+	task := newMembersTask(self, nil, router, nil, &configuration{}, zap.NewNop())
+	for _, vm := range []string{"a", "b", "c"} {
+		task.merge([]*pb.RelayMember{{Vm: vm, Address: vm + ":1", Service: "prices", TargetId: "target-" + vm, Slots: 10, Incarnation: testIncarnation, Revision: 1}})
+	}
+	used := map[string]bool{}
+	router.Each("prices", func(e *route.Endpoint) { used[e.Target().VM] = true })
+	require.Equal(t, map[string]bool{"a": true, "b": true, "c": true}, used)
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -31,6 +31,7 @@
 
 	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
+	"github.com/primrosemount/primrosemount/core/roster"
 	"github.com/primrosemount/primrosemount/core/route"
 	"github.com/primrosemount/primrosemount/core/targetstate"
 	"github.com/primrosemount/primrosemount/core/threshold"
@@ -166,7 +167,8 @@
 	events := newEventLog(o.Logger)
 	start := time.Now()
 	incarnation := uint64(start.UnixNano())
-	router := route.New(route.Config{Self: incarnation, Zone: o.Zone, Region: o.Region, Seed: incarnation, Start: start, Policy: route.NearestRoom})
+	identity := roster.Identity(o.VM, incarnation)
+	router := route.New(route.Config{Self: identity, Zone: o.Zone, Region: o.Region, Seed: identity, Start: start, Policy: route.NearestRoom})
 	downstream := threshold.NewDownstream(start)
 	graph := callgraph.New()
 	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.advertised(), Service: o.Service, Incarnation: incarnation}
@@ -197,7 +199,7 @@
 		self:       o.advertised,
 		downstream: downstream,
 		budgets:    newBudgets(o.RepeatRatio, o.RepeatSlack),
-		sender:     incarnation,
+		sender:     identity,
 		events:     events,
 		learned:    func(address string, version uint64) { r.members.noticed(ctx, address, version) },
 	}
