Let refusals reach clients that still send their body

What callers saw: a request that the entry refuses before it has read the body (no configuration yet, no route, body too large, node stopping) could end with a broken connection in place of the 503, 404 or 413, if the client had asked to close the connection after it. A client that gets no answer may not repeat an unsafe request.

Cause: net/http does not read what is left of a body when the connection ends with the request, and closes it at once; the client's next write fails.

--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -74,9 +74,24 @@
 	envelope, _ := e.wire.ReadRequest(r.Header)
 	e.events.rejected(r, envelope.AttemptID, refused)
 	e.metrics.Request(unrouted, outcome.Normal, refused.Outcome, refused.Reason, time.Since(started))
+	readOver(w, r)
 	e.fail(w, r, nil, refused, 0)
 }
 
+// readOverBytes is the part of a refused body that is read.
+const readOverBytes = 256 << 10
+
+// readOver reads what is left of the body. Otherwise net/http closes a connection
+// that ends with this request at once, and a client that still sends loses the
+// answer. A client that waits for an interim answer sends nothing.
+func readOver(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(expectHeader) != "" {
+		return
+	}
+	// A body that does not come whole makes no difference to the refusal.
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, readOverBytes))
+}
+
 // accept reads a request and finds its route. The error has outcome not run.
 func (e *entry) accept(r *http.Request, started time.Time) (*outgoing, *outcome.Error) {
 	table := e.config.table.Load()
