--- a/internal/experiment/best.go
+++ b/internal/experiment/best.go
@@ -54,6 +54,9 @@
 		if i == c.graph.deep && c.scenario.slowOne && c.scenario.active(c.at) {
 			targets -= 1 - 1/c.scenario.slow
 		}
+		if i == c.graph.deep && c.scenario.active(c.at) {
+			targets -= float64(c.scenario.lost)
+		}
 		processors := targets * float64(spec.slots)
 		n.slots = append(n.slots, processors)
 		if i == c.graph.deep && c.scenario.active(c.at) {
--- a/internal/experiment/cases.go
+++ b/internal/experiment/cases.go
@@ -30,6 +30,8 @@
 	slowOne bool
 	// throttled is the share of processors that the deep service keeps; 0: all.
 	throttled float64
+	// lost is the number of targets of the deep service that are away.
+	lost int
 	// demand is the factor on arrivals.
 	demand float64
 	// resends is the number of times that a caller sends a failed request again.
@@ -57,6 +59,7 @@
 		{name: "reports-idle", length: slowFor, slow: slowFactor, slowOne: true},
 		{name: "cold-zone", length: returnFor, zoneReturns: true, base: fullBase},
 		{name: "throttled", length: slowFor, throttled: throttleShare},
+		{name: "deep-lost", length: slowFor, demand: surgeFactor, lost: 2},
 	}
 	for i := range list {
 		list[i].fill(shortest)
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -64,6 +64,10 @@
 	ByClass map[string]float64 `json:"by_class"`
 	// BestShare is the best goodput relative to the offered requests, by class.
 	BestShare map[string]float64 `json:"best_share"`
+	// ServedShare is the goodput relative to the offered requests, by class, and
+	// ServedOfAll that over all classes.
+	ServedShare map[string]float64 `json:"served_share"`
+	ServedOfAll float64            `json:"served_of_all"`
 	// P99Seconds is the 99th percentile of the time from arrival to answer,
 	// attempts that failed included, of good requests during the trigger.
 	P99Seconds float64 `json:"p99_seconds"`
@@ -289,19 +293,22 @@
 
 // fill sets the relative figures of a row.
 func (row *Row) fill(offered, good, best map[outcome.Class]float64) {
-	row.ByClass, row.BestShare = map[string]float64{}, map[string]float64{}
-	allGood, allBest := 0.0, 0.0
+	row.ByClass, row.BestShare, row.ServedShare = map[string]float64{}, map[string]float64{}, map[string]float64{}
+	allGood, allBest, allOffered := 0.0, 0.0, 0.0
 	for class := outcome.Critical; class <= outcome.Sheddable; class++ {
 		allGood += good[class]
 		allBest += best[class]
+		allOffered += offered[class]
 		if offered[class] > 0 {
 			row.BestShare[class.String()] = best[class] / offered[class]
+			row.ServedShare[class.String()] = good[class] / offered[class]
 		}
 		if best[class] >= 1 {
 			row.ByClass[class.String()] = good[class] / best[class]
 		}
 	}
 	row.Goodput = allGood / math.Max(1, allBest)
+	row.ServedOfAll = allGood / math.Max(1, allOffered)
 }
 
 // Windows of the measurement of recovery.
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -120,3 +120,21 @@
 		}
 	}
 }
+
+// leastServed is the least share of a class, relative to that of all requests,
+// below which the users call it starved.
+const leastServed = 0.25
+
+// Guards against a class of which nothing is served while the deepest service is
+// short of room even for more important requests.
+func TestNoClassIsStarvedWhileTheDeepestServiceLacksTargets(t *testing.T) {
+	for _, user := range []string{"rota-mesh", "wholesaler-mesh"} {
+		t.Run(user, func(t *testing.T) {
+			t.Parallel()
+			row := meshRow(t, user, "deep-lost", "fixed-limit")
+			for class, share := range row.ServedShare {
+				require.GreaterOrEqual(t, share, leastServed*row.ServedOfAll, class)
+			}
+		})
+	}
+}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -94,6 +94,10 @@
 		r.zoneLeaves()
 		r.clock.after(warmUp, r.zoneReturns)
 	}
+	if r.scenario.lost > 0 {
+		r.clock.after(warmUp, func() { r.eachLost(func(t *target) { t.up = false }) })
+		r.clock.after(r.scenario.end(), func() { r.eachLost(r.comeBackCold) })
+	}
 	r.arrive(arrivals)
 	r.clock.runUntil(r.scenario.end() + afterwards)
 }
@@ -232,15 +236,22 @@
 func (r *run) zoneLeaves() { r.eachOfZone(func(t *target) { t.up = false }) }
 
 // zoneReturns brings them back cold.
-func (r *run) zoneReturns() {
-	r.eachOfZone(func(t *target) {
-		t.up = true
-		t.coldFrom = r.clock.now
-		t.latency = 0
-		if r.policy.gate {
-			t.gate.StartRampUp(r.clock.time())
-		}
-	})
+func (r *run) zoneReturns() { r.eachOfZone(r.comeBackCold) }
+
+func (r *run) comeBackCold(t *target) {
+	t.up = true
+	t.coldFrom = r.clock.now
+	t.latency = 0
+	if r.policy.gate {
+		t.gate.StartRampUp(r.clock.time())
+	}
+}
+
+// eachLost visits the targets that the case takes away.
+func (r *run) eachLost(do func(*target)) {
+	for _, t := range r.targets[r.graph.deep][:r.scenario.lost] {
+		do(t)
+	}
 }
 
 func (r *run) eachOfZone(do func(*target)) {
