Bound a single answer to a quarter of the memory for all answers

One answer without end could take all memory for answers for as long as its target liked, and all others at that node were refused meanwhile.

--- a/node/relay/answer.go
+++ b/node/relay/answer.go
@@ -28,6 +28,9 @@
 	// promisedBodyBytes the most that one with a length gets before it has come.
 	unknownBodyBytes  = 16 << 10
 	promisedBodyBytes = 256 << 10
+	// answerShare is the part of the memory for all bodies, as a divisor, that one
+	// body may take.
+	answerShare = 4
 )
 
 var (
@@ -126,22 +129,19 @@
 // read returns the whole body. The body of the answer is not closed, because
 // that would read what is left of it; the caller closes the connection instead.
 func (r *bodyReader) read(answer *http.Response) ([]byte, error) {
-	if answer.ContentLength > r.maxBytes {
+	most := r.maxBytes / answerShare
+	if answer.ContentLength > most {
 		return nil, errBodyTooLarge
 	}
 	if answer.ContentLength == 0 {
 		return nil, nil
 	}
-	size := int64(unknownBodyBytes)
-	if answer.ContentLength > 0 {
-		size = min(answer.ContentLength, promisedBodyBytes)
-	}
-	if !r.reserve(size) {
+	reserved := firstSize(answer.ContentLength)
+	if !r.reserve(reserved) {
 		return nil, errBodyTooLarge
 	}
-	reserved := size
 	defer func() { r.held.Add(-reserved) }()
-	body := make([]byte, 0, size)
+	body := make([]byte, 0, reserved)
 	for {
 		n, err := answer.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -155,8 +155,8 @@
 		case len(body) < cap(body):
 			continue
 		}
-		more := int64(cap(body))
-		if !r.reserve(more) {
+		more := min(reserved, most-reserved)
+		if more <= 0 || !r.reserve(more) {
 			return nil, errBodyTooLarge
 		}
 		reserved += more
@@ -164,6 +164,14 @@
 	}
 }
 
+// firstSize returns the first memory for a body; a negative length is not known.
+func firstSize(length int64) int64 {
+	if length < 0 {
+		return unknownBodyBytes
+	}
+	return min(length, promisedBodyBytes)
+}
+
 // reserve takes memory out of the bound, if there is enough left.
 func (r *bodyReader) reserve(size int64) bool {
 	if r.held.Add(size) <= r.maxBytes {
