Keep the service times of two routes apart

A gate keeps service times in a table of 64 places by a hash of the route's name; the names are drawn anew on each deployment, so two routes of a service share a place once in 64 times. A request with little time left is then refused by the time of the other route ('deadline_unmeetable').

Routes now get numbers in the order in which a node first sees them. TestRoutesAreEstimatedApart failed before: a quick route was refused by the time of a slow one. Route.Number, which nothing read, is gone.

--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -43,8 +43,6 @@
 	Attempts int
 	// Parts has at least one element.
 	Parts []Part
-	// Number tells routes apart in estimates; it is derived from the name.
-	Number uint32
 	// totalWeight is the sum of the weights of Parts.
 	totalWeight int
 }
@@ -126,7 +124,6 @@
 	for _, part := range r.Parts {
 		r.totalWeight += part.Weight
 	}
-	r.Number = uint32(xxhash.Sum64String(r.Name))
 	r.Host = strings.ToLower(r.Host)
 	t.byHost[r.Host] = append(t.byHost[r.Host], &r)
 }
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/gate"
 	"github.com/primrosemount/primrosemount/core/outcome"
@@ -22,6 +20,7 @@
 	gate       *gateTask
 	targets    *targetClient
 	operations *threshold.Operations
+	numbers    *operationNumbers
 	graph      *callgraph.Graph
 	address    func() string
 	config     *configuration
@@ -61,11 +60,10 @@
 		r.refuse(request, response, outcome.NoTarget, 0)
 		return
 	}
-	operation := operationNumber(request.GetRoute())
 	admitted, ok := r.gate.offer(ctx, gate.Request{
 		Level:     outcome.Level(request.GetLevel()),
 		Deadline:  deadline,
-		Operation: operation,
+		Operation: r.numbers.of(request.GetRoute()),
 	})
 	switch {
 	case !ok:
@@ -88,10 +86,9 @@
 	r.graph.End(request.GetAttemptId())
 	run.Finish(time.Now(), result.outcome != outcome.Completed || result.status >= 500)
 	r.gate.done(admitted.id, gate.Sample{
-		Operation: operationNumber(request.GetRoute()),
-		Latency:   time.Since(started),
-		Refused:   result.reason == outcome.TargetRefused,
-		Failed:    result.outcome != outcome.Completed,
+		Latency: time.Since(started),
+		Refused: result.reason == outcome.TargetRefused,
+		Failed:  result.outcome != outcome.Completed,
 	}, resultOf(result, run.HadFailedCall()))
 	if result.unreachable || result.misdirected {
 		r.gate.unreachable(admitted.targetID)
@@ -130,6 +127,3 @@
 		Limit:              uint32(view.limit),
 	}
 }
-
-// operationNumber tells routes apart in the estimates of a gate.
-func operationNumber(route string) uint32 { return uint32(xxhash.Sum64String(route)) }
--- /dev/null
+++ b/node/relay/operations_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/callgraph"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/core/targetstate"
+	"github.com/primrosemount/primrosemount/core/threshold"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// estimates is the size of the table of service times of a gate.
+const estimates = 64
+
+// sharedPlace returns a route whose hash falls on the place of another in a table.
+func sharedPlace(route string) string {
+	for i := 0; ; i++ {
+		other := fmt.Sprintf("other-%d", i)
+		if xxhash.Sum64String(other)%estimates == xxhash.Sum64String(route)%estimates {
+			return other
+		}
+	}
+}
+
+// Guards against requests that are refused by the service time of another route
+// because the hashes of both names fall on the same place.
+func TestRoutesAreEstimatedApart(t *testing.T) {
+	const slowTime, samples = 60 * time.Millisecond, 12
+	slow, quick := "slow", sharedPlace("slow")
+	address := scripted(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		if request.URL.Path == "/"+slow {
+			time.Sleep(slowTime)
+		}
+		reply(conn, request.Header.Get("Id"), "ok")
+		return true
+	})
+	now := time.Now()
+	task := newGateTask(address, "s", func(string) int { return 0 }, zap.NewNop(), func(gateView) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go task.run(ctx)
+	task.recall(targetstate.Announcement{}, false)
+	require.NoError(t, task.announce(targetstate.Announcement{TargetID: "i", Address: address, Service: "s", Slots: samples, Sequence: 1, Phase: targetstate.Ready}))
+	r := &receiver{
+		gate: task, targets: newTargetClient(plainWire{}, 1<<20), operations: threshold.NewOperations(threshold.NewDownstream(now)), numbers: newOperationNumbers(),
+		graph: callgraph.New(), address: func() string { return address }, config: &configuration{}, events: newEventLog(zap.NewNop()),
+	}
+	ask := func(route string, within time.Duration) outcome.Reason {
+		bounded, end := context.WithTimeout(ctx, within)
+		defer end()
+		response := &pb.ForwardResponse{}
+		request := &pb.ForwardRequest{Service: "s", Route: route, AttemptId: route, Method: http.MethodGet, Target: "/" + route, Host: "h", Level: 130, Idempotent: true}
+		r.handle(bounded, request, response, time.Now().Add(within))
+		return outcome.Reason(response.GetReason())
+	}
+	for range samples {
+		require.Zero(t, ask(slow, time.Second))
+	}
+	require.Equal(t, outcome.DeadlineUnmeetable, ask(slow, slowTime/2))
+	require.Zero(t, ask(quick, slowTime/2))
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -182,6 +182,7 @@
 		gate:       r.gate,
 		targets:    r.targets,
 		operations: threshold.NewOperations(downstream),
+		numbers:    newOperationNumbers(),
 		graph:      graph,
 		address:    func() string { return r.target.Load().address },
 		config:     r.config,
