--- a/core/gate/totals.go
+++ b/core/gate/totals.go
@@ -6,11 +6,11 @@
 	"github.com/primrosemount/primrosemount/core/outcome"
 )
 
-// Classes is the size of arrays that are indexed by class.
-const Classes = int(outcome.Sheddable) + 1
+// classes is the size of arrays that are indexed by class.
+const classes = int(outcome.Sheddable) + 1
 
 // Counts holds a number for each class.
-type Counts [Classes]uint64
+type Counts [classes]uint64
 
 // Totals counts what a gate did since it was made.
 type Totals struct {
--- a/node/relay/answer_test.go
+++ b/node/relay/answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosemount/primrosemount/core/outcome"
-	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
 const (
@@ -133,10 +131,3 @@
 	require.Eventually(t, func() bool { return promised.Load() == promises }, endlessTime, time.Millisecond)
 	require.Equal(t, outcome.Completed, sendUntil(client, address, "whole", endlessDeadline).outcome)
 }
-
-func sendUntil(c *targetClient, address, id string, within time.Duration) targetResult {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
-	request := &pb.ForwardRequest{Method: http.MethodGet, Target: "/", Host: "h", AttemptId: id, Idempotent: true}
-	return c.send(ctx, address, "t", request, time.Now().Add(within))
-}
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -85,11 +85,12 @@
 	result := r.targets.send(ctx, r.address(), admitted.targetID, request, deadline)
 	r.graph.End(request.GetAttemptId())
 	run.Finish(time.Now(), result.outcome != outcome.Completed || result.status >= 500)
+	callFailed := run.HadFailedCall()
 	r.gate.done(admitted.id, gate.Sample{
 		Latency: time.Since(started),
 		Refused: result.reason == outcome.TargetRefused,
 		Failed:  result.outcome != outcome.Completed,
-	}, resultOf(result, run.HadFailedCall()))
+	}, resultOf(result, callFailed))
 	if result.unreachable || result.misdirected {
 		r.gate.unreachable(admitted.targetID)
 	}
@@ -99,7 +100,7 @@
 	response.Headers = result.headers
 	response.Body = result.body
 	response.ReachedTarget = result.sent
-	response.TargetFailed = result.status == http.StatusInternalServerError && !run.HadFailedCall()
+	response.TargetFailed = result.status == http.StatusInternalServerError && !callFailed
 	response.Gate = r.report(request.GetRoute())
 	if result.outcome != outcome.Completed {
 		r.events.targetFailed(request, admitted, result, time.Since(started))
--- a/node/relay/targetclient_test.go
+++ b/node/relay/targetclient_test.go
@@ -65,10 +65,15 @@
 
 func sendOne(t *testing.T, c *targetClient, address, id string) targetResult {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	return sendUntil(c, address, id, time.Second)
+}
+
+// sendUntil sends an idempotent request that has the time.
+func sendUntil(c *targetClient, address, id string, within time.Duration) targetResult {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	request := &pb.ForwardRequest{Method: http.MethodGet, Target: "/", Host: "h", AttemptId: id, Idempotent: true}
-	return c.send(ctx, address, "t", request, time.Now().Add(time.Second))
+	return c.send(ctx, address, "t", request, time.Now().Add(within))
 }
 
 // Guards against a late second answer that is taken for the answer to the
