Count the calls that were completed for requests that fail, and the time at the target

Each request now carries the number of calls that were completed for its root request, each answer the number completed for it. The line about the load of a gate has wasted_calls and at_target, metrics have both. No change of what is admitted.

--- a/core/threshold/operations.go
+++ b/core/threshold/operations.go
@@ -109,6 +109,9 @@
 	called  []Dependency
 	// callFailed is set when a call of the request failed for any reason.
 	callFailed bool
+	// completed counts the calls that were completed for the request, at all levels
+	// below it.
+	completed uint32
 }
 
 // Start begins a request of a level. Requests that are not finished leave nothing
@@ -141,6 +144,21 @@
 	r.callFailed = true
 }
 
+// CallCompleted notes that a call of this request was completed, and below the
+// calls that were completed for that one.
+func (r *Run) CallCompleted(below uint32) {
+	r.operations.mu.Lock()
+	defer r.operations.mu.Unlock()
+	r.completed += 1 + below
+}
+
+// CompletedCalls returns the number of calls that were completed for this request.
+func (r *Run) CompletedCalls() uint32 {
+	r.operations.mu.Lock()
+	defer r.operations.mu.Unlock()
+	return r.completed
+}
+
 // HadFailedCall tells whether a call of this request failed, so that a failure of
 // the request says nothing about the target.
 func (r *Run) HadFailedCall() bool {
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -96,7 +96,11 @@
 		answer.Level = o.level
 	}
 	d.downstream.Observe(time.Now(), o.dependency(), answer)
-	if o.parent == nil || answer.Good {
+	if o.parent == nil {
+		return
+	}
+	if answer.Good {
+		o.parent.Run.CallCompleted(response.GetCompletedCalls())
 		return
 	}
 	o.parent.Run.CallFailed()
@@ -221,6 +225,7 @@
 		SenderAddress:  d.self(),
 		Trial:          o.trial,
 		Repeat:         o.repeat,
+		CompletedCalls: m.GetCompletedCalls(),
 	}
 }
 
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -144,19 +144,24 @@
 		o.level = outcome.LevelOf(found.Class(), uint32(xxhash.Sum64String(envelope.AttemptID)))
 		o.trial = threshold.IsTrial([]byte(envelope.AttemptID))
 	}
+	var completed uint32
+	if o.parent != nil {
+		completed = o.parent.CompletedCalls()
+	}
 	o.message = &pb.ForwardRequest{
-		Service:       found.Choose(envelope.AttemptID),
-		Route:         found.Name,
-		OriginService: e.origin(),
-		AttemptId:     envelope.AttemptID,
-		Level:         uint32(o.level),
-		Idempotent:    found.Idempotent,
-		Method:        r.Method,
-		Target:        target,
-		Host:          r.Host,
-		Headers:       passedOn(r.Header, e.wire.Owned),
-		Body:          body,
-		ConfigVersion: version,
+		CompletedCalls: completed,
+		Service:        found.Choose(envelope.AttemptID),
+		Route:          found.Name,
+		OriginService:  e.origin(),
+		AttemptId:      envelope.AttemptID,
+		Level:          uint32(o.level),
+		Idempotent:     found.Idempotent,
+		Method:         r.Method,
+		Target:         target,
+		Host:           r.Host,
+		Headers:        passedOn(r.Header, e.wire.Owned),
+		Body:           body,
+		ConfigVersion:  version,
 	}
 	return o
 }
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -80,17 +80,18 @@
 	started := time.Now()
 	run := r.operations.Start(request.GetRoute(), outcome.Level(request.GetLevel()))
 	r.graph.Start(request.GetAttemptId(), callgraph.Parent{
-		Route: request.GetRoute(), Level: outcome.Level(request.GetLevel()), Trial: request.GetTrial(), Repeat: request.GetRepeat(), Run: run,
+		Route: request.GetRoute(), Level: outcome.Level(request.GetLevel()), Trial: request.GetTrial(), Repeat: request.GetRepeat(),
+		CallsBefore: request.GetCompletedCalls(), Run: run,
 	})
 	result := r.targets.send(ctx, r.address(), admitted.targetID, request, deadline)
 	r.graph.End(request.GetAttemptId())
 	run.Finish(time.Now(), result.outcome != outcome.Completed || result.status >= 500)
-	callFailed := run.HadFailedCall()
+	callFailed, completed := run.HadFailedCall(), run.CompletedCalls()
 	r.gate.done(admitted.id, gate.Sample{
 		Latency: time.Since(started),
 		Refused: result.reason == outcome.TargetRefused,
 		Failed:  result.outcome != outcome.Completed,
-	}, resultOf(result, callFailed))
+	}, runEnd{result: resultOf(result, callFailed), completedCalls: completed, atTarget: result.took})
 	if result.unreachable || result.misdirected {
 		r.gate.unreachable(admitted.targetID)
 	}
@@ -100,6 +101,7 @@
 	response.Headers = result.headers
 	response.Body = result.body
 	response.ReachedTarget = result.sent
+	response.CompletedCalls = completed
 	response.TargetFailed = result.status == http.StatusInternalServerError && !callFailed
 	response.Gate = r.report(request.GetRoute())
 	if result.outcome != outcome.Completed {
--- a/node/relay/gateload.go
+++ b/node/relay/gateload.go
@@ -44,32 +44,71 @@
 	}
 }
 
+// runEnd is what is known about a request that was sent to the target when it ends.
+type runEnd struct {
+	result runResult
+	// completedCalls counts the calls that were completed for the request.
+	completedCalls uint32
+	// atTarget is the time from the first byte sent to the last byte of the answer.
+	atTarget time.Duration
+}
+
 // gateTotals is what the gate did since its start.
 type gateTotals struct {
 	gate gate.Totals
 	runs runCounts
+	// wastedCalls counts the calls that were completed for requests that failed.
+	wastedCalls uint64
+	// atTarget is the sum of the times that the target had requests.
+	atTarget time.Duration
 }
 
 // loadMeter counts results and keeps what the last line about the load covered.
 type loadMeter struct {
 	since time.Time
-	runs  runCounts
+	// ends holds what the ends of requests add to the totals.
+	ends gateTotals
 	// covered is read by metrics, too.
 	covered atomic.Pointer[gateTotals]
 }
 
-// measureLoad writes a line about each second in which the gate refused requests.
+func (m *loadMeter) add(end runEnd) {
+	m.ends.runs[end.result]++
+	m.ends.atTarget += end.atTarget
+	if end.result != runAnswered {
+		m.ends.wastedCalls += uint64(end.completedCalls)
+	}
+}
+
+// totals returns what the gate did until now.
+func (t *gateTask) totals() *gateTotals {
+	totals := t.load.ends
+	totals.gate = t.gate.Totals()
+	return &totals
+}
+
+// since returns what was added to earlier totals of the same gate.
+func (t *gateTotals) since(earlier *gateTotals) gateTotals {
+	return gateTotals{
+		gate:        t.gate.Since(earlier.gate),
+		runs:        t.runs.minus(earlier.runs),
+		wastedCalls: t.wastedCalls - earlier.wastedCalls,
+		atTarget:    t.atTarget - earlier.atTarget,
+	}
+}
+
+// measureLoad writes a line about each second in which the gate refused requests
+// or calls were wasted.
 func (t *gateTask) measureLoad(now time.Time) {
 	span := now.Sub(t.load.since)
 	if span < loadPeriod {
 		return
 	}
-	before := t.load.covered.Load()
-	after := &gateTotals{gate: t.gate.Totals(), runs: t.load.runs}
-	added := after.gate.Since(before.gate)
-	if added.Refused.Sum() > 0 {
-		t.logger.Info("The load of the gate.", append(t.loadFields(added, after.runs.minus(before.runs)),
-			zap.Duration("span", span), zap.Float64("busy", float64(added.Busy)/float64(span)))...)
+	after := t.totals()
+	added := after.since(t.load.covered.Load())
+	if added.gate.Refused.Sum() > 0 || added.wastedCalls > 0 {
+		t.logger.Info("The load of the gate.", append(t.loadFields(added), zap.Duration("span", span),
+			zap.Float64("busy", float64(added.gate.Busy)/float64(span)), zap.Float64("at_target", float64(added.atTarget)/float64(span)))...)
 	}
 	t.load.since = now
 	t.load.covered.Store(after)
@@ -82,10 +121,11 @@
 	return c
 }
 
-func (t *gateTask) loadFields(added gate.Totals, runs runCounts) []zap.Field {
+func (t *gateTask) loadFields(added gateTotals) []zap.Field {
 	return []zap.Field{
-		classCounts("offered", added.Offered), classCounts("started", added.Started), classCounts("refused", added.Refused),
-		zap.Uint64("answered", runs[runAnswered]), zap.Uint64("call_failed", runs[runCallFailed]), zap.Uint64("failed", runs[runFailed]),
+		classCounts("offered", added.gate.Offered), classCounts("started", added.gate.Started), classCounts("refused", added.gate.Refused),
+		zap.Uint64("answered", added.runs[runAnswered]), zap.Uint64("call_failed", added.runs[runCallFailed]),
+		zap.Uint64("failed", added.runs[runFailed]), zap.Uint64("wasted_calls", added.wastedCalls),
 		zap.Int("limit", t.gate.Limit()), zap.Int("queued", t.gate.Queued()), zap.Duration("service_time", t.gate.ServiceTime()),
 		zap.Uint16("threshold", uint16(t.gate.Threshold())),
 	}
@@ -112,7 +152,9 @@
 func (t *gateTask) flow() telemetry.GateFlow {
 	total := t.load.covered.Load()
 	flow := telemetry.GateFlow{
-		Busy: total.gate.Busy,
+		Busy:        total.gate.Busy,
+		AtTarget:    total.atTarget,
+		WastedCalls: total.wastedCalls,
 		Runs: []telemetry.RunCount{
 			{Result: "answered", Count: total.runs[runAnswered]},
 			{Result: "call_failed", Count: total.runs[runCallFailed]},
--- a/node/relay/gateload_test.go
+++ b/node/relay/gateload_test.go
@@ -34,7 +34,7 @@
 	require.Equal(t, gate.Refuse, task.gate.Offer(now, refused).Kind)
 	end := now.Add(loadPeriod / 2)
 	task.gate.Done(end, 1, gate.Sample{Latency: loadPeriod / 2})
-	task.load.runs[runCallFailed]++
+	task.load.add(runEnd{result: runCallFailed, completedCalls: 7, atTarget: loadPeriod / 4})
 	task.advance(now.Add(loadPeriod))
 
 	found := lines.FilterMessage("The load of the gate.").All()
@@ -44,6 +44,8 @@
 	require.Equal(t, []any{uint64(0), uint64(0), uint64(1)}, fields["refused"])
 	require.Equal(t, uint64(1), fields["call_failed"])
 	require.InDelta(t, 0.5, fields["busy"], 0.01)
+	require.InDelta(t, 0.25, fields["at_target"], 0.01)
+	require.Equal(t, uint64(7), fields["wasted_calls"])
 
 	metrics, err := telemetry.NewMetrics()
 	require.NoError(t, err)
@@ -53,6 +55,8 @@
 	require.Contains(t, page.Body.String(), `primrosemount_gate_admissions_total{class="sheddable",decision="refused"} 1`)
 	require.Contains(t, page.Body.String(), `primrosemount_target_runs_total{result="call_failed"} 1`)
 	require.Contains(t, page.Body.String(), `primrosemount_gate_busy_seconds_total 0.5`)
+	require.Contains(t, page.Body.String(), `primrosemount_gate_target_seconds_total 0.25`)
+	require.Contains(t, page.Body.String(), `primrosemount_target_wasted_calls_total 7`)
 }
 
 // Guards against lines about gates that refuse nothing.
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -221,10 +221,10 @@
 }
 
 // done ends an admitted request.
-func (t *gateTask) done(id uint64, sample gate.Sample, result runResult) {
+func (t *gateTask) done(id uint64, sample gate.Sample, end runEnd) {
 	t.events <- func(now time.Time) {
 		t.gate.Done(now, id, sample)
-		t.load.runs[result]++
+		t.load.add(end)
 	}
 }
 
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -45,6 +45,8 @@
 	status  int
 	headers []*pb.Header
 	body    []byte
+	// took is the time from the first byte sent to the last byte of the answer.
+	took time.Duration
 	// sent tells that bytes went to the target.
 	sent bool
 	// unreachable tells that the target accepts no connections.
@@ -79,7 +81,9 @@
 		return notSent(ctx, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	sent := time.Now()
 	result, reusable := c.exchange(ctx, conn, targetID, request, deadline)
+	result.took = time.Since(sent)
 	if !stop() || !reusable {
 		_ = conn.Close()
 		return result
--- a/telemetry/gateflow.go
+++ b/telemetry/gateflow.go
@@ -15,8 +15,12 @@
 type GateFlow struct {
 	Admissions []AdmissionCount
 	Runs       []RunCount
-	// Busy is the sum of the times that requests were at the target.
-	Busy time.Duration
+	// Busy is the sum of the times from the start of requests to their end at the
+	// gate, AtTarget that of the times that the target had them.
+	Busy     time.Duration
+	AtTarget time.Duration
+	// WastedCalls counts the calls that were completed for requests that failed.
+	WastedCalls uint64
 }
 
 // AdmissionCount counts requests of a class by what the gate decided.
@@ -56,12 +60,28 @@
 			}
 			return nil
 		}))
-	_, busy := m.meter.Float64ObservableCounter("primrosemount.gate.busy",
+	_, wasted := m.meter.Int64ObservableCounter("primrosemount.target.wasted_calls",
+		metric.WithUnit("{call}"),
+		metric.WithDescription("Calls that were completed for requests of the target that failed."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(flow().WastedCalls))
+			return nil
+		}))
+	busy := m.observeSeconds("primrosemount.gate.busy", "Sum of the times from the start of requests to their end at the gate.",
+		func() time.Duration { return flow().Busy })
+	atTarget := m.observeSeconds("primrosemount.gate.target", "Sum of the times that the target had requests.",
+		func() time.Duration { return flow().AtTarget })
+	return errors.Join(admissions, runs, wasted, busy, atTarget)
+}
+
+// observeSeconds registers a counter of time.
+func (m *Metrics) observeSeconds(name, description string, sum func() time.Duration) error {
+	_, err := m.meter.Float64ObservableCounter(name,
 		metric.WithUnit("s"),
-		metric.WithDescription("Sum of the times that requests were at the target."),
+		metric.WithDescription(description),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
-			o.Observe(flow().Busy.Seconds())
+			o.Observe(sum().Seconds())
 			return nil
 		}))
-	return errors.Join(admissions, runs, busy)
+	return err
 }
