--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -138,3 +138,24 @@
 		})
 	}
 }
+
+// Guards against work of the deepest service that goes to requests which lose a
+// later call: what is wasted is missing to the class that is served last.
+func TestEachClassGetsItsBestUnderManyDeepCalls(t *testing.T) {
+	for _, name := range []string{"surge", "hard-retries"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			row := meshRow(t, "wholesaler-mesh", name, "fixed-limit")
+			for class, share := range row.ByClass {
+				require.GreaterOrEqual(t, share, leastGoodput, class)
+			}
+		})
+	}
+}
+
+// Guards against a slow deepest service that works mostly for requests whose later
+// calls it refuses.
+func TestSlowDeepestServiceFinishesWhatItBegan(t *testing.T) {
+	t.Parallel()
+	require.GreaterOrEqual(t, meshRow(t, "wholesaler-mesh", "deep-slow", "fixed-limit").Goodput, leastGoodput)
+}
