Let calls of requests of which more is done come first

Cause: a request that makes ten calls needs all of them, its calls all have the level of the request, and the threshold of a gate moves by tens of levels while they are made.

Admission and queue order go by that place, the threshold is still found from the demand by level.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -136,12 +136,12 @@
 	if d := g.refusal(at, r); d.Kind == Refuse {
 		return d
 	}
-	if g.mayStartNow(r.Level) {
+	if g.mayStartNow(r.place()) {
 		index := g.insert(at, r)
 		g.start(index)
 		return Decision{Kind: Start}
 	}
-	if !g.makeRoom(at, r.Level) {
+	if !g.makeRoom(at, r.place()) {
 		g.window.lackedRoom++
 		return g.overloaded(r.Level)
 	}
@@ -161,10 +161,10 @@
 	if _, present := g.index[r.ID]; present {
 		return Decision{Kind: Refuse, Reason: outcome.Internal}
 	}
-	if r.Level > g.threshold.level {
+	if r.place() > g.threshold.level {
 		return g.overloaded(r.Level)
 	}
-	if at+g.wait(r.Level) > g.startBy(at, r.Operation, g.deadline(r)) {
+	if at+g.wait(r.place()) > g.startBy(at, r.Operation, g.deadline(r)) {
 		return Decision{Kind: Refuse, Reason: outcome.DeadlineUnmeetable}
 	}
 	return Decision{}
@@ -245,6 +245,7 @@
 	g.queue.slab[index] = item{
 		id:       r.ID,
 		level:    r.Level,
+		place:    r.place(),
 		op:       r.Operation,
 		arrived:  at,
 		deadline: deadline,
--- a/core/gate/queue.go
+++ b/core/gate/queue.go
@@ -19,8 +19,10 @@
 // item is one request that is queued or started. Items live in a slab and are
 // linked by index, so that no decision allocates.
 type item struct {
-	id      uint64
+	id uint64
+	// level is that of the root request, place the one that orders the queue.
 	level   outcome.Level
+	place   outcome.Level
 	op      uint32
 	started bool
 	// inFlight is the number of started requests at its start, with itself.
@@ -74,22 +76,22 @@
 // push appends an item to the bucket of its level.
 func (q *queue) push(index int32) {
 	it := &q.slab[index]
-	b := &q.buckets[it.level]
+	b := &q.buckets[it.place]
 	it.prev, it.next = b.tail, none
 	if b.tail == none {
 		b.head = index
-		q.bitmap[it.level/wordBits] |= 1 << (it.level % wordBits)
+		q.bitmap[it.place/wordBits] |= 1 << (it.place % wordBits)
 	} else {
 		q.slab[b.tail].next = index
 	}
 	b.tail = index
-	q.count(it.level, 1)
+	q.count(it.place, 1)
 }
 
 // remove takes an item out of its bucket.
 func (q *queue) remove(index int32) {
 	it := &q.slab[index]
-	b := &q.buckets[it.level]
+	b := &q.buckets[it.place]
 	if it.prev == none {
 		b.head = it.next
 	} else {
@@ -101,9 +103,9 @@
 		q.slab[it.next].prev = it.prev
 	}
 	if b.head == none {
-		q.bitmap[it.level/wordBits] &^= 1 << (it.level % wordBits)
+		q.bitmap[it.place/wordBits] &^= 1 << (it.place % wordBits)
 	}
-	q.count(it.level, -1)
+	q.count(it.place, -1)
 }
 
 func (q *queue) count(level outcome.Level, change int32) {
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -76,6 +76,7 @@
 
 // try makes one attempt. The target that refused the last one is avoided.
 func (n *node) try(a *attempt, op *operation, avoid *target, attempts int, done func(result)) {
+	lead := n.run.lead(a)
 	t := n.choose(a, op, avoid)
 	if t == nil {
 		done(result{reason: outcome.DoomedDownstream, notRun: true, retryAfter: n.run.scenario.backoff})
@@ -86,7 +87,7 @@
 		if a.cancelled {
 			return
 		}
-		c := &call{attempt: a, op: op}
+		c := &call{attempt: a, op: op, lead: lead}
 		c.reply = func(res result) {
 			n.run.clock.after(hop, func() { n.answered(a, op, t, attempts, res, done) })
 		}
@@ -126,7 +127,7 @@
 // choose picks a target that is up and believed to admit the request; nil means
 // that the request is doomed.
 func (n *node) choose(a *attempt, op *operation, avoid *target) *target {
-	level := n.run.level(a)
+	level := n.run.level(a).Ahead(n.run.lead(a))
 	candidates := n.run.scratch[:0]
 	for i, t := range n.run.targets[op.service] {
 		if t.up && t != avoid && n.admits(op, i, level) {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/core/threshold"
 )
 
 const (
@@ -41,6 +42,8 @@
 	deadline  time.Duration
 	cancelled bool
 	answered  bool
+	// completed counts the calls that were completed for the request.
+	completed uint32
 	// open holds the calls in progress, the deepest last.
 	open []*call
 	// working tells that the deepest call does own work since workFrom.
@@ -193,6 +196,14 @@
 	return outcome.LevelOf(a.root.spec.class, cohort)
 }
 
+// lead returns the number of levels that the next call of a request is ahead.
+func (r *run) lead(a *attempt) outcome.Level {
+	if !r.policy.progress {
+		return 0
+	}
+	return threshold.Lead(a.completed)
+}
+
 // slowdown returns the factor on own work at a target.
 func (r *run) slowdown(t *target) float64 {
 	factor := 1.0
--- a/internal/experiment/target.go
+++ b/internal/experiment/target.go
@@ -46,6 +46,7 @@
 	target  *target
 	reply   func(result)
 	started time.Duration
+	lead    outcome.Level
 	// downstream is the time that the call waited for its own calls.
 	downstream time.Duration
 	state      callState
@@ -91,7 +92,7 @@
 	c.target = t
 	c.attempt.open = append(c.attempt.open, c)
 	t.calls[c.id] = c
-	request := gate.Request{ID: c.id, Level: t.run.level(c.attempt), Operation: c.op.number}
+	request := gate.Request{ID: c.id, Level: t.run.level(c.attempt), Operation: c.op.number, Lead: c.lead}
 	if t.run.policy.gate {
 		request.Deadline = epoch.Add(c.attempt.deadline)
 	}
@@ -216,6 +217,7 @@
 			t.finish(c, res, limit.Sample{Failed: true})
 			return
 		}
+		c.attempt.completed++
 		t.callNext(c, i+1)
 	})
 }
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -47,8 +47,10 @@
 	EdgeRatio float64
 }
 
-func (r *Request) level() outcome.Level {
-	return outcome.LevelOf(outcome.ClassFromProto(r.Context.GetClass()), r.Context.GetCohort())
+// place returns the level at which gates admit and queue the call.
+func (r *Request) place() outcome.Level {
+	level := outcome.LevelOf(outcome.ClassFromProto(r.Context.GetClass()), r.Context.GetCohort())
+	return level.Ahead(threshold.Lead(r.Context.GetCompletedCalls()))
 }
 
 // Dependency names the called operation.
@@ -124,7 +126,7 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	trial := threshold.IsTrial(request.Context.GetRootId())
-	refused := d.config.Downstream.Admit(time.Now(), request.Dependency(), request.level(), trial)
+	refused := d.config.Downstream.Admit(time.Now(), request.Dependency(), request.place(), trial)
 	if refused != nil {
 		return d.Refuse(ctx, request, refused)
 	}
@@ -184,7 +186,7 @@
 // ThresholdAnswer returns what a response tells about thresholds.
 func ThresholdAnswer(request *Request, response *pb.CallResponse) threshold.Answer {
 	return threshold.Answer{
-		Level:     request.level(),
+		Level:     request.place(),
 		Threshold: outcome.Level(response.GetGate().GetOperationThreshold()),
 		Good:      outcome.Succeeded(response),
 	}
--- a/node/dispatch/dispatch_test.go
+++ b/node/dispatch/dispatch_test.go
@@ -136,3 +136,16 @@
 		})
 	}
 }
+
+// Guards against calls of a request that is nearly done being shed before the
+// first calls of others.
+func TestCompletedCallsPutACallAhead(t *testing.T) {
+	root := make([]byte, outcome.RootIDBytes)
+	root[outcome.RootIDBytes-1] = 100
+	request := &Request{Context: &pb.RequestContext{RootId: root, Cohort: outcome.CohortOf(root), Class: pb.Class_CLASS_NORMAL}}
+	require.Equal(t, outcome.LevelOf(outcome.Normal, 100), request.place())
+	request.Context.CompletedCalls = 2
+	require.Equal(t, outcome.LevelOf(outcome.Normal, 100).Ahead(2*threshold.LeadPerCall), request.place())
+	request.Context.CompletedCalls = 1 << 20
+	require.Equal(t, outcome.LevelOf(outcome.Normal, 0), request.place(), "never of a better class")
+}
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -101,7 +101,7 @@
 	if s.key != "" {
 		return s.prepareExecutor()
 	}
-	level := s.request.level()
+	level := s.request.place()
 	if s.trial {
 		level = 0
 	}
--- a/node/executor/call.go
+++ b/node/executor/call.go
@@ -34,6 +34,12 @@
 	return outcome.LevelOf(outcome.ClassFromProto(context.GetClass()), context.GetCohort())
 }
 
+// lead is the number of levels by which calls that were made for the root request
+// put this one ahead.
+func (c *Call) lead() outcome.Level {
+	return threshold.Lead(c.Request.GetContext().GetCompletedCalls())
+}
+
 func (c *Call) fingerprint() once.Fingerprint {
 	request := c.Request
 	return once.FingerprintOf(request.GetService(), request.GetOperation(), request.GetCaller(), request.GetBody())
@@ -63,6 +69,12 @@
 	downstream    time.Duration
 }
 
+// CompletedCalls counts the calls that were completed for the root request, as far
+// as this node knows.
+func (r *Running) CompletedCalls() uint32 {
+	return r.Call.Request.GetContext().GetCompletedCalls() + r.Dependencies.CompletedCalls()
+}
+
 // Context ends when the call is cancelled or its run time is over.
 func (r *Running) Context() context.Context { return r.ctx }
 
--- a/node/executor/executor.go
+++ b/node/executor/executor.go
@@ -220,6 +220,7 @@
 	}
 	response := resultResponse(&answer.result)
 	response.UnspentAllowance = running.Allowance.Close()
+	response.CompletedCalls = running.Dependencies.CompletedCalls()
 	running.Dependencies.Finish(time.Now(), !outcome.Succeeded(response))
 	return response
 }
--- a/node/executor/task.go
+++ b/node/executor/task.go
@@ -144,6 +144,7 @@
 	decision := t.gate.Offer(now, gate.Request{
 		ID:        p.id,
 		Level:     p.call.level(),
+		Lead:      p.call.lead(),
 		Deadline:  p.call.Deadline,
 		Operation: p.call.Number,
 	})
--- a/node/httpapi/api.go
+++ b/node/httpapi/api.go
@@ -243,6 +243,7 @@
 		CallingService: a.config.OwnService,
 		Traceparent:    parent.GetTraceparent(),
 		Tracestate:     parent.GetTracestate(),
+		CompletedCalls: running.CompletedCalls(),
 	}
 	a.answer(w, policy, request, a.doChild(r.Context(), running, request))
 }
@@ -257,6 +258,9 @@
 	running.BeginChild(time.Now())
 	defer func() { running.EndChild(time.Now()) }()
 	result := a.config.Dispatcher.Do(ctx, request)
+	if outcome.Succeeded(result.Response) {
+		running.Dependencies.CallCompleted(result.Response.GetCompletedCalls())
+	}
 	if refusedByLevel(request, result.Response) {
 		running.Dependencies.Refused(request.Dependency())
 	}
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -50,6 +50,11 @@
 	return threshold.Dependency{Service: o.message.GetService(), Operation: o.route.Name}
 }
 
+// place returns the level at which gates admit and queue the request.
+func (o *outgoing) place() outcome.Level {
+	return o.level.Ahead(threshold.Lead(o.message.GetCompletedCalls()))
+}
+
 // dispatcher sends requests to the nodes beside the targets and decides about
 // repeats. It is safe for concurrent use.
 type dispatcher struct {
@@ -71,7 +76,7 @@
 	if o.parent != nil {
 		o.parent.Run.Called(o.dependency())
 	}
-	if refused := d.downstream.Admit(o.started, o.dependency(), o.level, o.trial); refused != nil {
+	if refused := d.downstream.Admit(o.started, o.dependency(), o.place(), o.trial); refused != nil {
 		d.events.entryRefused(o, refused.Reason, d.downstream.Threshold(o.started, o.dependency()))
 		return notRun(refused.Reason, 0)
 	}
@@ -93,7 +98,7 @@
 		Good:      response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED && response.GetStatus() < 500,
 	}
 	if !o.trial {
-		answer.Level = o.level
+		answer.Level = o.place()
 	}
 	d.downstream.Observe(time.Now(), o.dependency(), answer)
 	if o.parent == nil {
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -33,6 +33,7 @@
 		zap.String("service", m.GetService()),
 		zap.String("route", m.GetRoute()),
 		zap.Uint32("level", m.GetLevel()),
+		zap.Uint32("completed_calls", m.GetCompletedCalls()),
 		zap.Uint64("config", m.GetConfigVersion()),
 	}
 }
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -62,6 +62,7 @@
 	}
 	admitted, ok := r.gate.offer(ctx, gate.Request{
 		Level:     outcome.Level(request.GetLevel()),
+		Lead:      threshold.Lead(request.GetCompletedCalls()),
 		Deadline:  deadline,
 		Operation: r.numbers.of(request.GetRoute()),
 	})
--- /dev/null
+++ b/node/relay/progress_test.go
@@ -0,0 +1,42 @@
+package relay
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/core/callgraph"
+	"github.com/primrosemount/primrosemount/core/ingress"
+	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/core/threshold"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+// Guards against calls of a request that is nearly done being shed before the
+// first calls of others: one of ten calls that is refused wastes the other nine.
+func TestCompletedCallsPutTheNextCallAhead(t *testing.T) {
+	now := time.Now()
+	downstream := threshold.NewDownstream(now)
+	level := outcome.LevelOf(outcome.Critical, 100)
+	run := threshold.NewOperations(downstream).Start("order", level)
+	graph := callgraph.New()
+	graph.Start("a", callgraph.Parent{Route: "order", Level: level, CallsBefore: 1, Run: run})
+	e := &entry{graph: graph, wire: plainWire{}, origin: func() string { return "orders" }}
+	route := &ingress.Route{Name: "limit", Parts: []ingress.Part{{Service: "credit"}}}
+	call := func() *outgoing {
+		return e.outgoing(httptest.NewRequest("GET", "/limit/", nil), route, Envelope{AttemptID: "a.1"}, "/limit/", nil, 1, now)
+	}
+	require.Equal(t, level.Ahead(threshold.LeadPerCall), call().place())
+
+	d := &dispatcher{downstream: downstream}
+	d.observe(call(), &pb.ForwardResponse{Outcome: pb.Outcome_OUTCOME_COMPLETED, Status: 200, CompletedCalls: 2})
+	next := call()
+	require.Equal(t, uint32(4), next.message.GetCompletedCalls(), "one before, the call itself and two below it")
+	require.Equal(t, level.Ahead(4*threshold.LeadPerCall), next.place())
+	require.Equal(t, level, next.level, "the threshold is found from the levels of root requests")
+
+	d.observe(next, &pb.ForwardResponse{Outcome: pb.Outcome_OUTCOME_NOT_RUN})
+	require.Equal(t, uint32(4), call().message.GetCompletedCalls())
+}
