Keep a least share of each operation before the order of classes counts

Cause: the order of classes leaves a lower class what the higher ones do not take. Where the deepest service loses its fastest target under a burst, orders alone ask for more than is left, and stock checks get nothing for as long as it lasts.

Change: entries keep an account for each operation (core/leastshare). What is owed makes the next request assured: its level is before all classes, in all services. Credit of an operation that was served fades within 2 s, so a short burst does not pay. The share is a setting of operations and entries in the catalogue, by default 0.1 of the requests that arrive, at least a quarter and at most half of what all get.

--- a/core/catalogue/snapshot.go
+++ b/core/catalogue/snapshot.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
@@ -30,6 +31,8 @@
 	Idempotent bool
 	Class      outcome.Class
 	Deadline   time.Duration
+	// LeastShare of its root requests is served before the order of classes counts.
+	LeastShare float64
 }
 
 // Limits are the limits of one service. Zero slots, connections or queue
@@ -217,11 +220,24 @@
 			Idempotent: op.GetIdempotent(),
 			Class:      class,
 			Deadline:   orDefault(op.GetDeadline(), s.Deadline),
+			LeastShare: leastShare(s.Entry, op),
 		}
 	}
 	return compiled
 }
 
+// leastShare returns that of the operation, of its entry, or the default.
+func leastShare(entry *pb.Entry, op *pb.Operation) float64 {
+	switch {
+	case op.LeastShare != nil:
+		return op.GetLeastShare()
+	case entry.LeastShare != nil:
+		return entry.GetLeastShare()
+	default:
+		return leastshare.Default
+	}
+}
+
 func compileLimits(l *pb.Limits) Limits {
 	limits := Limits{
 		SlotsPerTarget:       int(l.GetSlotsPerTarget()),
--- a/core/catalogue/validate.go
+++ b/core/catalogue/validate.go
@@ -100,6 +100,7 @@
 	c.objective(entry.GetObjective())
 	c.duration("key_retention", entry.GetKeyRetention(), MaxKeyRetention)
 	c.vms(entry.GetDrainingVms())
+	c.share("least_share", entry.GetLeastShare())
 	if size := proto.Size(entry); size > MaxEntryBytes {
 		c.add("entry", fmt.Sprintf("has %d bytes", size), fmt.Sprintf("shorten it to %d bytes", MaxEntryBytes))
 	}
@@ -189,6 +190,7 @@
 		c.unique(field+".name", op.GetName(), i, seen)
 		c.class(field+".class", op.GetClass())
 		c.duration(field+".deadline", op.GetDeadline(), MaxDeadline)
+		c.share(field+".least_share", op.GetLeastShare())
 	}
 }
 
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -21,7 +21,8 @@
 // the most time left. A request that cannot meet its deadline is refused at
 // once.
 //
-// Order of classes. The queue never holds a level above the threshold: when the
+// Order of classes. Requests that the least share of their operation assures come
+// before all classes (package leastshare). The queue never holds a level above the threshold: when the
 // threshold falls, what is above it is evicted. A full queue evicts its worst
 // level for a better one. A stale request is dropped only after everything
 // below its class. So a lower class is never kept or started while a higher one
--- a/core/gate/threshold.go
+++ b/core/gate/threshold.go
@@ -43,8 +43,10 @@
 	demandWeight = 0.4
 	shedWeight   = 0.05
 	// lowestThreshold always admits some critical requests, because a gate that
-	// admits nothing learns nothing.
+	// admits nothing learns nothing. It holds unless assured requests alone are
+	// more than the target can take; then lowestAssured does.
 	lowestThreshold = outcome.Level(outcome.Critical) * outcome.Cohorts
+	lowestAssured   = outcome.Level(1)
 )
 
 // load is what one window showed.
@@ -101,7 +103,11 @@
 	if !w.lackedRoom {
 		surplus *= lowerGain
 	}
-	for surplus > 0 && t.level > lowestThreshold {
+	lowest := lowestThreshold
+	if sum(t.demand[:lowestThreshold]) > allowed {
+		lowest = lowestAssured
+	}
+	for surplus > 0 && t.level > lowest {
 		surplus -= t.demand[t.level]
 		t.level--
 	}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -47,8 +47,15 @@
 	Sheddable Class = Class(pb.Class_CLASS_SHEDDABLE)
 )
 
+// Assured is the rank of requests that the least share of their operation admits
+// before all classes. It is no class of an operation.
+const Assured Class = 0
+
 // String returns the schema name in lower case, for example "critical".
 func (c Class) String() string {
+	if c == Assured {
+		return "assured"
+	}
 	return schemaName(pb.Class(c).String(), "CLASS_")
 }
 
@@ -68,7 +75,7 @@
 const Cohorts = 128
 
 // Level is the compound priority of a request: class rank times Cohorts plus
-// cohort. A gate admits levels up to its threshold, so a lower level is shed
+// cohort. Assured requests come before all classes. A gate admits levels up to its threshold, so a lower level is shed
 // later. Zero means that no level is known.
 type Level uint16
 
@@ -77,9 +84,18 @@
 const MaxLevel = Level(Sheddable)*Cohorts + Cohorts - 1
 
 // LevelOf returns the level of a request. Only the low seven bits of cohort
-// count.
+// count. It is never zero.
 func LevelOf(c Class, cohort uint32) Level {
-	return Level(c)*Cohorts + Level(cohort%Cohorts)
+	return max(Level(c)*Cohorts+Level(cohort%Cohorts), 1)
+}
+
+// LevelOfContext returns the level of a call with the context of its root request.
+func LevelOfContext(context *pb.RequestContext) Level {
+	class := ClassFromProto(context.GetClass())
+	if context.GetAssured() {
+		class = Assured
+	}
+	return LevelOf(class, context.GetCohort())
 }
 
 // Class returns the class part of the level.
--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -46,7 +46,7 @@
 
 func (r Repeat) rank() int {
 	switch {
-	case r.Class == outcome.Critical && r.Call:
+	case r.Class <= outcome.Critical && r.Call:
 		return rankImportantCall
 	case r.Class == outcome.Normal && r.Call:
 		return rankNormalCall
--- a/core/threshold/success.go
+++ b/core/threshold/success.go
@@ -60,8 +60,12 @@
 	rise outcome.Level
 }
 
-// note counts a finished request.
+// note counts a finished request. Assured requests are let in whatever the
+// threshold, so they say nothing about its place.
 func (s *success) note(now time.Time, level outcome.Level, callFailed bool) {
+	if level.Class() == outcome.Assured {
+		return
+	}
 	if s.finished == 0 {
 		s.since, s.top, s.bottom = now, level, level
 	}
--- a/internal/experiment/cases.go
+++ b/internal/experiment/cases.go
@@ -115,6 +115,8 @@
 	cohorts bool
 	// bounded holds all retries of a root request within one allowance.
 	bounded bool
+	// strict leaves out the least shares.
+	strict bool
 	// progress lets calls of requests of which more is done come first.
 	progress bool
 }
@@ -123,6 +125,7 @@
 	return []policy{
 		{name: "none"},
 		{name: "fixed-limit", gate: true, cohorts: true, bounded: true, progress: true},
+		{name: "strict-order", gate: true, cohorts: true, bounded: true, progress: true, strict: true},
 		{name: "no-progress", gate: true, cohorts: true, bounded: true},
 		{name: "no-cohorts", gate: true, adaptive: true, bounded: true},
 		{name: "no-retry-bound", gate: true, adaptive: true, cohorts: true, progress: true},
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/outcome"
 )
 
@@ -23,6 +24,8 @@
 	run *run
 	// learned holds the last threshold of each operation at each target.
 	learned map[*operation][]learned
+	// shares holds the least shares of root requests that arrive here.
+	shares  *leastshare.Ledger
 	retries retryPolicy
 	router  router
 }
@@ -60,6 +63,7 @@
 
 func (n *node) init(r *run) {
 	n.run = r
+	n.shares = leastshare.New()
 	n.learned = make(map[*operation][]learned)
 	n.router = twoChoices{byReport: !r.policy.gate}
 	n.retries = &boundedRetries{}
@@ -68,6 +72,26 @@
 	}
 }
 
+// arrive takes in a root request and tells whether its least share assures it.
+func (n *node) arrive(q *root) bool {
+	if !n.run.policy.gate || n.run.policy.strict {
+		return false
+	}
+	return n.shares.Arrive(n.run.clock.time(), q.spec.op.name, leastshare.Default)
+}
+
+// ended takes in what became of a root request.
+func (n *node) ended(a *attempt, res result) {
+	end := leastshare.Failed
+	switch {
+	case res.ok:
+		end = leastshare.Served
+	case res.notRun:
+		end = leastshare.Refused
+	}
+	n.shares.End(n.run.clock.time(), a.root.spec.op.name, a.assured, end)
+}
+
 // send calls an operation at some target and reports the final result.
 func (n *node) send(a *attempt, op *operation, done func(result)) {
 	n.retries.first()
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -42,6 +42,8 @@
 	deadline  time.Duration
 	cancelled bool
 	answered  bool
+	// assured tells that the least share of the operation admits the request.
+	assured bool
 	// completed counts the calls that were completed for the request.
 	completed uint32
 	// open holds the calls in progress, the deepest last.
@@ -128,7 +130,9 @@
 func (r *run) attempt(q *root) {
 	a := &attempt{root: q, deadline: r.clock.now + attemptDeadline}
 	r.clock.after(r.graph.client, func() {
+		a.assured = q.entry.arrive(q)
 		q.entry.send(a, q.spec.op, func(res result) {
+			q.entry.ended(a, res)
 			r.clock.after(r.graph.client, func() { r.answered(a, res) })
 		})
 	})
@@ -193,7 +197,11 @@
 	if !r.policy.cohorts {
 		cohort = r.random.Uint32()
 	}
-	return outcome.LevelOf(a.root.spec.class, cohort)
+	class := a.root.spec.class
+	if a.assured {
+		class = outcome.Assured
+	}
+	return outcome.LevelOf(class, cohort)
 }
 
 // lead returns the number of levels that the next call of a request is ahead.
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -49,8 +49,7 @@
 
 // place returns the level at which gates admit and queue the call.
 func (r *Request) place() outcome.Level {
-	level := outcome.LevelOf(outcome.ClassFromProto(r.Context.GetClass()), r.Context.GetCohort())
-	return level.Ahead(threshold.Lead(r.Context.GetCompletedCalls()))
+	return outcome.LevelOfContext(r.Context).Ahead(threshold.Lead(r.Context.GetCompletedCalls()))
 }
 
 // Dependency names the called operation.
--- a/node/executor/call.go
+++ b/node/executor/call.go
@@ -30,8 +30,7 @@
 func (c *Call) keyed() bool { return c.Request.GetKey() != "" }
 
 func (c *Call) level() outcome.Level {
-	context := c.Request.GetContext()
-	return outcome.LevelOf(outcome.ClassFromProto(context.GetClass()), context.GetCohort())
+	return outcome.LevelOfContext(c.Request.GetContext())
 }
 
 // lead is the number of levels by which calls that were made for the root request
--- a/node/httpapi/api.go
+++ b/node/httpapi/api.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/retry"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
@@ -77,12 +78,14 @@
 type API struct {
 	config  Config
 	resends *retry.CallerResends
+	// shares holds the least shares of root requests.
+	shares  *leastshare.Ledger
 	callers *callerLimits
 }
 
 // New returns an API.
 func New(config Config) *API {
-	return &API{config: config, resends: retry.NewCallerResends(0, 0), callers: newCallerLimits()}
+	return &API{config: config, resends: retry.NewCallerResends(0, 0), shares: leastshare.New(), callers: newCallerLimits()}
 }
 
 // Call serves one call of a caller outside.
@@ -114,10 +117,12 @@
 		root = newRootID()
 	}
 	w.Header().Set(wire.RootHeader, hex.EncodeToString(root))
+	assured := a.shares.Arrive(time.Now(), policy.account(), policy.operation.LeastShare)
 	request := newRequest(r, caller.Name, policy, headers, body)
 	request.Context = &pb.RequestContext{
 		RootId:         root,
 		Class:          policy.operation.Class.Proto(),
+		Assured:        assured,
 		Cohort:         outcome.CohortOf(root),
 		CallingService: caller.Name,
 		Traceparent:    headers.traceparent,
@@ -127,6 +132,7 @@
 	if err != nil {
 		begun := time.Now()
 		result := a.config.Dispatcher.Refuse(r.Context(), request, err)
+		a.settle(policy, request, result.Response)
 		a.observe(policy, request, result, time.Since(begun))
 		a.answer(w, policy, request, result)
 		return
@@ -137,6 +143,7 @@
 func (a *API) finishRoot(ctx context.Context, w http.ResponseWriter, policy policy, request *dispatch.Request) {
 	begun := time.Now()
 	result := a.config.Dispatcher.Do(ctx, request)
+	a.settle(policy, request, result.Response)
 	a.observe(policy, request, result, time.Since(begun))
 	w.Header().Set(wire.AllowanceHeader, strconv.FormatUint(uint64(request.Allowance.Left()), 10))
 	if result.Key != "" {
@@ -145,6 +152,18 @@
 	a.answer(w, policy, request, result)
 }
 
+// settle tells the least shares what became of a root request.
+func (a *API) settle(policy policy, request *dispatch.Request, response *pb.CallResponse) {
+	result := leastshare.Failed
+	switch {
+	case outcome.Succeeded(response):
+		result = leastshare.Served
+	case response.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN:
+		result = leastshare.Refused
+	}
+	a.shares.End(time.Now(), policy.account(), request.Context.GetAssured(), result)
+}
+
 func (a *API) answer(w http.ResponseWriter, policy policy, request *dispatch.Request, result dispatch.Result) {
 	if omitted(result.Response) {
 		w.Header().Set(wire.ReplayedHeader, "true")
@@ -238,6 +257,7 @@
 	request.Context = &pb.RequestContext{
 		RootId:         root,
 		Class:          parent.GetClass(),
+		Assured:        parent.GetAssured(),
 		Cohort:         parent.GetCohort(),
 		Depth:          parent.GetDepth() + 1,
 		CallingService: a.config.OwnService,
--- a/node/httpapi/policy.go
+++ b/node/httpapi/policy.go
@@ -23,6 +23,9 @@
 	return p.operation.Deadline
 }
 
+// account names the account of the operation's least share.
+func (p policy) account() string { return p.service.Name + "/" + p.operation.Name }
+
 // known returns what the catalogue holds of a refused operation.
 func known(service *catalogue.Service, operation string) policy {
 	if service == nil {
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,7 +96,7 @@
 func (d *dispatcher) observe(o *outgoing, response *pb.ForwardResponse) {
 	answer := threshold.Answer{
 		Threshold: outcome.Level(response.GetGate().GetOperationThreshold()),
-		Good:      response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED && response.GetStatus() < 500,
+		Good:      completedWell(response),
 	}
 	if !o.trial {
 		answer.Level = o.place()
@@ -114,6 +115,11 @@
 	}
 }
 
+// completedWell tells that the target gave a whole answer that is no failure.
+func completedWell(response *pb.ForwardResponse) bool {
+	return response.GetOutcome() == pb.Outcome_OUTCOME_COMPLETED && response.GetStatus() < http.StatusInternalServerError
+}
+
 func (d *dispatcher) attempts(ctx context.Context, o *outgoing, budget *retry.ShareBudget) *pb.ForwardResponse {
 	var tried []uint64
 	// last is the result of the last attempt, ran that of the last one that may
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
+	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/threshold"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
@@ -35,9 +36,11 @@
 	config     *configuration
 	dispatcher *dispatcher
 	graph      *callgraph.Graph
-	origin     func() string
-	metrics    *telemetry.Metrics
-	events     *eventLog
+	// shares holds the least shares of the requests of clients.
+	shares  *leastshare.Ledger
+	origin  func() string
+	metrics *telemetry.Metrics
+	events  *eventLog
 	// buffered is the number of body bytes held at the moment.
 	buffered    atomic.Int64
 	bufferLimit int64
@@ -61,6 +64,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), o.deadline)
 	defer cancel()
 	response := e.dispatcher.dispatch(ctx, o)
+	e.settle(o, response)
 	e.count(o, response)
 	e.answer(w, r, o, response)
 }
@@ -141,7 +145,7 @@
 	if parent, ok := e.graph.Find(envelope.AttemptID); ok {
 		o.parent, o.level, o.trial, o.repeat = &parent, parent.Level, parent.Trial, parent.Repeat
 	} else {
-		o.level = outcome.LevelOf(found.Class(), uint32(xxhash.Sum64String(envelope.AttemptID)))
+		o.level = outcome.LevelOf(e.rank(found, started), uint32(xxhash.Sum64String(envelope.AttemptID)))
 		o.trial = threshold.IsTrial([]byte(envelope.AttemptID))
 	}
 	var completed uint32
@@ -166,6 +170,34 @@
 	return o
 }
 
+// rank returns the class of a new request, or that of assured requests if one of the
+// route is owed.
+func (e *entry) rank(found *ingress.Route, now time.Time) outcome.Class {
+	if e.shares.Arrive(now, found.Name, leastshare.Default) {
+		return outcome.Assured
+	}
+	return found.Class()
+}
+
+// settle tells the least shares what became of a request of a client.
+func (e *entry) settle(o *outgoing, response *pb.ForwardResponse) {
+	if o.parent != nil {
+		return
+	}
+	result := leastshare.Failed
+	switch {
+	case response.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN:
+		result = leastshare.Refused
+	case completedWell(response):
+		result = leastshare.Served
+	}
+	now := time.Now()
+	e.shares.End(now, o.route.Name, o.level.Class() == outcome.Assured, result)
+	for _, counts := range e.shares.Report(now) {
+		e.events.served(counts)
+	}
+}
+
 // errHeaderTooLarge refuses a request whose header is above the limit.
 var errHeaderTooLarge = outcome.New(outcome.NotRun, outcome.TooLarge, "the header is larger than the configuration allows")
 
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/telemetry"
@@ -72,6 +73,13 @@
 		zap.Duration("allowed", o.deadline.Sub(o.started)))...)
 }
 
+// served tells what became of the requests of one route that clients sent in the
+// last second.
+func (l *eventLog) served(c leastshare.Counts) {
+	l.entry.Info("The service of a route.", zap.String("route", c.Operation), zap.Int("arrived", c.Arrived), zap.Int("assured", c.Assured),
+		zap.Int("served", c.Served), zap.Int("refused", c.Refused), zap.Int("failed", c.Failed), zap.Float64("least_share", c.Least))
+}
+
 // unread tells that the client did not take its answer.
 func (l *eventLog) unread(o *outgoing, err error) {
 	l.entry.Info("The client did not read its answer.", append(requestFields(o.message), telemetry.ErrorField(err))...)
--- a/node/relay/gateload.go
+++ b/node/relay/gateload.go
@@ -131,10 +131,10 @@
 	}
 }
 
-// classCounts is a field with the numbers of the critical, the normal and the
-// sheddable class.
+// classCounts is a field with the numbers of assured requests and of the critical,
+// the normal and the sheddable class.
 func classCounts(name string, counts gate.Counts) zap.Field {
-	return zap.Uint64s(name, counts[outcome.Critical:])
+	return zap.Uint64s(name, counts[:])
 }
 
 // sample returns the state of the gate for metrics.
@@ -161,7 +161,7 @@
 			{Result: "failed", Count: total.runs[runFailed]},
 		},
 	}
-	for class := outcome.Critical; class <= outcome.Sheddable; class++ {
+	for class := outcome.Assured; class <= outcome.Sheddable; class++ {
 		flow.Admissions = append(flow.Admissions,
 			telemetry.AdmissionCount{Class: class, Decision: "started", Count: total.gate.Started[class]},
 			telemetry.AdmissionCount{Class: class, Decision: "refused", Count: total.gate.Refused[class]},
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -31,6 +31,7 @@
 
 	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
+	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/roster"
 	"github.com/primrosemount/primrosemount/core/route"
 	"github.com/primrosemount/primrosemount/core/targetstate"
@@ -209,6 +210,7 @@
 		config:      r.config,
 		dispatcher:  dispatch,
 		graph:       graph,
+		shares:      leastshare.New(),
 		origin:      func() string { return r.target.Load().service },
 		metrics:     o.Metrics,
 		events:      events,
