--- /dev/null
+++ b/internal/press/press.go
@@ -0,0 +1,65 @@
+// Package press plays callers that send one request after the other, for tests of
+// what callers get under overload.
+package press
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Count is the number of requests of one kind and of those that were served.
+type Count struct {
+	sent   atomic.Int64
+	served atomic.Int64
+}
+
+// Served returns the number of requests that were served.
+func (c *Count) Served() int64 { return c.served.Load() }
+
+// Share returns the share of requests that was served, over all counts.
+func Share(counts ...*Count) float64 {
+	sent, served := int64(0), int64(0)
+	for _, c := range counts {
+		sent += c.sent.Load()
+		served += c.served.Load()
+	}
+	return float64(served) / float64(max(sent, 1))
+}
+
+// Load is a number of callers who make the same kind of request.
+type Load struct {
+	Callers int
+	// Pause is the wait of a caller after a request that was not served.
+	Pause time.Duration
+	// Send makes one request with an id of its own and tells whether it was served.
+	Send func(id string) bool
+}
+
+// Run lets the callers of all loads send until the time is over, and returns the
+// count of each load.
+func Run(length time.Duration, loads ...Load) []*Count {
+	end := time.Now().Add(length)
+	var wait sync.WaitGroup
+	counts := make([]*Count, len(loads))
+	for i, load := range loads {
+		counts[i] = &Count{}
+		for caller := range load.Callers {
+			wait.Go(func() { load.run(counts[i], fmt.Sprintf("%d-%d", i, caller), end) })
+		}
+	}
+	wait.Wait()
+	return counts
+}
+
+func (l Load) run(count *Count, caller string, end time.Time) {
+	for i := 0; time.Now().Before(end); i++ {
+		count.sent.Add(1)
+		if l.Send(fmt.Sprintf("%s-%d", caller, i)) {
+			count.served.Add(1)
+			continue
+		}
+		time.Sleep(l.Pause)
+	}
+}
