Drop accounts of operations that no longer come

Routes come and go with changes of the configuration, and a process that had seen 8,192 of them gave no account to new ones, so these had no least share.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -22,11 +22,15 @@
 // once.
 //
 // Order of classes. Requests that the least share of their operation assures come
-// before all classes (package leastshare). The queue never holds a level above the threshold: when the
-// threshold falls, what is above it is evicted. A full queue evicts its worst
-// level for a better one. A stale request is dropped only after everything
-// below its class. So a lower class is never kept or started while a higher one
-// is refused for lack of room.
+// before all classes (package leastshare). The queue never holds a level above the
+// threshold: when the threshold falls, what is above it is evicted. A full queue
+// evicts its worst level for a better one. A stale request is dropped only after
+// everything below its class. So a lower class is never kept or started while a
+// higher one is refused for lack of room.
+//
+// Begun work. Calls of root requests of which more is done have a lead within their
+// class (package threshold, Lead). It counts for admission and queue order; the
+// threshold is found from the demand by level.
 //
 // A Gate is owned by one goroutine. Decisions do not allocate once the tables
 // have grown to the number of requests that are present.
--- a/core/leastshare/leastshare.go
+++ b/core/leastshare/leastshare.go
@@ -53,8 +53,10 @@
 	// at the entry, so that its own share is no measure for it.
 	alone = 0.98
 	// maxOperations bounds the accounts; requests of further operations are not
-	// assured.
+	// assured. Accounts without arrivals for idleLife are dropped, since operations
+	// come and go with changes of the configuration.
 	maxOperations = 8192
+	idleLife      = time.Minute
 )
 
 // Result is what became of a root request.
@@ -76,8 +78,10 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	all      recent
-	// reported is the time of the last report.
+	// reported is the time of the last report, swept that of the last look for idle
+	// accounts.
 	reported time.Time
+	swept    time.Time
 }
 
 // New returns a Ledger without accounts.
@@ -89,7 +93,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.all.arrive(now)
-	a := l.account(operation)
+	a := l.account(now, operation)
 	if a == nil {
 		return false
 	}
@@ -136,15 +140,35 @@
 	return math.Min(math.Max(least, leastOfAll*all), MostOfAll*all)
 }
 
-func (l *Ledger) account(operation string) *account {
+// account returns the account of an operation, a new one if needed; nil if there are
+// too many.
+func (l *Ledger) account(now time.Time, operation string) *account {
 	a := l.accounts[operation]
-	if a == nil && len(l.accounts) < maxOperations {
-		a = &account{}
-		l.accounts[operation] = a
+	if a != nil {
+		return a
 	}
+	l.sweep(now)
+	if len(l.accounts) >= maxOperations {
+		return nil
+	}
+	a = &account{}
+	l.accounts[operation] = a
 	return a
 }
 
+// sweep drops accounts of operations that no longer come.
+func (l *Ledger) sweep(now time.Time) {
+	if now.Sub(l.swept) < idleLife {
+		return
+	}
+	l.swept = now
+	for operation, a := range l.accounts {
+		if now.Sub(a.recent.updated) > idleLife {
+			delete(l.accounts, operation)
+		}
+	}
+}
+
 // account is what is known about one operation.
 type account struct {
 	// owed is the number of requests that are due to the operation; negative while it
--- a/core/leastshare/leastshare_test.go
+++ b/core/leastshare/leastshare_test.go
@@ -1,6 +1,7 @@
 package leastshare_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -177,3 +178,17 @@
 	e.now = e.now.Add(time.Second)
 	require.Empty(t, e.ledger.Report(e.now))
 }
+
+// Guards against accounts of operations that a change of the configuration removed,
+// which would keep new operations from having one in a process that lives for long.
+func TestAccountsOfOperationsThatNoLongerComeAreDropped(t *testing.T) {
+	e := newEntry()
+	for i := range 20000 {
+		name := fmt.Sprintf("operation %d", i)
+		e.ledger.Arrive(e.now, name, 0.2)
+		e.ledger.End(e.now, name, false, leastshare.Refused)
+		e.now = e.now.Add(100 * time.Millisecond)
+	}
+	e.play(10*time.Second, load{orders, 0.2, all, leastshare.Served}, load{checks, 0.2, none, leastshare.Served})
+	require.InDelta(t, 0.2, e.share(checks), 0.03)
+}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -75,8 +75,8 @@
 const Cohorts = 128
 
 // Level is the compound priority of a request: class rank times Cohorts plus
-// cohort. Assured requests come before all classes. A gate admits levels up to its threshold, so a lower level is shed
-// later. Zero means that no level is known.
+// cohort. Assured requests come before all classes. A gate admits levels up to its
+// threshold, so a lower level is shed later. Zero means that no level is known.
 type Level uint16
 
 // MaxLevel is the level that is shed first; a gate with this threshold admits
