--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -36,6 +36,15 @@
 	require.LessOrEqual(t, row.MaxAttempts, 1+allowance, "attempts")
 }
 
+// requireCriticalInOrder checks critical requests against all that would fit in strict
+// order of classes: bursts of these lengths need not pay for least shares.
+func requireCriticalInOrder(t *testing.T, row Row) {
+	t.Helper()
+	if row.CriticalAlone >= fits {
+		require.GreaterOrEqual(t, row.ServedShare[outcome.Critical.String()], leastCritical*row.CriticalAlone, "critical share")
+	}
+}
+
 // runCase replays one case under full control, for both users if none is named.
 func runCase(t *testing.T, name string, users ...string) {
 	t.Helper()
@@ -47,7 +56,10 @@
 	report, err := Run(o)
 	require.NoError(t, err)
 	for _, row := range report.Rows {
-		t.Run(row.User, func(t *testing.T) { requireTargets(t, row) })
+		t.Run(row.User, func(t *testing.T) {
+			requireTargets(t, row)
+			requireCriticalInOrder(t, row)
+		})
 	}
 }
 
