Log how current the configuration of a node is, and from whom it came

The lines of a late request named no version and no age, so a silent reader, a cut path, a refused document and a starting node looked alike. New: version, config_age and store_age in the lines of rejected requests and of a new configuration, the address of the node that passed it on and its age there, the same ages as gauges, and the age in each comparison between nodes. An answer of the store confirms the copy as of the time at which it was asked; a read that still waits confirms nothing.

--- a/node/relay/compare.go
+++ b/node/relay/compare.go
@@ -43,8 +43,9 @@
 	reader := t.isReader()
 	follows := followDue(reader, t.followed, now)
 	if t.role.set(follows) {
-		t.logger.Info("The node changes how it learns of changes.", zap.Bool("follows_store", follows),
-			zap.Bool("reader", reader), zap.Duration("reader_heard", now.Sub(t.followed)), zap.Int("members", t.roster.Len()))
+		fields := []zap.Field{zap.Bool("follows_store", follows), zap.Bool("reader", reader),
+			zap.Duration("reader_heard", now.Sub(t.followed)), zap.Int("members", t.roster.Len())}
+		t.logger.Info("The node changes how it learns of changes.", append(fields, t.config.ages()...)...)
 	}
 }
 
@@ -93,18 +94,19 @@
 		MembersSeenOf: seen.incarnation,
 	}
 	go func() {
+		asked := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 		defer cancel()
 		response, err := t.pool.Sync(bounded, address, request)
-		t.events <- func() { t.synced(ctx, address, otherwise, response, err) }
+		t.events <- func() { t.synced(ctx, address, otherwise, asked, response, err) }
 	}()
 }
 
 // synced takes in the end of a comparison.
-func (t *membersTask) synced(ctx context.Context, address, otherwise string, response *pb.SyncResponse, err error) {
+func (t *membersTask) synced(ctx context.Context, address, otherwise string, asked time.Time, response *pb.SyncResponse, err error) {
 	delete(t.fetching, address)
 	if err == nil {
-		t.take(address, response)
+		t.take(address, asked, response)
 		return
 	}
 	t.logger.Debug("A node could not be compared with.", zap.String("address", address), telemetry.ErrorField(err))
@@ -113,10 +115,14 @@
 	}
 }
 
-// take merges what another node sent.
-func (t *membersTask) take(address string, response *pb.SyncResponse) {
+// take merges what another node, asked at a moment, sent.
+func (t *membersTask) take(address string, asked time.Time, response *pb.SyncResponse) {
+	age := time.Duration(response.GetConfigAgeNanos())
 	if document := response.GetConfig(); len(document) > 0 {
-		t.config.offer(document, "peer")
+		t.config.offer(document, origin{name: "peer", address: address, age: age})
+	}
+	if t.config.version() >= response.GetConfigVersion() {
+		t.config.fresh.ConfirmPeer(asked, age)
 	}
 	t.merge(response.GetMembers())
 	if len(t.seen) >= maxSeen {
@@ -148,6 +154,9 @@
 
 // fill writes what the sender of the request lacks.
 func (t *membersTask) fill(response *pb.SyncResponse, request *pb.SyncRequest, differs bool) {
+	// The age is taken first: a version that comes in between only makes the copy
+	// younger than is told.
+	response.ConfigAgeNanos = int64(t.config.fresh.Age(time.Now()))
 	response.ConfigVersion = t.config.version()
 	response.Config = t.config.newerThan(request.GetConfigVersion())
 	response.Incarnation = t.self.GetIncarnation()
--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -3,9 +3,11 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/telemetry"
 )
@@ -15,11 +17,17 @@
 	decode func(document []byte) (*ingress.Table, error)
 	logger *zap.Logger
 	table  atomic.Pointer[ingress.Table]
-	mu     sync.Mutex
+	// fresh tells as of when the version in force is the newest.
+	fresh *freshness.Tracker
+	mu    sync.Mutex
 	// document is the source of table, for nodes that cannot reach the store.
 	document []byte
 }
 
+func newConfiguration(decode func([]byte) (*ingress.Table, error), start time.Time, logger *zap.Logger) *configuration {
+	return &configuration{decode: decode, logger: logger, fresh: freshness.NewTracker(start)}
+}
+
 // version returns the version in force, 0 if none is known.
 func (c *configuration) version() uint64 {
 	if table := c.table.Load(); table != nil {
@@ -39,13 +47,47 @@
 	return known.MaxConnections
 }
 
+// origin is where a document came from.
+type origin struct {
+	// name is "store", or "peer" for another node.
+	name string
+	// address of the other node.
+	address string
+	// age of the other node's copy when it answered.
+	age time.Duration
+}
+
+var fromStore = origin{name: "store"}
+
+// fields are the log fields of an origin.
+func (o origin) fields() []zap.Field {
+	if o.address == "" {
+		return []zap.Field{zap.String("from", o.name)}
+	}
+	return []zap.Field{zap.String("from", o.name), zap.String("address", o.address), ageField("age_there", o.age)}
+}
+
+// ageField is the log field of an age; it is left out if the age is unknown.
+func ageField(name string, age time.Duration) zap.Field {
+	if age == freshness.Unknown {
+		return zap.Skip()
+	}
+	return zap.Duration(name, age)
+}
+
+// ages are the log fields that tell how current the version in force is.
+func (c *configuration) ages() []zap.Field {
+	now := time.Now()
+	return []zap.Field{ageField("config_age", c.fresh.Age(now)), ageField("store_age", c.fresh.StoreAge(now))}
+}
+
 // offer puts a document in force if it is newer. A document that cannot be read
 // leaves the version in force as it is.
-func (c *configuration) offer(document []byte, from string) {
+func (c *configuration) offer(document []byte, from origin) {
 	table, err := c.decode(document)
 	if err != nil {
 		c.logger.Warn("A configuration was refused; the earlier one stays in force.",
-			zap.String("from", from), telemetry.ErrorField(err))
+			append(from.fields(), telemetry.ErrorField(err))...)
 		return
 	}
 	c.mu.Lock()
@@ -56,8 +98,8 @@
 	}
 	c.document = document
 	c.table.Store(table)
-	c.logger.Info("A configuration is in force.", zap.String("from", from),
-		zap.Uint64("version", table.Version), zap.Uint64("before", before), zap.Int("routes", table.Routes()))
+	fields := append(from.fields(), zap.Uint64("version", table.Version), zap.Uint64("before", before), zap.Int("routes", table.Routes()))
+	c.logger.Info("A configuration is in force.", append(fields, c.ages()...)...)
 }
 
 // newerThan returns the document if its version is above the given one.
@@ -69,3 +111,9 @@
 	}
 	return nil
 }
+
+// sample returns the values of the metrics.
+func (c *configuration) sample() telemetry.ConfigurationSample {
+	now := time.Now()
+	return telemetry.ConfigurationSample{Version: c.version(), Age: c.fresh.Age(now), StoreAge: c.fresh.StoreAge(now)}
+}
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -76,7 +76,7 @@
 func (e *entry) reject(w http.ResponseWriter, r *http.Request, refused *outcome.Error, started time.Time) {
 	// The envelope is read again for the id; its error is the refusal itself.
 	envelope, _ := e.wire.ReadRequest(r.Header)
-	e.events.rejected(r, envelope.AttemptID, refused)
+	e.events.rejected(r, envelope.AttemptID, refused, e.config)
 	e.metrics.Request(unrouted, outcome.Normal, refused.Outcome, refused.Reason, time.Since(started))
 	readOver(w, r)
 	e.fail(w, r, nil, refused, 0)
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -39,10 +39,12 @@
 	}
 }
 
-// rejected tells of a request that the entry did not take in.
-func (l *eventLog) rejected(r *http.Request, attemptID string, refused *outcome.Error) {
-	l.entry.Info(telemetry.MessageRequestRejected, zap.String("request", attemptID), zap.String("host", r.Host), zap.String("path", r.URL.Path),
-		zap.String("reason", refused.Reason.String()), zap.String("detail", refused.Detail))
+// rejected tells of a request that the entry did not take in, and how current the
+// configuration was that decided it.
+func (l *eventLog) rejected(r *http.Request, attemptID string, refused *outcome.Error, config *configuration) {
+	fields := []zap.Field{zap.String("request", attemptID), zap.String("host", r.Host), zap.String("path", r.URL.Path),
+		zap.String("reason", refused.Reason.String()), zap.String("detail", refused.Detail), zap.Uint64("config", config.version())}
+	l.entry.Info(telemetry.MessageRequestRejected, append(fields, config.ages()...)...)
 }
 
 // entryRefused tells of a request that the services behind its route would refuse.
--- a/node/relay/events_test.go
+++ b/node/relay/events_test.go
@@ -23,12 +23,16 @@
 	message := &pb.ForwardRequest{AttemptId: "id-1", Service: "s", Route: "r", Level: 200, ConfigVersion: 7}
 	o := &outgoing{message: message, route: &ingress.Route{Name: "r"}, started: time.Now(), deadline: time.Now().Add(time.Second)}
 	refused := outcome.New(outcome.NotRun, outcome.BadRequest, "detail")
+	config := newConfiguration(nil, time.Now(), zap.NewNop())
+	config.fresh.ConfirmStore(time.Now())
 	for _, c := range []struct {
 		name   string
 		write  func(l *eventLog)
 		fields []string
 	}{
-		{"rejected", func(l *eventLog) { l.rejected(httptest.NewRequest(http.MethodGet, "/", nil), "id-1", refused) }, []string{"reason", "detail"}},
+		{"rejected", func(l *eventLog) {
+			l.rejected(httptest.NewRequest(http.MethodGet, "/", nil), "id-1", refused, config)
+		}, []string{"reason", "detail", "config", "config_age", "store_age"}},
 		{"refused at the entry", func(l *eventLog) { l.entryRefused(o, outcome.DoomedDownstream, 150) }, []string{"reason", "threshold", "level", "config"}},
 		{"no target", func(l *eventLog) { l.noTarget(o, outcome.NoTarget, 2) }, []string{"reason", "tried"}},
 		{"repeated", func(l *eventLog) { l.repeated(o, notRun(outcome.TargetRefused, 0), "vm") }, []string{"vm", "outcome", "reason"}},
--- a/node/relay/operations_test.go
+++ b/node/relay/operations_test.go
@@ -53,7 +53,7 @@
 	require.NoError(t, task.announce(targetstate.Announcement{TargetID: "i", Address: address, Service: "s", Slots: samples, Sequence: 1, Phase: targetstate.Ready}))
 	r := &receiver{
 		gate: task, targets: newTargetClient(plainWire{}, 1<<20), operations: threshold.NewOperations(threshold.NewDownstream(now)), numbers: newOperationNumbers(),
-		graph: callgraph.New(), address: func() string { return address }, config: &configuration{}, events: newEventLog(zap.NewNop()),
+		graph: callgraph.New(), address: func() string { return address }, config: newConfiguration(nil, time.Now(), zap.NewNop()), events: newEventLog(zap.NewNop()),
 	}
 	ask := func(route string, within time.Duration) outcome.Reason {
 		bounded, end := context.WithTimeout(ctx, within)
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -157,7 +157,7 @@
 		return nil, err
 	}
 	r.startTasks(ctx)
-	r.observeGate()
+	r.observeState()
 	r.logger.Info(telemetry.MessageNodeStarted, zap.String("vm", options.VM), zap.String("zone", options.Zone),
 		zap.String("service", options.Service), zap.String("entry", options.EntryAddress), zap.String("peers", options.advertised()))
 	return r, nil
@@ -174,7 +174,7 @@
 	graph := callgraph.New()
 	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.advertised(), Service: o.Service, Incarnation: incarnation}
 	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.bufferBytes(), IdleTimeout: peerIdle})
-	r.config = &configuration{decode: o.Decode, logger: telemetry.Named(o.Logger, telemetry.PartControl)}
+	r.config = newConfiguration(o.Decode, start, telemetry.Named(o.Logger, telemetry.PartControl))
 	r.members = newMembersTask(self, o.Members, router, r.pool, r.config, telemetry.Named(o.Logger, telemetry.PartControl))
 	r.gate = newGateTask(o.TargetAddress, o.Service, r.config.connections, events.gate, r.members.targetChanged)
 	r.members.recall = r.gate.recall
@@ -263,12 +263,13 @@
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
 
-// observeGate registers the metrics of the gate. A node without them serves
-// requests.
-func (r *Relay) observeGate() {
-	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateFlow(r.gate.flow))
+// observeState registers the metrics of the gate and the configuration. A node
+// without them serves requests.
+func (r *Relay) observeState() {
+	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateFlow(r.gate.flow),
+		r.options.Metrics.ObserveConfiguration(r.config.sample))
 	if err != nil {
-		r.logger.Error("The gate has no metrics; report this to the developers.", telemetry.ErrorField(err))
+		r.logger.Error("The gate and the configuration have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
 }
 
@@ -285,8 +286,8 @@
 func (r *Relay) startTasks(ctx context.Context) {
 	control := telemetry.Named(r.options.Logger, telemetry.PartControl)
 	r.tasks.Go(func() { r.gate.run(ctx) })
-	config := &follower{name: "configuration", topic: r.options.Config, logger: control, role: r.members.role, ready: func() {}, apply: r.applyConfig}
-	members := &follower{name: "members", topic: r.options.Members, logger: control, role: r.members.role, pause: memberPause, ready: r.members.storeRead, apply: r.members.records}
+	config := &follower{name: "configuration", topic: r.options.Config, logger: control, role: r.members.role, ready: func() {}, apply: r.applyConfig, confirm: r.config.fresh.ConfirmStore}
+	members := &follower{name: "members", topic: r.options.Members, logger: control, role: r.members.role, pause: memberPause, ready: r.members.storeRead, apply: r.members.records, confirm: func(time.Time) {}}
 	r.members.storeAnswers = func() bool { return !config.lost.Load() && !members.lost.Load() }
 	r.tasks.Go(func() { r.members.run(ctx) })
 	r.tasks.Go(func() { config.run(ctx) })
@@ -309,7 +310,7 @@
 func (r *Relay) applyConfig(records []Record) {
 	for _, record := range records {
 		if len(record.Value) > 0 {
-			r.config.offer(record.Value, "store")
+			r.config.offer(record.Value, fromStore)
 		}
 	}
 }
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -19,6 +19,15 @@
 	Offset uint64
 }
 
+// Batch is the answer to a read of a topic.
+type Batch struct {
+	Records []Record
+	// Next is the offset after the records that the answer covers.
+	Next uint64
+	// Whole tells that the topic had no further records when the store answered.
+	Whole bool
+}
+
 // Topic is a topic of the platform's store that keeps the newest record of each
 // key. Implementations are safe for concurrent use.
 type Topic interface {
@@ -28,7 +37,7 @@
 	// Read waits for records from an offset on. It returns none after the wait.
 	// ErrHistoryDropped tells that records before the first retained one are
 	// gone or that the topic is shorter than the offset.
-	Read(ctx context.Context, from uint64, wait time.Duration) (records []Record, next uint64, err error)
+	Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error)
 	// Put adds a record of a key. ErrPutUnknown tells that it may be there.
 	Put(ctx context.Context, key string, value []byte) (offset uint64, err error)
 }
@@ -62,6 +71,8 @@
 	pause time.Duration
 	// apply takes in records in the order of their offsets.
 	apply func(records []Record)
+	// confirm is called when the copy is known to be complete as of a moment.
+	confirm func(asOf time.Time)
 	// ready is called each time that a whole copy was taken in.
 	ready func()
 	// role tells whether to go on reading after the first copy.
@@ -101,20 +112,25 @@
 
 // step reads either the whole topic or what follows the known part.
 func (f *follower) step(ctx context.Context, next uint64, known bool) (uint64, error) {
+	asked := time.Now()
 	if !known {
 		records, after, err := f.topic.Newest(ctx)
 		if err != nil {
 			return 0, err
 		}
 		f.apply(records)
+		f.confirm(asked)
 		return after, nil
 	}
-	records, after, err := f.topic.Read(ctx, next, followWait)
+	batch, err := f.topic.Read(ctx, next, followWait)
 	if err != nil {
 		return 0, err
 	}
-	f.apply(records)
-	return after, nil
+	f.apply(batch.Records)
+	if batch.Whole {
+		f.confirm(asked)
+	}
+	return batch.Next, nil
 }
 
 // note logs the loss and the return of the store, once each.
--- a/node/relay/storerole_test.go
+++ b/node/relay/storerole_test.go
@@ -21,7 +21,7 @@
 		vm := fmt.Sprintf("vm-%d", i)
 		return &pb.RelayMember{Vm: vm, Zone: "a", Address: vm + ":1", Service: "s", TargetId: "t", Incarnation: uint64(i + 1), Revision: 1}
 	}
-	task := newMembersTask(record(self), nil, route.New(route.Config{Start: time.Now()}), nil, &configuration{logger: zap.NewNop()}, zap.NewNop())
+	task := newMembersTask(record(self), nil, route.New(route.Config{Start: time.Now()}), nil, newConfiguration(nil, time.Now(), zap.NewNop()), zap.NewNop())
 	for i := range members {
 		if i != self {
 			task.merge([]*pb.RelayMember{record(i)})
@@ -41,12 +41,12 @@
 		task := zoneOf(t, i, members)
 		task.chooseRole(now)
 		require.True(t, task.role.active(), "no reader was heard yet")
-		task.take("reader:1", &pb.SyncResponse{FollowsStore: true})
+		task.take("reader:1", time.Now(), &pb.SyncResponse{FollowsStore: true})
 		if task.role.active() {
 			readers++
 			continue
 		}
-		task.take("reader:1", &pb.SyncResponse{})
+		task.take("reader:1", time.Now(), &pb.SyncResponse{})
 		task.chooseRole(task.followed.Add(followPatience))
 		require.False(t, task.role.active())
 		task.chooseRole(task.followed.Add(followPatience + time.Millisecond))
@@ -63,8 +63,8 @@
 
 func (c *countingTopic) Newest(context.Context) ([]Record, uint64, error) { return nil, 0, nil }
 
-func (c *countingTopic) Read(context.Context, uint64, time.Duration) ([]Record, uint64, error) {
-	return nil, uint64(c.reads.Add(1)), nil
+func (c *countingTopic) Read(context.Context, uint64, time.Duration) (Batch, error) {
+	return Batch{Next: uint64(c.reads.Add(1))}, nil
 }
 
 // Guards against nodes that read on although others follow the store, and that do
@@ -73,7 +73,7 @@
 	topic := &countingTopic{}
 	ready := make(chan struct{}, 1)
 	f := &follower{name: "members", topic: topic, logger: zap.NewNop(), role: newStoreRole(), pause: time.Millisecond,
-		apply: func([]Record) {}, ready: func() { ready <- struct{}{} }}
+		apply: func([]Record) {}, confirm: func(time.Time) {}, ready: func() { ready <- struct{}{} }}
 	require.True(t, f.role.set(false))
 	require.False(t, f.role.set(false))
 	ctx, cancel := context.WithCancel(t.Context())
--- /dev/null
+++ b/telemetry/configuration.go
@@ -0,0 +1,25 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ConfigurationSample is the state of a node's copy of the configuration.
+type ConfigurationSample struct {
+	Version uint64
+	// Age is how old the copy may be, StoreAge the age of the store's latest answer.
+	Age      time.Duration
+	StoreAge time.Duration
+}
+
+// ObserveConfiguration registers the source of the gauges of the configuration.
+// sample is called at each scrape and must not block.
+func (m *Metrics) ObserveConfiguration(sample func() ConfigurationSample) error {
+	return errors.Join(
+		m.gauge("primrosemount.configuration.version", "{version}", "Version of the configuration in force.", func() int64 { return int64(sample().Version) }),
+		m.gauge("primrosemount.configuration.age", "ms", "Time since the configuration was last known to be the newest.", func() int64 { return sample().Age.Milliseconds() }),
+		m.gauge("primrosemount.configuration.store_age", "ms", "Time since the store's latest answer about the configuration.", func() int64 { return sample().StoreAge.Milliseconds() }),
+	)
+}
