--- a/node/relay/compare.go
+++ b/node/relay/compare.go
@@ -97,7 +97,7 @@
 		asked := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 		defer cancel()
-		response, err := t.pool.Sync(bounded, address, request)
+		response, err := t.sync(bounded, address, request)
 		t.events <- func() { t.synced(ctx, address, otherwise, asked, response, err) }
 	}()
 }
--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -102,6 +102,15 @@
 	c.logger.Info("A configuration is in force.", append(fields, c.ages()...)...)
 }
 
+// apply takes in records of the store.
+func (c *configuration) apply(records []Record) {
+	for _, record := range records {
+		if len(record.Value) > 0 {
+			c.offer(record.Value, fromStore)
+		}
+	}
+}
+
 // newerThan returns the document if its version is above the given one.
 func (c *configuration) newerThan(version uint64) []byte {
 	c.mu.Lock()
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -12,7 +12,6 @@
 	"github.com/primrosemount/primrosemount/core/targetstate"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/telemetry"
-	"github.com/primrosemount/primrosemount/transport"
 )
 
 const (
@@ -33,7 +32,7 @@
 	events chan func()
 	topic  Topic
 	router *route.Router
-	pool   *transport.Pool
+	sync   syncFunc
 	config *configuration
 	logger *zap.Logger
 	// recall passes on what an earlier life of this node had published; it is
@@ -67,12 +66,15 @@
 	seen map[string]viewSeen
 }
 
-func newMembersTask(self *pb.RelayMember, topic Topic, router *route.Router, pool *transport.Pool, config *configuration, logger *zap.Logger) *membersTask {
+// syncFunc compares with the node at an address, see transport.Pool.Sync.
+type syncFunc func(ctx context.Context, address string, request *pb.SyncRequest) (*pb.SyncResponse, error)
+
+func newMembersTask(self *pb.RelayMember, topic Topic, router *route.Router, sync syncFunc, config *configuration, logger *zap.Logger) *membersTask {
 	return &membersTask{
 		events:   make(chan func(), memberEvents),
 		topic:    topic,
 		router:   router,
-		pool:     pool,
+		sync:     sync,
 		config:   config,
 		logger:   logger,
 		roster:   roster.New(),
@@ -82,7 +84,7 @@
 		started:  time.Now(),
 		role:     newStoreRole(),
 		seen:     make(map[string]viewSeen),
-		// relay.go sets the real one once the followers exist.
+		// followers sets the real one.
 		storeAnswers: func() bool { return true },
 	}
 }
--- /dev/null
+++ b/node/relay/propagation_test.go
@@ -0,0 +1,340 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/ingress"
+	"github.com/primrosemount/primrosemount/core/route"
+	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+)
+
+const (
+	// configBound is the time after which an acknowledged version is in force at
+	// each node that the store serves.
+	configBound = 2 * time.Second
+	// contact is how long the store has served a node before the bound holds.
+	contact = 3 * time.Second
+	// storeLatency and peerLatency are the times of one answer.
+	storeLatency = 4 * time.Millisecond
+	peerLatency  = 2 * time.Millisecond
+	// replayLength is the time that one replay plays.
+	replayLength = 40 * time.Second
+)
+
+// storeMode is how the store treats one node.
+type storeMode uint8
+
+const (
+	serving storeMode = iota
+	// silent takes calls and answers none; reads that wait are swallowed as well.
+	silent
+	// refusing answers at once that it does not serve the node.
+	refusing
+)
+
+// replayStore is a store in virtual time that many nodes follow.
+type replayStore struct {
+	mu      sync.Mutex
+	version uint64
+	acked   []time.Time
+	changed chan struct{}
+	nodes   map[string]*storeClient
+}
+
+// storeClient is the store as one node sees it.
+type storeClient struct {
+	Topic
+	store *replayStore
+	mode  storeMode
+	// since is when the mode began.
+	since time.Time
+	calls int
+}
+
+func document(version uint64) []byte { return strconv.AppendUint(nil, version, 10) }
+
+func decodeDocument(document []byte) (*ingress.Table, error) {
+	version, err := strconv.ParseUint(string(document), 10, 64)
+	return ingress.NewTable(version, nil, nil, ingress.Limits{}), err
+}
+
+// change acknowledges the next version.
+func (s *replayStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.acked = append(s.acked, time.Now())
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ackedBefore returns the newest version that was acknowledged before a moment.
+func (s *replayStore) ackedBefore(at time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := uint64(0)
+	for n < uint64(len(s.acked)) && s.acked[n].Before(at) {
+		n++
+	}
+	return n
+}
+
+func (s *replayStore) set(vm string, mode storeMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if node := s.nodes[vm]; node.mode != mode {
+		node.mode, node.since = mode, time.Now()
+	}
+}
+
+// inTouch tells whether the store has served the node for the contact time.
+func (s *replayStore) inTouch(vm string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	node := s.nodes[vm]
+	return node.mode == serving && now.Sub(node.since) > contact
+}
+
+func (c *storeClient) state() (storeMode, uint64, chan struct{}) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.calls++
+	return c.mode, c.store.version, c.store.changed
+}
+
+// Newest implements Topic.
+func (c *storeClient) Newest(ctx context.Context) ([]Record, uint64, error) {
+	batch, err := c.Read(ctx, 0, 0)
+	return batch.Records, batch.Next, err
+}
+
+// Read implements Topic. The offset after the record of a version is its number.
+func (c *storeClient) Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+2*time.Second)
+	defer cancel()
+	sleep(ctx, storeLatency)
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		mode, version, changed := c.state()
+		switch {
+		case mode == refusing:
+			return Batch{}, ErrUnavailable
+		case mode == silent:
+			<-ctx.Done()
+			return Batch{}, ErrUnavailable
+		case version > from:
+			return Batch{Records: []Record{{Key: "config", Value: document(version)}}, Next: version, Whole: true}, nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			if mode, _, _ := c.state(); mode == serving {
+				return Batch{Next: from, Whole: true}, nil
+			}
+		case <-ctx.Done():
+			return Batch{}, ErrUnavailable
+		}
+	}
+}
+
+// quietTopic is the topic of members in which nothing changes.
+type quietTopic struct{ Topic }
+
+func (quietTopic) Newest(context.Context) ([]Record, uint64, error) { return nil, 0, nil }
+
+func (quietTopic) Read(ctx context.Context, _ uint64, wait time.Duration) (Batch, error) {
+	sleep(ctx, wait)
+	return Batch{Whole: true}, ctx.Err()
+}
+
+// replayFleet plays the tasks that keep configuration and members current.
+type replayFleet struct {
+	store *replayStore
+	tasks map[string]*membersTask
+	names []string
+}
+
+// startFleet starts the nodes of some zones; all know all others.
+func startFleet(ctx context.Context, wait *sync.WaitGroup, zones, perZone int) *replayFleet {
+	f := &replayFleet{tasks: make(map[string]*membersTask),
+		store: &replayStore{changed: make(chan struct{}), nodes: make(map[string]*storeClient)}}
+	var members []*pb.RelayMember
+	for i := range zones * perZone {
+		vm := "vm-" + strconv.Itoa(i)
+		members = append(members, &pb.RelayMember{Vm: vm, Address: vm, Zone: "zone-" + strconv.Itoa(i%zones), Incarnation: uint64(i + 1), Revision: 1})
+		f.names = append(f.names, vm)
+	}
+	f.store.change()
+	for _, m := range members {
+		f.store.nodes[m.GetVm()] = &storeClient{store: f.store, since: time.Now()}
+		task := newMembersTask(m, quietTopic{}, route.New(route.Config{Start: time.Now()}), f.sync, newConfiguration(decodeDocument, time.Now(), zap.NewNop()), zap.NewNop())
+		task.published = m.GetRevision()
+		task.merge(members)
+		task.merge([]*pb.RelayMember{m})
+		f.tasks[m.GetVm()] = task
+	}
+	for _, vm := range f.names {
+		task := f.tasks[vm]
+		config, followed := task.followers(f.store.nodes[vm])
+		for _, run := range []func(context.Context){task.run, config.run, followed.run} {
+			wait.Go(func() {
+				// Nodes do not start in step.
+				sleep(ctx, rand.N(time.Second))
+				run(ctx)
+			})
+		}
+	}
+	return f
+}
+
+// sync passes a comparison to another node.
+func (f *replayFleet) sync(ctx context.Context, address string, request *pb.SyncRequest) (*pb.SyncResponse, error) {
+	sleep(ctx, peerLatency)
+	response := &pb.SyncResponse{}
+	f.tasks[address].serveSync(context.WithoutCancel(ctx), request, response)
+	return response, ctx.Err()
+}
+
+// drain answers the messages that came after the tasks had ended, so that nobody
+// waits for them.
+func (f *replayFleet) drain() {
+	for pending := true; pending; {
+		synctest.Wait()
+		pending = false
+		for _, task := range f.tasks {
+			for len(task.events) > 0 {
+				(<-task.events)()
+				pending = true
+			}
+		}
+	}
+}
+
+// readersFirst returns all nodes, the readers of their zones first.
+func (f *replayFleet) readersFirst() []string {
+	view := f.tasks[f.names[0]].roster
+	var readers, others []string
+	for _, vm := range f.names {
+		if slices.ContainsFunc(view.Readers(view.Get(vm).GetZone()), func(m *pb.RelayMember) bool { return m.GetVm() == vm }) {
+			readers = append(readers, vm)
+			continue
+		}
+		others = append(others, vm)
+	}
+	return append(readers, others...)
+}
+
+// late returns the nodes in touch that lack a version acknowledged longer ago
+// than the bound.
+func (f *replayFleet) late(now time.Time) []string {
+	wanted := f.store.ackedBefore(now.Add(-configBound))
+	var late []string
+	for _, vm := range f.names {
+		if f.store.inTouch(vm, now) && f.tasks[vm].config.version() < wanted {
+			late = append(late, vm)
+		}
+	}
+	return late
+}
+
+func (f *replayFleet) storeCalls() int {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	calls := 0
+	for node := range maps.Values(f.store.nodes) {
+		calls += node.calls
+	}
+	return calls
+}
+
+// replay plays changes each second or two while the store fails a share of the
+// nodes in the mode, readers first, for some seconds at a time. It returns the
+// nodes that were late, with the time, and the calls of the store.
+func replay(t *testing.T, seed uint64, zones, perZone int, share float64, mode storeMode) (late map[string]time.Duration, calls int) {
+	late = make(map[string]time.Duration)
+	synctest.Test(t, func(t *testing.T) {
+		draw := rand.New(rand.NewPCG(seed, 1))
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		f := startFleet(ctx, &wait, zones, perZone)
+		began := time.Now()
+		nextChange, nextMode := began.Add(5*time.Second), began.Add(5*time.Second+time.Duration(draw.Int64N(int64(time.Second))))
+		failing := false
+		for now := began; now.Sub(began) < replayLength; now = time.Now() {
+			if !now.Before(nextMode) {
+				failing = !failing
+				nextMode = now.Add(3*time.Second + time.Duration(draw.Int64N(int64(6*time.Second))))
+				f.fail(failing, share, mode)
+			}
+			if !now.Before(nextChange) {
+				f.store.change()
+				nextChange = now.Add(700*time.Millisecond + time.Duration(draw.Int64N(int64(2*time.Second))))
+			}
+			for _, vm := range f.late(now) {
+				late[vm] = now.Sub(began)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		calls = f.storeCalls()
+		cancel()
+		wait.Wait()
+		f.drain()
+	})
+	return late, calls
+}
+
+// fail makes the store treat a share of the nodes in the mode, or all as usual.
+func (f *replayFleet) fail(failing bool, share float64, mode storeMode) {
+	order := f.readersFirst()
+	for i, vm := range order {
+		if failing && float64(i) < share*float64(len(order)) {
+			f.store.set(vm, mode)
+			continue
+		}
+		f.store.set(vm, serving)
+	}
+}
+
+// replaySeeds is the number of plays of each case.
+const replaySeeds = 5
+
+// Guards against changes that are late at nodes which the store would serve,
+// because others from which they learn them have lost the store.
+func TestChangeIsNotLateWhenReadersLoseTheStore(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		zones, perZone int
+		share          float64
+		mode           storeMode
+	}{
+		{"silent to the readers of four zones of four", 4, 4, 0.5, silent},
+		{"silent to most of four zones of four", 4, 4, 0.8, silent},
+		{"refuses most of four zones of four", 4, 4, 0.8, refusing},
+		{"silent to most of three zones of five", 3, 5, 0.7, silent},
+		{"silent to most of four zones of nineteen", 4, 19, 0.6, silent},
+		{"silent to the readers of two large zones", 2, 60, 0.07, silent},
+		{"silent to most of two large zones", 2, 60, 0.7, silent},
+		{"refuses most of two large zones", 2, 60, 0.7, refusing},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(replaySeeds) {
+				late, calls := replay(t, seed, c.zones, c.perZone, c.share, c.mode)
+				require.Empty(t, late, "seed %d: nodes that had an old version, and when last", seed)
+				t.Logf("seed %d: %d calls of the store", seed, calls)
+			}
+		})
+	}
+}
+
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -175,7 +175,7 @@
 	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.advertised(), Service: o.Service, Incarnation: incarnation}
 	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.bufferBytes(), IdleTimeout: peerIdle})
 	r.config = newConfiguration(o.Decode, start, telemetry.Named(o.Logger, telemetry.PartControl))
-	r.members = newMembersTask(self, o.Members, router, r.pool, r.config, telemetry.Named(o.Logger, telemetry.PartControl))
+	r.members = newMembersTask(self, o.Members, router, r.pool.Sync, r.config, telemetry.Named(o.Logger, telemetry.PartControl))
 	r.gate = newGateTask(o.TargetAddress, o.Service, r.config.connections, events.gate, r.members.targetChanged)
 	r.members.recall = r.gate.recall
 	r.targets = newTargetClient(o.Wire, o.bufferBytes())
@@ -284,11 +284,8 @@
 }
 
 func (r *Relay) startTasks(ctx context.Context) {
-	control := telemetry.Named(r.options.Logger, telemetry.PartControl)
 	r.tasks.Go(func() { r.gate.run(ctx) })
-	config := &follower{name: "configuration", topic: r.options.Config, logger: control, role: r.members.role, ready: func() {}, apply: r.applyConfig, confirm: r.config.fresh.ConfirmStore}
-	members := &follower{name: "members", topic: r.options.Members, logger: control, role: r.members.role, pause: memberPause, ready: r.members.storeRead, apply: r.members.records, confirm: func(time.Time) {}}
-	r.members.storeAnswers = func() bool { return !config.lost.Load() && !members.lost.Load() }
+	config, members := r.members.followers(r.options.Config)
 	r.tasks.Go(func() { r.members.run(ctx) })
 	r.tasks.Go(func() { config.run(ctx) })
 	r.tasks.Go(func() { members.run(ctx) })
@@ -303,18 +300,6 @@
 	}
 }
 
-// memberPause gathers member changes that come close together. A target that
-// drains refuses work at its gate meanwhile, and one that joins waits this long.
-const memberPause = 500 * time.Millisecond
-
-func (r *Relay) applyConfig(records []Record) {
-	for _, record := range records {
-		if len(record.Value) > 0 {
-			r.config.offer(record.Value, fromStore)
-		}
-	}
-}
-
 // Announce takes in an announcement of the target. After nil it counts.
 func (r *Relay) Announce(a targetstate.Announcement) error { return r.gate.announce(a) }
 
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -81,6 +81,21 @@
 	lost atomic.Bool
 }
 
+// memberPause gathers member changes that come close together. A target that
+// drains refuses work at its gate meanwhile, and one that joins waits this long.
+const memberPause = 500 * time.Millisecond
+
+// followers returns what keeps the copies of the configuration and the members up
+// to date from the store.
+func (t *membersTask) followers(configTopic Topic) (config, members *follower) {
+	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.role,
+		ready: func() {}, apply: t.config.apply, confirm: t.config.fresh.ConfirmStore}
+	members = &follower{name: "members", topic: t.topic, logger: t.logger, role: t.role, pause: memberPause,
+		ready: t.storeRead, apply: t.records, confirm: func(time.Time) {}}
+	t.storeAnswers = func() bool { return !config.lost.Load() && !members.lost.Load() }
+	return config, members
+}
+
 // run follows the topic until the context ends.
 func (f *follower) run(ctx context.Context) {
 	wait := retryFirst
