Keep the configuration current by evidence, not by the absence of errors

Callers got 404 on routes that had been added, or were sent where an older version says, more than 2 s after the newer one was acknowledged.

Cause: two readers of each zone followed the store for the others with reads that wait up to 25 s. A reader whose read is never answered gets no error for 27 s and went on telling its zone that it follows the store, so nobody else read. Class of fault: a claim that rests on the absence of an error.

Change: a node keeps as of when its copy is known to be the newest (core/freshness). In zones of up to 32 members each node follows the configuration itself; in larger ones the readers renew their evidence with short reads, and a node whose copy is older than 0.7 of the bound reads itself. A reader vouches only while answers are not overdue. A read without an answer ends, and the next one asks without waiting. All times follow from the users' bound config_apply.

--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -21,13 +21,24 @@
 // the others, in the order in which they are asked. Each node works them out
 // from its view. Views that differ lead to some more readers, which does no
 // harm. The caller must not change the slice.
-func (r *Roster) Readers(zone string) []*pb.RelayMember {
-	readers, known := r.readers[zone]
+func (r *Roster) Readers(zone string) []*pb.RelayMember { return r.zone(zone).readers }
+
+// ZoneSize returns the number of members of a zone that have not stopped.
+func (r *Roster) ZoneSize(zone string) int { return r.zone(zone).size }
+
+// zoneView is what is worked out about a zone once for each change of the view.
+type zoneView struct {
+	readers []*pb.RelayMember
+	size    int
+}
+
+func (r *Roster) zone(name string) zoneView {
+	view, known := r.zones[name]
 	if !known {
-		readers = r.chooseReaders(zone)
-		r.readers[zone] = readers
+		view = r.viewOf(name)
+		r.zones[name] = view
 	}
-	return readers
+	return view
 }
 
 // ranked is a member with its place in the order.
@@ -36,7 +47,7 @@
 	member *pb.RelayMember
 }
 
-func (r *Roster) chooseReaders(zone string) []*pb.RelayMember {
+func (r *Roster) viewOf(zone string) zoneView {
 	var members []ranked
 	for _, m := range r.members {
 		if m.GetZone() == zone && !m.GetStopped() {
@@ -50,7 +61,7 @@
 	for _, m := range members[:min(readerCount(len(members)), len(members))] {
 		readers = append(readers, m.member)
 	}
-	return readers
+	return zoneView{readers: readers, size: len(members)}
 }
 
 func readerCount(members int) int {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -35,9 +35,8 @@
 	// count at the latest change of each member.
 	changes uint64
 	changed map[string]uint64
-	// readers holds the readers of zones that were asked for since the latest
-	// change.
-	readers map[string][]*pb.RelayMember
+	// zones holds what was worked out about zones since the latest change.
+	zones map[string]zoneView
 }
 
 // New returns an empty Roster.
@@ -45,7 +44,7 @@
 	return &Roster{
 		members: make(map[string]*pb.RelayMember),
 		changed: make(map[string]uint64),
-		readers: make(map[string][]*pb.RelayMember),
+		zones:   make(map[string]zoneView),
 	}
 }
 
@@ -66,7 +65,7 @@
 	r.changes++
 	r.changed[m.GetVm()] = r.changes
 	r.members[m.GetVm()] = m
-	clear(r.readers)
+	clear(r.zones)
 	return true
 }
 
--- a/node/relay/compare.go
+++ b/node/relay/compare.go
@@ -8,11 +8,14 @@
 
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/freshness"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 const (
+	// tickInterval is the time between two looks at what is due.
+	tickInterval = 250 * time.Millisecond
 	// syncInterval is the time between two comparisons with another node.
 	syncInterval = time.Second
 	// syncTimeout bounds one comparison.
@@ -38,19 +41,49 @@
 	return slices.ContainsFunc(t.roster.Readers(t.self.GetZone()), t.isSelf)
 }
 
-// chooseRole decides whether this node follows the store itself.
+// tick does what is due at a moment.
+func (t *membersTask) tick(ctx context.Context, now time.Time) {
+	t.ticks++
+	t.chooseRole(now)
+	unanswered := t.unanswered(now)
+	interval := syncInterval
+	if unanswered || t.standing.Load().Relies() {
+		interval = min(t.rules.Compare(), syncInterval)
+	}
+	if t.ticks%max(int(interval/tickInterval), 1) != 0 {
+		return
+	}
+	t.compare(ctx)
+	if unanswered {
+		t.compareWithAny(ctx)
+	}
+}
+
+// chooseRole decides whether this node follows the members and the configuration
+// on the store itself.
 func (t *membersTask) chooseRole(now time.Time) {
-	reader := t.isReader()
-	follows := followDue(reader, t.followed, now)
-	if t.role.set(follows) {
-		fields := []zap.Field{zap.Bool("follows_store", follows), zap.Bool("reader", reader),
-			zap.Duration("reader_heard", now.Sub(t.followed)), zap.Int("members", t.roster.Len())}
+	standing := freshness.Standing{Members: t.roster.ZoneSize(t.self.GetZone()), Reader: t.isReader()}
+	t.standing.Store(&standing)
+	members := followDue(standing.Reader, t.followed, now)
+	config := t.rules.Follows(standing, t.config.fresh.Age(now))
+	changed := t.role.set(members)
+	if t.configRole.set(config) || changed {
+		fields := []zap.Field{zap.Bool("follows_members", members), zap.Bool("follows_configuration", config), zap.Bool("reader", standing.Reader),
+			zap.Int("zone_members", standing.Members), zap.Duration("reader_heard", now.Sub(t.followed)), zap.Int("members", t.roster.Len())}
 		t.logger.Info("The node changes how it learns of changes.", append(fields, t.config.ages()...)...)
 	}
 }
 
-// followsStore tells whether others may rely on this node to follow the store.
-func (t *membersTask) followsStore() bool { return t.role.active() && t.storeAnswers() }
+// unanswered tells whether the store leaves this node without an answer.
+func (t *membersTask) unanswered(now time.Time) bool {
+	return t.configRole.active() && t.rules.Unanswered(*t.standing.Load(), t.config.fresh.StoreAge(now))
+}
+
+// followsStore tells whether others may rely on this node to follow the store. An
+// answer that did not come is no sign of a store in which nothing changes.
+func (t *membersTask) followsStore() bool {
+	return t.role.active() && t.storeAnswers() && !t.unanswered(time.Now())
+}
 
 // compare compares with another node: a reader with any node, others with the
 // readers of their zone in turn, and now and then with any node besides.
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/roster"
 	"github.com/primrosemount/primrosemount/core/route"
 	"github.com/primrosemount/primrosemount/core/targetstate"
@@ -54,14 +56,20 @@
 	started time.Time
 	// fetching holds the addresses of comparisons under way.
 	fetching map[string]bool
-	// role is what chooseRole decides.
-	role *storeRole
-	// storeAnswers tells whether the followers of this node get answers.
+	// role and configRole are what chooseRole decides: whether this node follows the
+	// members, and the configuration, on the store itself.
+	role       *storeRole
+	configRole *storeRole
+	// rules tell how the copy of the configuration is kept current, standing the
+	// place of this node in its zone.
+	rules    freshness.Rules
+	standing atomic.Pointer[freshness.Standing]
+	// storeAnswers tells whether the store answers about the members.
 	storeAnswers func() bool
 	// followed is when a reader last told that it follows the store.
 	followed time.Time
-	// turn counts the comparisons that were due.
-	turn int
+	// ticks counts the looks at what is due, turn the comparisons.
+	ticks, turn int
 	// seen holds how much of the view of other nodes this one has, by address.
 	seen map[string]viewSeen
 }
@@ -69,8 +77,8 @@
 // syncFunc compares with the node at an address, see transport.Pool.Sync.
 type syncFunc func(ctx context.Context, address string, request *pb.SyncRequest) (*pb.SyncResponse, error)
 
-func newMembersTask(self *pb.RelayMember, topic Topic, router *route.Router, sync syncFunc, config *configuration, logger *zap.Logger) *membersTask {
-	return &membersTask{
+func newMembersTask(self *pb.RelayMember, topic Topic, router *route.Router, sync syncFunc, config *configuration, rules freshness.Rules, logger *zap.Logger) *membersTask {
+	t := &membersTask{
 		events:   make(chan func(), memberEvents),
 		topic:    topic,
 		router:   router,
@@ -83,15 +91,19 @@
 		fetching: make(map[string]bool),
 		started:  time.Now(),
 		role:     newStoreRole(),
+		rules:    rules,
 		seen:     make(map[string]viewSeen),
 		// followers sets the real one.
 		storeAnswers: func() bool { return true },
+		configRole:   newStoreRole(),
 	}
+	t.standing.Store(&freshness.Standing{})
+	return t
 }
 
 // run applies messages until the context ends.
 func (t *membersTask) run(ctx context.Context) {
-	ticker := time.NewTicker(syncInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -100,8 +112,7 @@
 		case event := <-t.events:
 			event()
 		case <-ticker.C:
-			t.chooseRole(time.Now())
-			t.compare(ctx)
+			t.tick(ctx, time.Now())
 		}
 		t.publish(ctx)
 	}
--- a/node/relay/members_test.go
+++ b/node/relay/members_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	self := &pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: testIncarnation}
 	router := route.New(route.Config{Start: time.Now()})
-	task := newMembersTask(self, nil, router, nil, newConfiguration(nil, time.Now(), zap.NewNop()), zap.NewNop())
+	task := newMembersTask(self, nil, router, nil, newConfiguration(nil, time.Now(), zap.NewNop()), testRules, zap.NewNop())
 	var got targetstate.Announcement
 	called := false
 	task.recall = func(published targetstate.Announcement, _ bool) { got, called = published, true }
@@ -50,7 +50,7 @@
 func TestNodesThatStartAtTheSameMomentAreAllUsed(t *testing.T) {
 	self := &pb.RelayMember{Vm: "self", Address: "self:1", Incarnation: testIncarnation}
 	router := route.New(route.Config{Start: time.Now(), Policy: route.NearestRoom})
-	task := newMembersTask(self, nil, router, nil, newConfiguration(nil, time.Now(), zap.NewNop()), zap.NewNop())
+	task := newMembersTask(self, nil, router, nil, newConfiguration(nil, time.Now(), zap.NewNop()), testRules, zap.NewNop())
 	for _, vm := range []string{"a", "b", "c"} {
 		task.merge([]*pb.RelayMember{{Vm: vm, Address: vm + ":1", Service: "prices", TargetId: "target-" + vm, Slots: 10, Incarnation: testIncarnation, Revision: 1}})
 	}
--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/route"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
@@ -32,6 +33,9 @@
 	replayLength = 40 * time.Second
 )
 
+// testRules are the rules of nodes in tests.
+var testRules = freshness.Rules{Bound: configBound}
+
 // storeMode is how the store treats one node.
 type storeMode uint8
 
@@ -60,6 +64,8 @@
 	// since is when the mode began.
 	since time.Time
 	calls int
+	// got is the number of versions that the store itself gave to the node.
+	got int
 }
 
 func document(version uint64) []byte { return strconv.AppendUint(nil, version, 10) }
@@ -109,10 +115,23 @@
 func (c *storeClient) state() (storeMode, uint64, chan struct{}) {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	c.calls++
 	return c.mode, c.store.version, c.store.changed
 }
 
+// count notes a call.
+func (c *storeClient) count() {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.calls++
+}
+
+// gave notes that the node gets a version from the store.
+func (c *storeClient) gave() {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.got++
+}
+
 // Newest implements Topic.
 func (c *storeClient) Newest(ctx context.Context) ([]Record, uint64, error) {
 	batch, err := c.Read(ctx, 0, 0)
@@ -123,6 +142,7 @@
 func (c *storeClient) Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+2*time.Second)
 	defer cancel()
+	c.count()
 	sleep(ctx, storeLatency)
 	end := time.NewTimer(wait)
 	defer end.Stop()
@@ -135,6 +155,7 @@
 			<-ctx.Done()
 			return Batch{}, ErrUnavailable
 		case version > from:
+			c.gave()
 			return Batch{Records: []Record{{Key: "config", Value: document(version)}}, Next: version, Whole: true}, nil
 		}
 		select {
@@ -179,7 +200,7 @@
 	f.store.change()
 	for _, m := range members {
 		f.store.nodes[m.GetVm()] = &storeClient{store: f.store, since: time.Now()}
-		task := newMembersTask(m, quietTopic{}, route.New(route.Config{Start: time.Now()}), f.sync, newConfiguration(decodeDocument, time.Now(), zap.NewNop()), zap.NewNop())
+		task := newMembersTask(m, quietTopic{}, route.New(route.Config{Start: time.Now()}), f.sync, newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
 		task.published = m.GetRevision()
 		task.merge(members)
 		task.merge([]*pb.RelayMember{m})
@@ -338,3 +359,38 @@
 	}
 }
 
+// Guards against large zones in which every node reads each change from the store,
+// and against nodes that do not get a change in time because they do not.
+func TestReadersOfALargeZoneReadChangesForTheOthers(t *testing.T) {
+	const zones, perZone, changes = 2, 60, 10
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		f := startFleet(ctx, &wait, zones, perZone)
+		time.Sleep(10 * time.Second)
+		before := make(map[string]int)
+		for vm, node := range f.store.nodes {
+			before[vm] = node.got
+		}
+		for range changes {
+			f.store.change()
+			time.Sleep(configBound + 100*time.Millisecond)
+			require.Empty(t, f.late(time.Now()))
+		}
+		reading := make(map[string]bool)
+		for vm, node := range f.store.nodes {
+			if got := node.got - before[vm]; got > 0 {
+				require.Equal(t, changes, got, vm)
+				reading[vm] = true
+			}
+		}
+		readers := f.readersFirst()[:2*4]
+		require.Len(t, reading, len(readers))
+		for _, vm := range readers {
+			require.True(t, reading[vm], vm)
+		}
+		cancel()
+		wait.Wait()
+		f.drain()
+	})
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -30,6 +30,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosemount/primrosemount/core/callgraph"
+	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/roster"
@@ -97,6 +98,9 @@
 	GracePeriod time.Duration
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
+	// ConfigBound is the time within which an acknowledged change of the configuration
+	// has to be in force; 0 stands for 2 s.
+	ConfigBound time.Duration
 	// RepeatRatio is the number of repeats per request to a service that this
 	// node may add in retry.ShareWindow; RepeatSlack is what it may add besides.
 	RepeatRatio float64
@@ -111,6 +115,8 @@
 	Metrics *telemetry.Metrics
 }
 
+const defaultConfigBound = 2 * time.Second
+
 // bufferShare is the part of the memory, as a divisor, for bodies that are held.
 const bufferShare = 4
 
@@ -175,7 +181,8 @@
 	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.advertised(), Service: o.Service, Incarnation: incarnation}
 	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.bufferBytes(), IdleTimeout: peerIdle})
 	r.config = newConfiguration(o.Decode, start, telemetry.Named(o.Logger, telemetry.PartControl))
-	r.members = newMembersTask(self, o.Members, router, r.pool.Sync, r.config, telemetry.Named(o.Logger, telemetry.PartControl))
+	r.members = newMembersTask(self, o.Members, router, r.pool.Sync, r.config,
+		freshness.Rules{Bound: cmp.Or(o.ConfigBound, defaultConfigBound)}, telemetry.Named(o.Logger, telemetry.PartControl))
 	r.gate = newGateTask(o.TargetAddress, o.Service, r.config.connections, events.gate, r.members.targetChanged)
 	r.members.recall = r.gate.recall
 	r.targets = newTargetClient(o.Wire, o.bufferBytes())
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -53,12 +54,16 @@
 )
 
 const (
-	// followWait is how long one read waits for new records. The store allows
-	// 30 s, and each call is paid for.
-	followWait = 25 * time.Second
-	// retryFirst and retryLongest are the waits after failed calls.
+	// memberWait is how long one read waits for changes of members. Each call is paid
+	// for, and other nodes tell of changes as well.
+	memberWait = 10 * time.Second
+	// retryFirst and retryLongest are the first and the longest wait after failed
+	// calls about members.
 	retryFirst   = 100 * time.Millisecond
 	retryLongest = time.Second
+	// overdueWait bounds the call that follows an unanswered read, which asks for
+	// what is there without waiting for more. A slow store answers it in time.
+	overdueWait = 2 * time.Second
 )
 
 // follower keeps a copy of a topic up to date.
@@ -77,8 +82,29 @@
 	ready func()
 	// role tells whether to go on reading after the first copy.
 	role *storeRole
+	// wait returns how long one read waits for records, and slack how much longer
+	// its answer may take.
+	wait  func() time.Duration
+	slack time.Duration
+	// retryLongest is the longest wait after failed calls.
+	retryLongest time.Duration
+	// answered is called when the store answers again after it had not.
+	answered func()
 	// lost is set while the store does not answer.
 	lost atomic.Bool
+	// interrupt ends the wait of the read under way.
+	interrupt atomic.Pointer[context.CancelCauseFunc]
+}
+
+// errInterrupted ends a read that is to be made anew.
+var errInterrupted = errors.New("relay: the read is made anew")
+
+// restart ends a read that waits, because its answer may have been lost, and makes
+// it anew.
+func (f *follower) restart() {
+	if cancel := f.interrupt.Load(); cancel != nil {
+		(*cancel)(errInterrupted)
+	}
 }
 
 // memberPause gathers member changes that come close together. A target that
@@ -88,14 +114,22 @@
 // followers returns what keeps the copies of the configuration and the members up
 // to date from the store.
 func (t *membersTask) followers(configTopic Topic) (config, members *follower) {
-	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.role,
-		ready: func() {}, apply: t.config.apply, confirm: t.config.fresh.ConfirmStore}
 	members = &follower{name: "members", topic: t.topic, logger: t.logger, role: t.role, pause: memberPause,
-		ready: t.storeRead, apply: t.records, confirm: func(time.Time) {}}
-	t.storeAnswers = func() bool { return !config.lost.Load() && !members.lost.Load() }
+		ready: t.storeRead, apply: t.records, confirm: func(time.Time) {},
+		wait: func() time.Duration { return memberWait }, slack: overdueWait,
+		retryLongest: retryLongest, answered: func() {}}
+	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
+		ready: func() {}, apply: t.config.apply, confirm: t.config.fresh.ConfirmStore,
+		wait: t.configWait, slack: t.rules.Slack(),
+		// A node that the store refuses learns of changes through others meanwhile.
+		retryLongest: t.rules.Bound, answered: members.restart}
+	t.storeAnswers = func() bool { return !members.lost.Load() }
 	return config, members
 }
 
+// configWait returns how long a read of the configuration waits.
+func (t *membersTask) configWait() time.Duration { return t.rules.Wait(*t.standing.Load()) }
+
 // run follows the topic until the context ends.
 func (f *follower) run(ctx context.Context) {
 	wait := retryFirst
@@ -108,11 +142,14 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
 		f.note(err)
 		if err != nil {
 			known = known && !errors.Is(err, ErrHistoryDropped)
-			sleep(ctx, wait)
-			wait = min(2*wait, retryLongest)
+			sleep(ctx, spread(wait))
+			wait = min(2*wait, f.retryLongest)
 			continue
 		}
 		if !known {
@@ -137,7 +174,7 @@
 		f.confirm(asked)
 		return after, nil
 	}
-	batch, err := f.topic.Read(ctx, next, followWait)
+	batch, err := f.read(ctx, next)
 	if err != nil {
 		return 0, err
 	}
@@ -148,6 +185,25 @@
 	return batch.Next, nil
 }
 
+// read waits for records. After a read without an answer it asks for what is there
+// only, since waiting would hide for longer that the store does not answer.
+func (f *follower) read(ctx context.Context, next uint64) (Batch, error) {
+	interruptible, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f.interrupt.Store(&cancel)
+	wait, most := f.wait(), f.slack
+	if f.lost.Load() {
+		wait, most = 0, overdueWait
+	}
+	bounded, stop := context.WithTimeout(interruptible, wait+most)
+	defer stop()
+	batch, err := f.topic.Read(bounded, next, wait)
+	if err != nil && errors.Is(context.Cause(interruptible), errInterrupted) {
+		return Batch{}, errInterrupted
+	}
+	return batch, err
+}
+
 // note logs the loss and the return of the store, once each.
 func (f *follower) note(err error) {
 	switch {
@@ -157,9 +213,14 @@
 	case err == nil && f.lost.Load():
 		f.logger.Info("The store answers again.", zap.String("topic", f.name))
 		f.lost.Store(false)
+		f.answered()
 	}
 }
 
+// spread shortens a wait at random by up to a half, so that nodes that lost the
+// store together do not return together.
+func spread(wait time.Duration) time.Duration { return wait - rand.N(wait/2+1) }
+
 // sleep waits for the duration or the end of the context.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/node/relay/storerole.go
+++ b/node/relay/storerole.go
@@ -17,10 +17,8 @@
 	strangerTurns = 4
 )
 
-// storeRole tells whether this node follows the store itself. Its readers do;
-// others compare with the readers of their zone, because each waiting read of
-// the store is paid for and the store bounds their rate. It is safe for
-// concurrent use.
+// storeRole tells whether this node follows a topic of the store itself, see
+// membersTask.chooseRole. It is safe for concurrent use.
 type storeRole struct {
 	mu      sync.Mutex
 	follows bool
@@ -69,8 +67,8 @@
 	}
 }
 
-// followDue tells whether the node has to follow the store: it is a reader, or no
-// reader has told lately that it does.
+// followDue tells whether the node has to follow the members on the store: it is a
+// reader, or no reader has told lately that it does.
 func followDue(reader bool, followed, now time.Time) bool {
 	return reader || now.Sub(followed) > followPatience
 }
--- a/node/relay/storerole_test.go
+++ b/node/relay/storerole_test.go
@@ -21,7 +21,7 @@
 		vm := fmt.Sprintf("vm-%d", i)
 		return &pb.RelayMember{Vm: vm, Zone: "a", Address: vm + ":1", Service: "s", TargetId: "t", Incarnation: uint64(i + 1), Revision: 1}
 	}
-	task := newMembersTask(record(self), nil, route.New(route.Config{Start: time.Now()}), nil, newConfiguration(nil, time.Now(), zap.NewNop()), zap.NewNop())
+	task := newMembersTask(record(self), nil, route.New(route.Config{Start: time.Now()}), nil, newConfiguration(nil, time.Now(), zap.NewNop()), testRules, zap.NewNop())
 	for i := range members {
 		if i != self {
 			task.merge([]*pb.RelayMember{record(i)})
@@ -73,7 +73,8 @@
 	topic := &countingTopic{}
 	ready := make(chan struct{}, 1)
 	f := &follower{name: "members", topic: topic, logger: zap.NewNop(), role: newStoreRole(), pause: time.Millisecond,
-		apply: func([]Record) {}, confirm: func(time.Time) {}, ready: func() { ready <- struct{}{} }}
+		apply: func([]Record) {}, confirm: func(time.Time) {}, ready: func() { ready <- struct{}{} },
+		wait: func() time.Duration { return time.Second }, slack: time.Second, retryLongest: time.Second, answered: func() {}}
 	require.True(t, f.role.set(false))
 	require.False(t, f.role.set(false))
 	ctx, cancel := context.WithCancel(t.Context())
