Take an answer without an id as proof only on a new connection

A faulty target wrote an earlier refusal once more on a kept connection, without an id. The client was told that its request had not run, while the target ran it.

Cause: an answer that bears no id counted as the answer of the request at hand. On a connection that carried an earlier request it may be that one's. Now it counts on a connection on which nothing else was asked, which is then closed; elsewhere the result of the request is unknown.

TestAnswerWithoutIDIsNoProofOnAKeptConnection failed before.

--- a/node/relay/answer.go
+++ b/node/relay/answer.go
@@ -63,6 +63,8 @@
 	idleFrom time.Time
 	maxIdle  time.Duration
 	head     []byte
+	// used tells that a request was sent on the connection.
+	used bool
 }
 
 func newTargetConn(conn net.Conn) *targetConn {
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -76,7 +76,7 @@
 	if err := ctx.Err(); err != nil {
 		return notSent(ctx, err)
 	}
-	conn, err := c.connection(ctx, address, request.GetIdempotent())
+	conn, err := c.connection(ctx, address, request)
 	if err != nil {
 		return notSent(ctx, err)
 	}
@@ -95,6 +95,8 @@
 // exchange writes the request and reads its answer; it also tells whether the
 // connection may carry another request.
 func (c *targetClient) exchange(ctx context.Context, conn *targetConn, targetID string, request *pb.ForwardRequest, deadline time.Time) (targetResult, bool) {
+	kept := conn.used
+	conn.used = true
 	conn.head = c.appendHead(conn.head[:0], targetID, request, time.Until(deadline))
 	if err := conn.write(request.GetBody()); err != nil {
 		return lost(ctx), false
@@ -109,10 +111,16 @@
 		if err != nil {
 			return unwhole(ctx, err), false
 		}
-		if said.AttemptID != "" && said.AttemptID != request.GetAttemptId() {
-			continue
+		switch {
+		case said.AttemptID == request.GetAttemptId():
+			return classify(answer, said, body), conn.reusable(answer)
+		case said.AttemptID == "" && !kept:
+			// Nothing else was asked on this connection.
+			return classify(answer, said, body), false
+		case said.AttemptID == "":
+			// It may be an earlier answer, written once more.
+			return lost(ctx), false
 		}
-		return classify(answer, said, body), conn.reusable(answer)
 	}
 	return lost(ctx), false
 }
@@ -206,9 +214,9 @@
 }
 
 // connection returns a kept connection, or opens one.
-func (c *targetClient) connection(ctx context.Context, address string, idempotent bool) (*targetConn, error) {
+func (c *targetClient) connection(ctx context.Context, address string, request *pb.ForwardRequest) (*targetConn, error) {
 	for {
-		conn := c.take(address, idempotent)
+		conn := c.take(address, request.GetIdempotent())
 		if conn == nil {
 			return c.open(ctx, address)
 		}
--- a/node/relay/targetclient_test.go
+++ b/node/relay/targetclient_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,6 +96,38 @@
 	}
 }
 
+// Guards against an earlier refusal without an id that is taken, on a kept
+// connection, for the answer to a request which runs.
+func TestAnswerWithoutIDIsNoProofOnAKeptConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var ran atomic.Int64
+	address := scripted(t, func(conn net.Conn, request *http.Request, number int) bool {
+		fmt.Fprint(conn, refusal)
+		if number > 0 {
+			ran.Add(1)
+			reply(conn, request.Header.Get("Id"), "own")
+		}
+		return true
+	})
+	c := newTargetClient(plainWire{}, 1<<20)
+	defer c.closeIdle()
+	require.Equal(t, outcome.NotRun, sendOne(t, c, address, "first").outcome, "nothing else can have been meant")
+	for i := range 3 {
+		got := sendOne(t, c, address, fmt.Sprintf("r%d", i))
+		require.Equal(t, outcome.NotRun, got.outcome)
+	}
+	require.Zero(t, ran.Load())
+	kept := scripted(t, func(conn net.Conn, request *http.Request, number int) bool {
+		if number > 0 {
+			fmt.Fprint(conn, refusal)
+		}
+		reply(conn, request.Header.Get("Id"), "own")
+		return true
+	})
+	require.Equal(t, outcome.Completed, sendOne(t, c, kept, "first").outcome)
+	require.NotEqual(t, outcome.NotRun, sendOne(t, c, kept, "second").outcome)
+}
+
 // Guards against a request on a connection that the target has closed.
 func TestClosedConnectionIsNotUsedAgain(t *testing.T) {
 	address := scripted(t, func(conn net.Conn, request *http.Request, _ int) bool {
@@ -196,3 +229,42 @@
 		time.Sleep(time.Duration(i) * 200 * time.Millisecond)
 	}
 }
+
+// Guards against the head of an answer that ends in the middle and is taken for a
+// whole answer with an empty or short body.
+func TestHeadThatEndsInTheMiddleIsNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"with length":    "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Length: 4\r\n\r\n",
+		"without length": "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n\r\n",
+		"in chunks":      "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"after interim":  "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n\r\n",
+		"no content":     "HTTP/1.1 204 No Content\r\nId: ID\r\nSeal: s\r\n\r\n",
+		"refusal":        "HTTP/1.1 503 Service Unavailable\r\nId: ID\r\nNot-Run: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var cut atomic.Int64
+			address := scripted(t, func(conn net.Conn, request *http.Request, _ int) bool {
+				id := request.Header.Get("Id")
+				if strings.HasPrefix(id, "whole") {
+					reply(conn, id, "own")
+					return true
+				}
+				fmt.Fprint(conn, strings.ReplaceAll(head, "ID", id)[:cut.Load()])
+				return false
+			})
+			whole := len(strings.ReplaceAll(head, "ID", "cut"))
+			for _, kept := range []bool{false, true} {
+				for n := range whole {
+					c := newTargetClient(plainWire{}, 1<<20)
+					if kept {
+						require.Equal(t, outcome.Completed, sendOne(t, c, address, "whole").outcome)
+					}
+					cut.Store(int64(n))
+					got := sendOne(t, c, address, "cut")
+					require.Equal(t, outcome.Unknown, got.outcome, "cut after %d bytes, kept %t", n, kept)
+					c.closeIdle()
+				}
+			}
+		})
+	}
+}
