Send an attempt to the same target again on a new connection only

A target that refused an attempt wrote the refusal once more on the kept connection, when the same attempt came again because no other target was left. The refusal bore the right id: the client was told that the request had not run, though the target ran it, and it could have run again.

Cause: the id names the attempt of the client and not the sending of the node, so it does not tell two answers to one attempt apart. The entry now says that it sent the attempt to this target before, and the gate opens a connection for it, on which no earlier answer can come.

TestRefusalWrittenOnceMoreIsNoProof failed before: the client got 503 for a request that ran.

--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -36,6 +36,9 @@
 	Fail
 	// ResetUnframed sends an answer without a length and resets the connection.
 	ResetUnframed
+	// RepeatRefusal refuses the request, and writes the refusal once more before the
+	// answer to each request that follows on the connection, which it runs.
+	RepeatRefusal
 )
 
 // Run is one request that the target worked on.
@@ -119,6 +122,10 @@
 		fault = t.config.Fault(run)
 	}
 	w.Header().Set("X-Attempt-Id", run.AttemptID)
+	if fault == RepeatRefusal {
+		t.repeatRefusal(w, run)
+		return
+	}
 	if fault == Refuse {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -217,6 +224,28 @@
 	_ = conn.Close()
 }
 
+// repeatRefusal serves the rest of a connection, see RepeatRefusal.
+func (t *Target) repeatRefusal(w http.ResponseWriter, run Run) {
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", run.AttemptID)
+	_, _ = buffer.WriteString(refusal)
+	for buffer.Flush() == nil {
+		request, err := http.ReadRequest(buffer.Reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		next := Run{AttemptID: request.Header.Get("X-Attempt-Id"), Method: request.Method, Target: request.RequestURI, At: time.Now()}
+		t.note(next)
+		_, _ = buffer.WriteString(refusal)
+		writeAnswer(buffer.Writer, next.AttemptID, t.answerTo(next), true)
+	}
+}
+
 func writeAnswer(w *bufio.Writer, id, body string, framed bool) {
 	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\n", id, id)
 	if framed {
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,8 +136,9 @@
 			d.events.noTarget(o, none.Reason, len(tried))
 			return cmp.Or(ran, last)
 		}
+		sameTarget := slices.Contains(tried, endpoint.Target().Incarnation)
 		tried = append(tried, endpoint.Target().Incarnation)
-		last = d.attempt(ctx, o, endpoint)
+		last = d.attempt(ctx, o, endpoint, sameTarget)
 		if last.GetReachedTarget() {
 			arrivals++
 		}
@@ -193,10 +195,12 @@
 	return arrivals < max(o.route.Attempts, 1)
 }
 
-// attempt sends the request to one node.
-func (d *dispatcher) attempt(ctx context.Context, o *outgoing, endpoint *route.Endpoint) *pb.ForwardResponse {
+// attempt sends the request to one node. sameTarget tells that it was sent there
+// before.
+func (d *dispatcher) attempt(ctx context.Context, o *outgoing, endpoint *route.Endpoint, sameTarget bool) *pb.ForwardResponse {
 	started := time.Now()
 	request := d.numbered(o, started)
+	request.SameTarget = sameTarget
 	endpoint.Begin()
 	response := d.exchange(ctx, endpoint.Target().Address, request, o.deadline)
 	now := time.Now()
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -213,8 +213,13 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-// connection returns a kept connection, or opens one.
+// connection returns a kept connection, or opens one. A request that was sent to
+// this target before gets a new one: on a kept connection, the answer of that time
+// could come once more and, bearing the same id, be taken for the present one.
 func (c *targetClient) connection(ctx context.Context, address string, request *pb.ForwardRequest) (*targetConn, error) {
+	if request.GetSameTarget() {
+		return c.open(ctx, address)
+	}
 	for {
 		conn := c.take(address, request.GetIdempotent())
 		if conn == nil {
