Believe a record of a member only within bounds, and write an own one again

Another writer can leave any bytes among the records of the members. A record with the name of a node and the largest incarnation took that node out of service for good: every node ignored its own announcements as earlier ones, and clients got 503. A record of another VM than its key, with a port out of range or billions of slots was taken for a member as well.

The view checks what other nodes pass on in the same way. A node that finds its own record replaced or dropped writes it again.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -21,7 +21,6 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
@@ -49,9 +48,9 @@
 }
 
 // Merge takes in one announcement and reports whether it changed the view.
-// Announcements without a VM name or an address are ignored.
+// Announcements that name no member to use are ignored.
 func (r *Roster) Merge(m *pb.RelayMember) bool {
-	if m.GetVm() == "" || m.GetAddress() == "" {
+	if check(m) != nil {
 		return false
 	}
 	known, ok := r.members[m.GetVm()]
@@ -137,15 +136,3 @@
 	}
 	return xxhash.Sum64(append(key, vm...))
 }
-
-// Encode returns the record of an announcement for the store.
-func Encode(m *pb.RelayMember) ([]byte, error) { return proto.Marshal(m) }
-
-// Decode reads a record of the store.
-func Decode(record []byte) (*pb.RelayMember, error) {
-	m := &pb.RelayMember{}
-	if err := proto.Unmarshal(record, m); err != nil {
-		return nil, err
-	}
-	return m, nil
-}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -66,11 +66,13 @@
 func TestRecordsRoundTrip(t *testing.T) {
 	data, err := roster.Encode(member("a", 3, 4))
 	require.NoError(t, err)
-	decoded, err := roster.Decode(data)
+	decoded, err := roster.Decode("a", data)
 	require.NoError(t, err)
 	require.Equal(t, uint64(3), decoded.GetIncarnation())
-	_, err = roster.Decode([]byte{0xff})
-	require.Error(t, err)
+	_, err = roster.Decode("a", []byte{0xff})
+	require.ErrorIs(t, err, roster.ErrRecord)
+	_, err = roster.Decode("b", data)
+	require.ErrorIs(t, err, roster.ErrRecord)
 }
 
 // Guards against fleets in which every node reads the store, in which a zone has
@@ -123,3 +125,21 @@
 	require.NotEqual(t, roster.Identity("a", 1), roster.Identity("a", 2))
 	require.Equal(t, roster.Identity("a", 1), roster.Identity("a", 1))
 }
+
+// Guards against odd records of other writers that are taken for members.
+func FuzzDecode(f *testing.F) {
+	data, err := roster.Encode(member("a", 3, 4))
+	require.NoError(f, err)
+	f.Add("a", data)
+	f.Fuzz(func(t *testing.T, key string, record []byte) {
+		m, err := roster.Decode(key, record)
+		if err != nil {
+			require.ErrorIs(t, err, roster.ErrRecord)
+			return
+		}
+		require.Equal(t, key, m.GetVm())
+		require.LessOrEqual(t, m.GetSlots(), uint32(1<<20))
+		require.Greater(t, m.GetIncarnation()+1, m.GetIncarnation())
+		require.True(t, roster.New().Merge(m))
+	})
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -211,7 +211,7 @@
 	if !known {
 		return nil
 	}
-	m, err := roster.Decode(record)
+	m, err := roster.Decode(v.name, record)
 	if err != nil {
 		return err
 	}
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -33,6 +33,8 @@
 type membersTask struct {
 	events chan func()
 	topic  Topic
+	// vm is the name of this node's VM.
+	vm     string
 	router *route.Router
 	sync   syncFunc
 	config *configuration
@@ -81,6 +83,7 @@
 	t := &membersTask{
 		events:   make(chan func(), memberEvents),
 		topic:    topic,
+		vm:       self.GetVm(),
 		router:   router,
 		sync:     sync,
 		config:   config,
@@ -140,18 +143,40 @@
 // records takes in records of the store.
 func (t *membersTask) records(records []Record) {
 	members := make([]*pb.RelayMember, 0, len(records))
+	// ownLost tells that the newest record of this node's key is not its own.
+	ownLost := false
 	for _, record := range records {
+		own := record.Key == t.vm
 		if len(record.Value) == 0 {
+			ownLost = ownLost || own
 			continue
 		}
-		m, err := roster.Decode(record.Value)
+		m, err := roster.Decode(record.Key, record.Value)
 		if err != nil {
 			t.logger.Warn("A member record cannot be read and is ignored.", zap.String("key", record.Key), telemetry.ErrorField(err))
+			ownLost = ownLost || own
 			continue
 		}
 		members = append(members, m)
 	}
-	t.events <- func() { t.merge(members) }
+	t.events <- func() {
+		t.merge(members)
+		if ownLost {
+			t.announceAgain()
+		}
+	}
+}
+
+// announceAgain writes this node's announcement once more, because another writer
+// has replaced its record.
+func (t *membersTask) announceAgain() {
+	if !t.loaded {
+		// The first announcement of this life is still to come.
+		return
+	}
+	t.self = proto.CloneOf(t.self)
+	t.self.Revision++
+	t.merge([]*pb.RelayMember{t.self})
 }
 
 // storeRead notes that the whole topic was read once.
