--- a/core/roster/record.go
+++ b/core/roster/record.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"net"
 	"strconv"
 
@@ -34,13 +35,13 @@
 func Decode(key string, record []byte) (*pb.RelayMember, error) {
 	m := &pb.RelayMember{}
 	if err := (proto.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(record, m); err != nil {
-		return nil, errors.Mark(err, ErrRecord)
+		return nil, fmt.Errorf("%w: %w", ErrRecord, err)
 	}
 	if m.GetVm() != key {
-		return nil, errors.Mark(errors.New("the record is of another VM than its key"), ErrRecord)
+		return nil, fmt.Errorf("%w: it is of another VM than its key", ErrRecord)
 	}
 	if err := check(m); err != nil {
-		return nil, errors.Mark(err, ErrRecord)
+		return nil, fmt.Errorf("%w: %w", ErrRecord, err)
 	}
 	return m, nil
 }
--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,6 +30,8 @@
 	// storeLatency and peerLatency are the times of one answer.
 	storeLatency = 4 * time.Millisecond
 	peerLatency  = 2 * time.Millisecond
+	// replayPort ends the addresses of nodes.
+	replayPort = ":1"
 	// replayLength is the time that one replay plays.
 	replayLength = 40 * time.Second
 )
@@ -194,7 +197,7 @@
 	var members []*pb.RelayMember
 	for i := range zones * perZone {
 		vm := "vm-" + strconv.Itoa(i)
-		members = append(members, &pb.RelayMember{Vm: vm, Address: vm, Zone: "zone-" + strconv.Itoa(i%zones), Incarnation: uint64(i + 1), Revision: 1})
+		members = append(members, &pb.RelayMember{Vm: vm, Address: vm + replayPort, Zone: "zone-" + strconv.Itoa(i%zones), Incarnation: uint64(i + 1), Revision: 1})
 		f.names = append(f.names, vm)
 	}
 	f.store.change()
@@ -224,7 +227,7 @@
 func (f *replayFleet) sync(ctx context.Context, address string, request *pb.SyncRequest) (*pb.SyncResponse, error) {
 	sleep(ctx, peerLatency)
 	response := &pb.SyncResponse{}
-	f.tasks[address].serveSync(context.WithoutCancel(ctx), request, response)
+	f.tasks[strings.TrimSuffix(address, replayPort)].serveSync(context.WithoutCancel(ctx), request, response)
 	return response, ctx.Err()
 }
 
