Read configurations with fields left out; vouch for no version that was passed over

A document was refused as a whole if a resource had no fields or a route no timeout, although the store had accepted it, and the node went on to call its earlier version the newest. Now fields left out have their defaults (a route without a timeout is bounded by the client's deadline), and a node that could not read the store's newest document does not confirm its copy, which shows in config_age.

--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -19,7 +19,10 @@
 	table  atomic.Pointer[ingress.Table]
 	// fresh tells as of when the version in force is the newest.
 	fresh *freshness.Tracker
-	mu    sync.Mutex
+	// unreadable tells that the newest document of the store was refused, so that an
+	// earlier version is in force.
+	unreadable atomic.Bool
+	mu         sync.Mutex
 	// document is the source of table, for nodes that cannot reach the store.
 	document []byte
 }
@@ -85,6 +88,9 @@
 // leaves the version in force as it is.
 func (c *configuration) offer(document []byte, from origin) {
 	table, err := c.decode(document)
+	if from.name == fromStore.name {
+		c.unreadable.Store(err != nil)
+	}
 	if err != nil {
 		c.logger.Warn("A configuration was refused; the earlier one stays in force.",
 			append(from.fields(), telemetry.ErrorField(err))...)
@@ -111,6 +117,14 @@
 	}
 }
 
+// confirmStore notes that the store showed the version in force to be the newest as
+// of a moment, unless its newest document could not be read.
+func (c *configuration) confirmStore(asOf time.Time) {
+	if !c.unreadable.Load() {
+		c.fresh.ConfirmStore(asOf)
+	}
+}
+
 // newerThan returns the document if its version is above the given one.
 func (c *configuration) newerThan(version uint64) []byte {
 	c.mu.Lock()
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -133,9 +134,9 @@
 }
 
 func (e *entry) outgoing(r *http.Request, found *ingress.Route, envelope Envelope, target string, body []byte, version uint64, started time.Time) *outgoing {
-	wait := found.Timeout
-	if envelope.Remaining > 0 && (wait <= 0 || envelope.Remaining < wait) {
-		wait = envelope.Remaining
+	wait := cmp.Or(found.Timeout, envelope.Remaining, bodyTimeout)
+	if envelope.Remaining > 0 {
+		wait = min(wait, envelope.Remaining)
 	}
 	o := &outgoing{
 		route:    found,
--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -397,3 +397,21 @@
 		f.drain()
 	})
 }
+
+// Guards against a node that vouches for its configuration although it could not read
+// the newest one.
+func TestUnreadableConfigurationIsNotConfirmed(t *testing.T) {
+	config := newConfiguration(decodeDocument, time.Now(), zap.NewNop())
+	read := func(value string, asOf time.Time) {
+		config.apply([]Record{{Key: "config", Value: []byte(value)}})
+		config.confirmStore(asOf)
+	}
+	first := time.Now().Add(time.Second)
+	read("1", first)
+	require.Equal(t, time.Second, config.fresh.Age(first.Add(time.Second)))
+	read("no version", first.Add(2*time.Second))
+	require.Equal(t, 3*time.Second, config.fresh.Age(first.Add(3*time.Second)))
+	require.Equal(t, uint64(1), config.version())
+	read("3", first.Add(4*time.Second))
+	require.Zero(t, config.fresh.Age(first.Add(4*time.Second)))
+}
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -119,7 +119,7 @@
 		wait: func() time.Duration { return memberWait }, slack: overdueWait,
 		retryLongest: retryLongest, answered: func() {}}
 	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
-		ready: func() {}, apply: t.config.apply, confirm: t.config.fresh.ConfirmStore,
+		ready: func() {}, apply: t.config.apply, confirm: t.config.confirmStore,
 		wait: t.configWait, slack: t.rules.Slack(),
 		// A node that the store refuses learns of changes through others meanwhile.
 		retryLongest: t.rules.Bound, answered: members.restart}
