Tell a quiet store from a silent one

A read that ended without a record confirmed the copy as of its start only, so the age of a node that the store served went up to twice the wait of a read, and its reads counted as unanswered for a part of each wait.

An empty answer now confirms the copy as of the end of its wait, since the store gives one only then, and a read is overdue by the time since the latest answer, not by the age of the copy. An answer that comes long before the wait ends is followed by a pause.

TestQuietStoreChangesNoRole fails with the earlier accounting; TestAnswerBeforeTheWaitEndsIsFollowedByAPause is new.

--- a/core/freshness/tracker.go
+++ b/core/freshness/tracker.go
@@ -18,22 +18,22 @@
 // Tracker holds as of when a copy is complete. It is safe for concurrent use.
 type Tracker struct {
 	start time.Time
-	// store is set by the store's own answers, known by those and by other nodes;
-	// both in nanoseconds after start, 0 if there was none.
-	store atomic.Int64
-	known atomic.Int64
+	// known is as of when the copy is complete, answered the time of the store's
+	// latest answer; both in nanoseconds after start, 0 if there was none.
+	known    atomic.Int64
+	answered atomic.Int64
 }
 
 // NewTracker returns the Tracker of a copy that is not confirmed yet. start must
 // not be after any later moment.
 func NewTracker(start time.Time) *Tracker { return &Tracker{start: start} }
 
+// Answered notes an answer of the store.
+func (t *Tracker) Answered(at time.Time) { advance(&t.answered, t.since(at)) }
+
 // ConfirmStore notes that the store itself showed the copy to be complete as of
 // a moment.
-func (t *Tracker) ConfirmStore(asOf time.Time) {
-	advance(&t.store, t.since(asOf))
-	advance(&t.known, t.since(asOf))
-}
+func (t *Tracker) ConfirmStore(asOf time.Time) { advance(&t.known, t.since(asOf)) }
 
 // ConfirmPeer notes that another node, asked at a moment, knew no newer state and
 // that its copy had the age when it answered.
@@ -47,9 +47,9 @@
 // Age returns how old the copy may be, Unknown if it was never confirmed.
 func (t *Tracker) Age(now time.Time) time.Duration { return t.age(&t.known, now) }
 
-// StoreAge returns the time since the moment that the latest answer of the store
-// covers, Unknown if there was none.
-func (t *Tracker) StoreAge(now time.Time) time.Duration { return t.age(&t.store, now) }
+// StoreAge returns the time since the latest answer of the store, Unknown if there
+// was none.
+func (t *Tracker) StoreAge(now time.Time) time.Duration { return t.age(&t.answered, now) }
 
 func (t *Tracker) since(at time.Time) int64 { return int64(at.Sub(t.start)) }
 
--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -117,10 +117,11 @@
 	}
 }
 
-// confirmStore notes that the store showed the version in force to be the newest as
-// of a moment, unless its newest document could not be read.
-func (c *configuration) confirmStore(asOf time.Time) {
-	if !c.unreadable.Load() {
+// heard notes an answer of the store which showed the version in force to be the
+// newest as of a moment, unless its newest document could not be read.
+func (c *configuration) heard(asOf, answered time.Time) {
+	c.fresh.Answered(answered)
+	if !c.unreadable.Load() && !asOf.IsZero() {
 		c.fresh.ConfirmStore(asOf)
 	}
 }
--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -404,7 +404,7 @@
 	config := newConfiguration(decodeDocument, time.Now(), zap.NewNop())
 	read := func(value string, asOf time.Time) {
 		config.apply([]Record{{Key: "config", Value: []byte(value)}})
-		config.confirmStore(asOf)
+		config.heard(asOf, asOf)
 	}
 	first := time.Now().Add(time.Second)
 	read("1", first)
@@ -415,3 +415,52 @@
 	read("3", first.Add(4*time.Second))
 	require.Zero(t, config.fresh.Age(first.Add(4*time.Second)))
 }
+
+// Guards against nodes that take a quiet store for a silent one, and so follow the
+// members as well or compare more often than needed.
+func TestQuietStoreChangesNoRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		f := startFleet(ctx, &wait, 4, 4)
+		time.Sleep(10 * time.Second)
+		for range 200 {
+			if rand.N(20) == 0 {
+				f.store.change()
+			}
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			for _, vm := range f.names {
+				task := f.tasks[vm]
+				require.False(t, task.unanswered(time.Now()))
+				require.Equal(t, task.standing.Load().Reader, task.role.active(), vm)
+				require.Less(t, task.config.fresh.Age(time.Now()), 2*testRules.Wait(*task.standing.Load())+testRules.Slack())
+			}
+		}
+		cancel()
+		wait.Wait()
+		f.drain()
+	})
+}
+
+// emptyTopic answers reads at once that there is nothing.
+type emptyTopic struct{ countingTopic }
+
+func (c *emptyTopic) Read(_ context.Context, from uint64, _ time.Duration) (Batch, error) {
+	c.reads.Add(1)
+	return Batch{Next: from, Whole: true}, nil
+}
+
+// Guards against a store that is asked without a pause.
+func TestAnswerBeforeTheWaitEndsIsFollowedByAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		topic := &emptyTopic{}
+		task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1"}, quietTopic{}, route.New(route.Config{Start: time.Now()}), nil,
+			newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
+		config, _ := task.followers(topic)
+		config.run(ctx)
+		require.LessOrEqual(t, topic.reads.Load(), int64(101))
+	})
+}
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -76,8 +76,9 @@
 	pause time.Duration
 	// apply takes in records in the order of their offsets.
 	apply func(records []Record)
-	// confirm is called when the copy is known to be complete as of a moment.
-	confirm func(asOf time.Time)
+	// heard is called after each answer with the moment as of which the copy is
+	// complete, zero if it is not, and the time of the answer.
+	heard func(asOf, answered time.Time)
 	// ready is called each time that a whole copy was taken in.
 	ready func()
 	// role tells whether to go on reading after the first copy.
@@ -115,11 +116,11 @@
 // to date from the store.
 func (t *membersTask) followers(configTopic Topic) (config, members *follower) {
 	members = &follower{name: "members", topic: t.topic, logger: t.logger, role: t.role, pause: memberPause,
-		ready: t.storeRead, apply: t.records, confirm: func(time.Time) {},
+		ready: t.storeRead, apply: t.records, heard: func(time.Time, time.Time) {},
 		wait: func() time.Duration { return memberWait }, slack: overdueWait,
 		retryLongest: retryLongest, answered: func() {}}
 	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
-		ready: func() {}, apply: t.config.apply, confirm: t.config.confirmStore,
+		ready: func() {}, apply: t.config.apply, heard: t.config.heard,
 		wait: t.configWait, slack: t.rules.Slack(),
 		// A node that the store refuses learns of changes through others meanwhile.
 		retryLongest: t.rules.Bound, answered: members.restart}
@@ -171,30 +172,47 @@
 			return 0, err
 		}
 		f.apply(records)
-		f.confirm(asked)
+		f.heard(asked, time.Now())
 		return after, nil
 	}
-	batch, err := f.read(ctx, next)
+	wait, most := f.wait(), f.slack
+	if f.lost.Load() {
+		// Waiting would hide for longer that the store does not answer.
+		wait, most = 0, overdueWait
+	}
+	batch, err := f.read(ctx, next, wait, most)
 	if err != nil {
 		return 0, err
 	}
 	f.apply(batch.Records)
-	if batch.Whole {
-		f.confirm(asked)
+	answered := time.Now()
+	f.heard(asOf(batch, next, asked, answered, wait), answered)
+	if batch.Next == next && answered.Sub(asked) < wait/2 {
+		// A store that says at once that it has nothing is not asked without a pause.
+		sleep(ctx, retryFirst)
 	}
 	return batch.Next, nil
 }
 
-// read waits for records. After a read without an answer it asks for what is there
-// only, since waiting would hide for longer that the store does not answer.
-func (f *follower) read(ctx context.Context, next uint64) (Batch, error) {
+// asOf returns the moment as of which the answer to a read shows the copy to be
+// complete. The store answers as soon as it has a record, and without one after the
+// wait only.
+func asOf(batch Batch, next uint64, asked, answered time.Time, wait time.Duration) time.Time {
+	switch {
+	case !batch.Whole:
+		return time.Time{}
+	case batch.Next == next && answered.Sub(asked) >= wait:
+		return asked.Add(wait)
+	default:
+		return asked
+	}
+}
+
+// read waits for records, and for the answer no longer than most beyond that.
+func (f *follower) read(ctx context.Context, next uint64, wait, most time.Duration) (Batch, error) {
 	interruptible, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.interrupt.Store(&cancel)
-	wait, most := f.wait(), f.slack
-	if f.lost.Load() {
-		wait, most = 0, overdueWait
-	}
 	bounded, stop := context.WithTimeout(interruptible, wait+most)
 	defer stop()
 	batch, err := f.topic.Read(bounded, next, wait)
--- a/node/relay/storerole_test.go
+++ b/node/relay/storerole_test.go
@@ -73,7 +73,7 @@
 	topic := &countingTopic{}
 	ready := make(chan struct{}, 1)
 	f := &follower{name: "members", topic: topic, logger: zap.NewNop(), role: newStoreRole(), pause: time.Millisecond,
-		apply: func([]Record) {}, confirm: func(time.Time) {}, ready: func() { ready <- struct{}{} },
+		apply: func([]Record) {}, heard: func(time.Time, time.Time) {}, ready: func() { ready <- struct{}{} },
 		wait: func() time.Duration { return time.Second }, slack: time.Second, retryLongest: time.Second, answered: func() {}}
 	require.True(t, f.role.set(false))
 	require.False(t, f.role.set(false))
