--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -9,9 +9,10 @@
 // run.
 //
 // State. Configuration and members lie on the platform's store, in topics that
-// keep the newest record of each key. Each node follows both topics and compares
-// with one other node each second, so that a node that the store does not serve
-// learns them as well. Nothing else outlives a process.
+// keep the newest record of each key. Each node, or in large zones some readers,
+// follows the configuration; readers follow the members. All compare with another
+// node each second, so that a node that the store does not serve learns both as
+// well. Nothing else outlives a process.
 //
 // Tasks. The gate task owns gate and target state, the members task owns the
 // view of the members and this node's announcement; both talk by messages.
