Take a connection over which a target refused a call out of use

Its answers bear no id of the call, so a refusal now ends the connection. A call that net/http had given the connection to meanwhile cannot write on it and is sent on another one.

--- a/node/executor/target.go
+++ b/node/executor/target.go
@@ -52,22 +52,37 @@
 
 // send sends the call to the target once and reads the whole answer.
 func (c *targetClient) send(ctx context.Context, address string, running *Running) targetAnswer {
+	for {
+		answer, again := c.try(ctx, address, running)
+		if !again {
+			return answer
+		}
+	}
+}
+
+// try sends the call once. It is to be tried again if net/http had chosen a
+// connection that was taken out of use, so that nothing was sent.
+func (c *targetClient) try(ctx context.Context, address string, running *Running) (answer targetAnswer, again bool) {
 	var use connectionUse
 	trace := &httptrace.ClientTrace{GotConn: use.begin}
 	request, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), address, running)
 	if err != nil {
-		return targetAnswer{result: failure(outcome.NotRun, outcome.BadRequest)}
+		return targetAnswer{result: failure(outcome.NotRun, outcome.BadRequest)}, false
 	}
 	// RoundTrip is used instead of a Client, because a Client follows redirects.
-	answer, err := c.transport.RoundTrip(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil {
-		return failedSend(ctx, use.sent(), use.connected())
+		sent := use.sent()
+		return failedSend(ctx, sent, use.connected()), !sent && use.retired() && ctx.Err() == nil
 	}
-	defer answer.Body.Close()
-	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(wire.RefusedHeader) == "true" {
-		return targetAnswer{result: failure(outcome.NotRun, outcome.TargetRefused), refused: true}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(wire.RefusedHeader) == "true" {
+		// A target may write a refusal once more. On a connection of its own it
+		// cannot be taken for the answer to a later call, which would bear no mark.
+		use.retire()
+		return targetAnswer{result: failure(outcome.NotRun, outcome.TargetRefused), refused: true}, false
 	}
-	return c.readAnswer(ctx, answer, running.Call.AnswerBytes)
+	return c.readAnswer(ctx, response, running.Call.AnswerBytes), false
 }
 
 func (c *targetClient) newRequest(ctx context.Context, address string, running *Running) (*http.Request, error) {
--- a/node/executor/target_test.go
+++ b/node/executor/target_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -124,3 +125,45 @@
 	require.Equal(t, outcome.TargetDown, got.result.Reason)
 	require.True(t, got.unreachable)
 }
+
+// Guards against a refusal that a target writes once more on a kept connection and
+// that is taken for the answer to a call which runs.
+func TestRefusalWrittenOnceMoreIsNoProof(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nPrimrosemount-Refused: true\r\nContent-Length: 0\r\n\r\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var ran atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					if n > 0 {
+						ran.Add(1)
+					}
+					_, _ = io.WriteString(conn, refusal)
+				}
+			}()
+		}
+	}()
+	client := newTargetClient()
+	defer client.close()
+	for _, body := range []string{"x", "", "y", "z"} {
+		running := runningCall(t, body)
+		got := client.send(running.ctx, listener.Addr().String(), running)
+		require.Equal(t, outcome.NotRun, got.result.Outcome)
+		require.True(t, got.refused)
+	}
+	require.Zero(t, ran.Load(), "the caller was told that the call has not run")
+}
--- a/node/executor/trackedconn.go
+++ b/node/executor/trackedconn.go
@@ -14,6 +14,8 @@
 	mutex   sync.Mutex
 	written int64
 	sealed  bool
+	// retired is set by connectionUse.retire.
+	retired bool
 }
 
 func dialTracked(ctx context.Context, network, address string) (net.Conn, error) {
@@ -100,3 +102,35 @@
 	}
 	return u.conn.seal() > u.before
 }
+
+// markRetired prevents further writes, for good.
+func (c *trackedConn) markRetired() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.sealed, c.retired = true, true
+}
+
+// retired tells whether another call had taken the connection out of use.
+func (u *connectionUse) retired() bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.conn == nil {
+		return false
+	}
+	u.conn.mutex.Lock()
+	defer u.conn.mutex.Unlock()
+	return u.conn.retired
+}
+
+// retire takes the connection out of use. A call that net/http has already given
+// it to cannot write on it any more, and so provably does not leave.
+func (u *connectionUse) retire() {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.conn == nil {
+		return
+	}
+	u.conn.markRetired()
+	// The answer was read; the error of the close changes nothing.
+	_ = u.conn.Close()
+}
