Let comparisons of the replay end with it

The context is now that of the replay, as on a running node, and the end of the replay waits as long as a comparison lasts.

--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -185,6 +185,8 @@
 
 // replayFleet plays the tasks that keep configuration and members current.
 type replayFleet struct {
+	// ctx ends with the replay.
+	ctx   context.Context
 	store *replayStore
 	tasks map[string]*membersTask
 	names []string
@@ -192,7 +194,7 @@
 
 // startFleet starts the nodes of some zones; all know all others.
 func startFleet(ctx context.Context, wait *sync.WaitGroup, zones, perZone int) *replayFleet {
-	f := &replayFleet{tasks: make(map[string]*membersTask),
+	f := &replayFleet{ctx: ctx, tasks: make(map[string]*membersTask),
 		store: &replayStore{changed: make(chan struct{}), nodes: make(map[string]*storeClient)}}
 	var members []*pb.RelayMember
 	for i := range zones * perZone {
@@ -227,7 +229,7 @@
 func (f *replayFleet) sync(ctx context.Context, address string, request *pb.SyncRequest) (*pb.SyncResponse, error) {
 	sleep(ctx, peerLatency)
 	response := &pb.SyncResponse{}
-	f.tasks[strings.TrimSuffix(address, replayPort)].serveSync(context.WithoutCancel(ctx), request, response)
+	f.tasks[strings.TrimSuffix(address, replayPort)].serveSync(f.ctx, request, response)
 	return response, ctx.Err()
 }
 
@@ -235,6 +237,8 @@
 // waits for them.
 func (f *replayFleet) drain() {
 	for pending := true; pending; {
+		// Whatever still waits for an answer of another node has it by then.
+		time.Sleep(syncTimeout)
 		synctest.Wait()
 		pending = false
 		for _, task := range f.tasks {
