Keep a leaving that came before the node knew its earlier life

A target got requests more than 2 s after its node had acknowledged that it leaves.

Cause, from the node's lines: the node had restarted at 24.8 s while the store was down. At 25.1 s its target said that it leaves, without an announcement before, so its start was not known. At 26.0 s the store answered, and the record of the node's earlier life, in which the target was ready, replaced the leaving; at 27.3 s a delayed announcement made the target serve again. Class of fault: older knowledge that replaces newer because the newer one lacks a field.

Now a leaving is kept when the earlier record is recalled, and an announcement with the id of a leaving whose start is not known is of the life that leaves.

--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -92,6 +92,10 @@
 func (s *State) Recall(published Announcement, final bool) {
 	s.recalled = true
 	if published.TargetID != "" && s.supersedes(published) {
+		if s.sameLife(published) && s.current.Phase == Draining {
+			// The target has said that it leaves since that was published.
+			published.Phase = Draining
+		}
 		s.current = published
 		s.current.Address, s.current.Service = s.address, s.service
 		s.confirmed = final || published.Phase == Draining
@@ -154,8 +158,12 @@
 // Leaving tells whether the target leaves.
 func (s *State) Leaving() bool { return s.current.Phase == Draining }
 
+// sameLife tells whether an announcement is of the life that counts. A leaving
+// without an announcement before it does not tell the start of the life; what comes
+// with its id is taken for the life that leaves.
 func (s *State) sameLife(a Announcement) bool {
-	return a.TargetID == s.current.TargetID && a.BornMillis == s.current.BornMillis
+	unborn := s.current.Phase == Draining && s.current.BornMillis == 0
+	return a.TargetID == s.current.TargetID && (a.BornMillis == s.current.BornMillis || unborn)
 }
 
 // supersedes tells whether an announcement is later than the one that counts.
--- a/core/targetstate/targetstate_test.go
+++ b/core/targetstate/targetstate_test.go
@@ -137,3 +137,28 @@
 	require.NoError(t, err)
 	require.True(t, unsure.Serving())
 }
+
+// Guards against a leaving that a restarted node acknowledged and forgot when it
+// learned what its earlier life had published, or from a delayed announcement.
+func TestLeavingBeforeTheRecallIsKept(t *testing.T) {
+	published := targetstate.Announcement{TargetID: "t", BornMillis: 5, Address: "a:1", Service: "s", Slots: 3, Phase: targetstate.Ready, Sequence: 1}
+	late := published
+	late.Sequence = 21
+	recall := func(s *targetstate.State) { s.Recall(published, false) }
+	announce := func(s *targetstate.State) {
+		_, err := s.Announce(late)
+		require.NoError(t, err)
+		late.Sequence++
+	}
+	for _, order := range [][]func(*targetstate.State){
+		{recall, announce, announce}, {announce, recall, announce}, {announce, announce, recall},
+	} {
+		s := targetstate.New("a:1", "s")
+		require.True(t, s.Leave("t"))
+		for _, step := range order {
+			step(s)
+			require.True(t, s.Leaving())
+			require.False(t, s.Serving())
+		}
+	}
+}
