Forward bytes that are not UTF-8, and headers as lines

Cause: the messages between nodes held attempt IDs, paths and headers as strings, which protobuf encodes only if they are valid UTF-8. HTTP allows other bytes. A request with a header in Latin-1 got 502 and, because the writer closed the connection, took all others on it along. A response with such a header was never sent, so its caller waited until its deadline.

Change: these fields are of type bytes, which keeps their encoding. Headers travel as lines in one field, which are copied to the target or the client without a message and two strings a header. A member record says whether its node reads lines; other nodes get and send messages as before.

--- a/core/route/target.go
+++ b/core/route/target.go
@@ -21,6 +21,8 @@
 	// Slots is the announced number of concurrent requests that the target can
 	// process. Values below 1 count as 1.
 	Slots int
+	// ReadsHeaderLines is true if the target's node accepts headers as lines.
+	ReadsHeaderLines bool
 }
 
 // A Result describes how one call to a target ended.
--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -65,6 +66,8 @@
 	Response string
 	// ResponseTo returns the body of the response to one request.
 	ResponseTo func(run Run) string
+	// Header holds additional headers of responses.
+	Header http.Header
 	// Fault selects the fault for a request; nil means None.
 	Fault func(run Run) Fault
 	// CallDownstream is called while a request runs, to make the calls of the target.
@@ -193,6 +196,7 @@
 	if fault != MissingSeal {
 		w.Header().Set("X-Response-Seal", "seal."+run.AttemptID)
 	}
+	maps.Copy(w.Header(), t.config.Header)
 	switch fault {
 	case LoseResponse:
 		panic(http.ErrAbortHandler)
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -217,6 +217,9 @@
 	request := d.newAttempt(o, started)
 	request.SameTarget = sameTarget
 	endpoint.Begin()
+	if !endpoint.Target().ReadsHeaderLines {
+		request.Headers, request.HeaderLines = headersOf(request.GetHeaderLines()), nil
+	}
 	response := d.exchange(ctx, endpoint.Target().Address, request, o.deadline)
 	now := time.Now()
 	// Apply the gate report first, because it affects how the router judges the
@@ -251,7 +254,7 @@
 		Method:         m.GetMethod(),
 		Target:         m.GetTarget(),
 		Host:           m.GetHost(),
-		Headers:        m.GetHeaders(),
+		HeaderLines:    m.GetHeaderLines(),
 		Body:           m.GetBody(),
 		ConfigVersion:  m.GetConfigVersion(),
 		SenderAddress:  d.self(),
@@ -271,6 +274,9 @@
 	}
 	response, err := d.pool.Forward(ctx, address, request)
 	if err == nil {
+		if len(response.GetHeaders()) > 0 {
+			response.HeaderLines = linesOf(response.GetHeaders())
+		}
 		return response
 	}
 	d.events.peerFailed(request, address, err)
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -202,13 +202,13 @@
 		Service:        found.ChooseService(envelope.AttemptID),
 		Route:          found.Name,
 		OriginService:  e.originService(),
-		AttemptId:      envelope.AttemptID,
+		AttemptId:      []byte(envelope.AttemptID),
 		Level:          uint32(o.level),
 		Idempotent:     found.Idempotent,
-		Method:         r.Method,
-		Target:         target,
-		Host:           r.Host,
-		Headers:        forwardedHeaders(r.Header, e.wire.Owned),
+		Method:         []byte(r.Method),
+		Target:         []byte(target),
+		Host:           []byte(r.Host),
+		HeaderLines:    appendHeaderLines(nil, r.Header, e.wire.Owned),
 		Body:           body,
 		ConfigVersion:  version,
 	}
@@ -317,9 +317,7 @@
 	}
 	w.Status = int(response.GetStatus())
 	w.Close = e.draining.Load()
-	for _, h := range response.GetHeaders() {
-		w.AddHeader(h.GetName(), h.GetValue())
-	}
+	w.AddHeaderLines(response.GetHeaderLines())
 	w.Body = response.GetBody()
 }
 
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -30,7 +30,7 @@
 
 func requestFields(m *pb.ForwardRequest) []zap.Field {
 	return []zap.Field{
-		zap.String("request", m.GetAttemptId()),
+		zap.ByteString("request", m.GetAttemptId()),
 		zap.String("service", m.GetService()),
 		zap.String("route", m.GetRoute()),
 		zap.Uint32("level", m.GetLevel()),
--- a/node/relay/events_test.go
+++ b/node/relay/events_test.go
@@ -21,7 +21,7 @@
 // the ID of the request, or whose log line lacks the values on which the decision
 // was based.
 func TestEveryDecisionAboutRequestIsLogged(t *testing.T) {
-	message := &pb.ForwardRequest{AttemptId: "id-1", Service: "s", Route: "r", Level: 200, ConfigVersion: 7}
+	message := &pb.ForwardRequest{AttemptId: []byte("id-1"), Service: "s", Route: "r", Level: 200, ConfigVersion: 7}
 	o := &outgoing{message: message, route: &ingress.Route{Name: "r"}, started: time.Now(), deadline: time.Now().Add(time.Second)}
 	refused := outcome.New(outcome.NotRun, outcome.BadRequest, "detail")
 	config := newConfiguration(nil, time.Now(), zap.NewNop())
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -41,7 +41,14 @@
 	defer cancel()
 	defer r.cancels.Add(request.GetId(), cancel)()
 	r.versionReceived(request.GetSenderAddress(), request.GetConfigVersion())
+	readsLines := len(request.GetHeaderLines()) > 0
+	if !readsLines {
+		request.HeaderLines = linesOf(request.GetHeaders())
+	}
 	r.handle(ctx, request, response, deadline)
+	if !readsLines {
+		response.Headers, response.HeaderLines = headersOf(response.GetHeaderLines()), nil
+	}
 }
 
 // CancelForward implements transport.RelayHandler.
@@ -83,12 +90,13 @@
 func (r *receiver) run(ctx context.Context, request *pb.ForwardRequest, response *pb.ForwardResponse, deadline time.Time, admitted admission) {
 	started := time.Now()
 	run := r.operations.Start(request.GetRoute(), outcome.Level(request.GetLevel()))
-	r.graph.Start(request.GetAttemptId(), callgraph.Parent{
+	attemptID := string(request.GetAttemptId())
+	r.graph.Start(attemptID, callgraph.Parent{
 		Route: request.GetRoute(), Level: outcome.Level(request.GetLevel()), Trial: request.GetTrial(), Repeat: request.GetRepeat(),
 		PriorCompletedCalls: request.GetCompletedCalls(), Run: run,
 	})
 	result := r.targets.send(ctx, r.address(), admitted.targetID, request, deadline)
-	r.graph.End(request.GetAttemptId())
+	r.graph.End(attemptID)
 	run.Finish(time.Now(), result.outcome != outcome.Completed || result.status >= 500)
 	callFailed, completed := run.HadFailedCall(), run.CompletedCalls()
 	r.gate.done(admitted.id, gate.Sample{
@@ -102,7 +110,7 @@
 	response.Outcome = result.outcome.Proto()
 	response.Reason = result.reason.Proto()
 	response.Status = uint32(result.status)
-	response.Headers = result.headers
+	response.HeaderLines = result.headerLines
 	response.Body = result.body
 	response.ReachedTarget = result.sent
 	response.CompletedCalls = completed
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -309,6 +309,8 @@
 			Region:      m.GetRegion(),
 			Address:     m.GetAddress(),
 			Slots:       int(m.GetSlots()),
+
+			ReadsHeaderLines: m.GetReadsHeaderLines(),
 		})
 	}
 	return targets
--- a/node/relay/operations_test.go
+++ b/node/relay/operations_test.go
@@ -60,7 +60,7 @@
 		bounded, end := context.WithTimeout(ctx, within)
 		defer end()
 		response := &pb.ForwardResponse{}
-		request := &pb.ForwardRequest{Service: "s", Route: route, AttemptId: route, Method: http.MethodGet, Target: "/" + route, Host: "h", Level: 130, Idempotent: true}
+		request := &pb.ForwardRequest{Service: "s", Route: route, AttemptId: []byte(route), Method: []byte(http.MethodGet), Target: []byte("/" + route), Host: []byte("h"), Level: 130, Idempotent: true}
 		r.handle(bounded, request, response, time.Now().Add(within))
 		return outcome.Reason(response.GetReason())
 	}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -203,7 +203,7 @@
 	router := route.New(route.Config{Self: identity, Zone: o.Zone, Region: o.Region, Seed: identity, Start: start, Policy: route.NearestCapacity})
 	downstream := threshold.NewDownstream(start)
 	graph := callgraph.New()
-	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.advertisedAddress(), Service: o.Service, Incarnation: incarnation}
+	self := &pb.RelayMember{Vm: o.VM, Zone: o.Zone, Region: o.Region, Address: o.advertisedAddress(), Service: o.Service, Incarnation: incarnation, ReadsHeaderLines: true}
 	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: o.bufferBytes(), IdleTimeout: peerIdleTimeout})
 	r.config = newConfiguration(o.Decode, start, telemetry.Named(o.Logger, telemetry.PartControl))
 	r.members = newMembersTask(self, o.Members, router, r.pool.Sync, r.config,
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,7 +14,6 @@
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/internal/socket"
-	"github.com/primrosemount/primrosemount/wire"
 )
 
 const (
@@ -46,8 +44,9 @@
 	outcome outcome.Outcome
 	reason  outcome.Reason
 	status  int
-	headers []*pb.Header
-	body    []byte
+	// headerLines holds the end-to-end headers of the response.
+	headerLines []byte
+	body        []byte
 	// took is the time from the first byte sent to the last byte received.
 	took time.Duration
 	// sent is set if bytes were sent to the target.
@@ -105,7 +104,7 @@
 		return responseLost(ctx), false
 	}
 	for range maxUnrelatedResponses + 1 {
-		response, err := conn.readResponse(request.GetMethod())
+		response, err := conn.readResponse(string(request.GetMethod()))
 		if err != nil {
 			return responseLost(ctx), false
 		}
@@ -115,7 +114,7 @@
 			return incomplete(ctx, err), false
 		}
 		switch {
-		case info.AttemptID == request.GetAttemptId():
+		case info.AttemptID == string(request.GetAttemptId()):
 			return classify(response, info, body), conn.reusable(response)
 		case info.AttemptID == "" && !reused:
 			// No other request was sent on this connection, so the response belongs
@@ -153,40 +152,12 @@
 		result.outcome, result.reason = outcome.Unknown, outcome.AnswerTruncated
 	default:
 		result.outcome = outcome.Completed
-		result.headers = forwardedHeaders(response.Header, nil)
+		result.headerLines = appendHeaderLines(nil, response.Header, nil)
 		result.body = body
 	}
 	return result
 }
 
-// forwardedHeaders returns the end-to-end headers, without those for which owned
-// returns true.
-func forwardedHeaders(header http.Header, owned func(string) bool) []*pb.Header {
-	listed := header["Connection"]
-	headers := make([]*pb.Header, 0, len(header))
-	for name, values := range header {
-		if wire.IsHopByHop(name) || name == expectHeader || listedInConnection(listed, name) || owned != nil && owned(name) {
-			continue
-		}
-		for _, value := range values {
-			headers = append(headers, &pb.Header{Name: name, Value: value})
-		}
-	}
-	return headers
-}
-
-// listedInConnection reports whether a Connection header lists the field.
-func listedInConnection(connection []string, name string) bool {
-	for _, line := range connection {
-		for field := range strings.SplitSeq(line, ",") {
-			if strings.EqualFold(strings.TrimSpace(field), name) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // appendHead appends the request line and the headers.
 func (c *targetClient) appendHead(head []byte, targetID string, request *pb.ForwardRequest, remaining time.Duration) []byte {
 	head = append(head, request.GetMethod()...)
@@ -195,19 +166,14 @@
 	head = append(head, " HTTP/1.1\r\nHost: "...)
 	head = append(head, request.GetHost()...)
 	head = append(head, "\r\n"...)
-	for _, h := range request.GetHeaders() {
-		head = append(head, h.GetName()...)
-		head = append(head, ": "...)
-		head = append(head, h.GetValue()...)
-		head = append(head, "\r\n"...)
-	}
+	head = append(head, request.GetHeaderLines()...)
 	head = c.codec.AppendRequest(head, TargetEnvelope{
-		AttemptID:     request.GetAttemptId(),
+		AttemptID:     string(request.GetAttemptId()),
 		Remaining:     remaining,
 		TargetID:      targetID,
 		OriginService: request.GetOriginService(),
 	})
-	if len(request.GetBody()) > 0 || hasBody(request.GetMethod()) {
+	if len(request.GetBody()) > 0 || hasBody(string(request.GetMethod())) {
 		head = append(head, "Content-Length: "...)
 		head = strconv.AppendInt(head, int64(len(request.GetBody())), 10)
 		head = append(head, "\r\n"...)
--- a/node/relay/targetclient_test.go
+++ b/node/relay/targetclient_test.go
@@ -75,7 +75,7 @@
 func sendUntil(c *targetClient, address, id string, within time.Duration) targetResult {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	request := &pb.ForwardRequest{Method: http.MethodGet, Target: "/", Host: "h", AttemptId: id, Idempotent: true}
+	request := &pb.ForwardRequest{Method: []byte(http.MethodGet), Target: []byte("/"), Host: []byte("h"), AttemptId: []byte(id), Idempotent: true}
 	return c.send(ctx, address, "t", request, time.Now().Add(within))
 }
 
@@ -177,7 +177,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	for range 20 {
-		got := c.send(ctx, address, "t", &pb.ForwardRequest{Method: http.MethodGet, Target: "/", Host: "h", AttemptId: "late"}, time.Now().Add(time.Second))
+		got := c.send(ctx, address, "t", &pb.ForwardRequest{Method: []byte(http.MethodGet), Target: []byte("/"), Host: []byte("h"), AttemptId: []byte("late")}, time.Now().Add(time.Second))
 		require.Equal(t, outcome.NotRun, got.outcome)
 		require.False(t, got.sent)
 	}
@@ -228,7 +228,7 @@
 	client := newTargetClient(testCodec{}, 1<<20)
 	t.Cleanup(client.closeIdle)
 	for i := range 4 {
-		request := &pb.ForwardRequest{AttemptId: fmt.Sprintf("order-%d", i), Method: http.MethodPost, Target: "/", Host: "h"}
+		request := &pb.ForwardRequest{AttemptId: fmt.Appendf(nil, "order-%d", i), Method: []byte(http.MethodPost), Target: []byte("/"), Host: []byte("h")}
 		result := client.send(t.Context(), address, "", request, time.Now().Add(time.Second))
 		require.Equal(t, outcome.Completed, result.outcome, "request %d: %s", i, result.reason)
 		time.Sleep(time.Duration(i) * 200 * time.Millisecond)
--- a/transport/httpserver/response.go
+++ b/transport/httpserver/response.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -49,6 +50,24 @@
 	*r.fields = appendField(*r.fields, name, value)
 }
 
+// AddHeaderLines adds encoded header lines, each of which ends with CRLF.
+func (r *Response) AddHeaderLines(lines []byte) {
+	if len(lines) == 0 {
+		return
+	}
+	if r.fields == nil {
+		r.fields = fieldBuffers.Get().(*[]byte)
+	}
+	*r.fields = append(*r.fields, lines...)
+	r.hasDate = r.hasDate || bytes.HasPrefix(lines, dateField) || bytes.Contains(lines, dateLine)
+}
+
+// dateField starts a Date header, and dateLine one that follows another line.
+var (
+	dateField = []byte("Date: ")
+	dateLine  = []byte("\r\nDate: ")
+)
+
 // release returns the buffer of the header lines.
 func (r *Response) release() {
 	if r.fields == nil || cap(*r.fields) > maxKeptFieldBytes {
