Use less processor time for a request

What runs once a request counts there: goroutines that grow their stacks, the label lookups of the metrics, several timers, copies of messages.

Change: goroutines of a connection between nodes serve requests in turn and are reused. Requests to a node are written by one goroutine for each connection, all that wait with one system call, and no caller waits for a peer that does not read. Finished requests are passed to the instruments in groups of 64 and at each scrape. The timer of the gate is set only if it would end too late. A message that cannot be encoded no longer ends its connection.

--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -112,16 +112,23 @@
 func (t *gateTask) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var timerEnds time.Time
 	for {
 		now := time.Now()
 		t.advance(now)
-		timer.Reset(t.untilWake(now))
+		// A timer that ends early only costs one more turn of the loop, so it is set
+		// again only if it would end too late.
+		if wake := t.nextWake(now); wake.Before(timerEnds) || !timerEnds.After(now) {
+			timer.Reset(wake.Sub(now))
+			timerEnds = wake
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-t.events:
 			event(time.Now())
 		case <-timer.C:
+			timerEnds = time.Time{}
 		}
 	}
 }
@@ -163,7 +170,9 @@
 	reply <- a
 }
 
-func (t *gateTask) untilWake(now time.Time) time.Duration {
+// nextWake returns the time at which the state of the gate may change without an event,
+// at most a second after now.
+func (t *gateTask) nextWake(now time.Time) time.Time {
 	wake := now.Add(time.Second)
 	if next := t.gate.NextWake(now); !next.IsZero() && next.Before(wake) {
 		wake = next
@@ -171,7 +180,7 @@
 	if !t.downUntil.IsZero() && t.downUntil.Before(wake) {
 		wake = t.downUntil
 	}
-	return max(wake.Sub(now), 0)
+	return wake
 }
 
 // publish updates the snapshot of the gate's state for other goroutines.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -91,10 +91,46 @@
 }
 
 // labelSet holds the prepared options for one label set, so that counting a request
-// allocates no memory.
+// allocates no memory, and the requests that have not been passed to the instruments.
 type labelSet struct {
 	count    []metric.AddOption
 	duration []metric.RecordOption
+
+	mutex   sync.Mutex
+	pending []time.Duration
+}
+
+// maxPendingRequests is the number of requests of one label set that are passed to the
+// instruments together. Looking up a label set in an instrument costs several times as
+// much as counting one more request.
+const maxPendingRequests = 64
+
+// add adds a request and passes the pending ones on if there are enough of them.
+func (p *labelSet) add(m *Metrics, elapsed time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pending = append(p.pending, elapsed)
+	if len(p.pending) >= maxPendingRequests {
+		p.flushLocked(m)
+	}
+}
+
+// flush passes the pending requests to the instruments.
+func (p *labelSet) flush(m *Metrics) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.flushLocked(m)
+}
+
+func (p *labelSet) flushLocked(m *Metrics) {
+	if len(p.pending) == 0 {
+		return
+	}
+	m.requests.Add(context.Background(), int64(len(p.pending)), p.count...)
+	for _, elapsed := range p.pending {
+		m.durations.Record(context.Background(), elapsed.Seconds(), p.duration...)
+	}
+	p.pending = p.pending[:0]
 }
 
 // NewMetrics returns metrics with a new registry.
@@ -147,19 +183,31 @@
 
 // Handler returns a handler that serves the metrics in the Prometheus format.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	served := promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.flush()
+		served.ServeHTTP(w, r)
+	})
+}
+
+// flush passes all finished requests to the instruments.
+func (m *Metrics) flush() {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	for _, p := range m.labelSets {
+		p.flush(m)
+	}
 }
 
 // Close shuts down the instruments. Later measurements have no effect.
 func (m *Metrics) Close() error {
+	m.flush()
 	return m.provider.Shutdown(context.Background())
 }
 
 // Request counts a finished request. reason is zero for completed requests.
 func (m *Metrics) Request(service string, class outcome.Class, o outcome.Outcome, reason outcome.Reason, elapsed time.Duration) {
-	p := m.labelSet(labelKey{service: service, class: class, outcome: o, reason: reason})
-	m.requests.Add(context.Background(), 1, p.count...)
-	m.durations.Record(context.Background(), elapsed.Seconds(), p.duration...)
+	m.labelSet(labelKey{service: service, class: class, outcome: o, reason: reason}).add(m, elapsed)
 }
 
 // labelSet returns the label set of a key. The first MaxServices services have a label set
--- a/transport/client.go
+++ b/transport/client.go
@@ -182,7 +182,7 @@
 		return
 	}
 	out := &outgoing{message: &pb.CancelRequest{Id: id}}
-	go client.Go(service+".Cancel", out, &pb.CancelResponse{}, make(chan *rpc.Call, 1))
+	client.Go(service+".Cancel", out, &pb.CancelResponse{}, make(chan *rpc.Call, 1))
 }
 
 // Probe requests the state of the node.
@@ -222,8 +222,7 @@
 
 // invoke sends one request to a method, named SERVICE.METHOD, and waits for the
 // response or the end of the context. If the wait ends early, net/rpc may still
-// write to response, so it must not be read. The request is written by a
-// separate goroutine, because a peer that does not read blocks the writer.
+// write to response, so it must not be read.
 func (p *Pool) invoke(ctx context.Context, address, method string, request, response proto.Message) error {
 	peer := p.acquire(address)
 	defer peer.release()
@@ -234,7 +233,7 @@
 	}
 	out := &outgoing{message: request}
 	done := make(chan *rpc.Call, 1)
-	go client.Go(method, out, response, done)
+	client.Go(method, out, response, done)
 	select {
 	case call := <-done:
 		return callError(call.Error, out, address)
@@ -380,7 +379,7 @@
 
 func newMonitoredCodec(conn net.Conn, maxBodyBytes int64) *monitoredCodec {
 	return &monitoredCodec{
-		clientCodec: clientCodec{frames: newFrames(conn, maxBodyBytes)},
+		clientCodec: newClientCodec(conn, maxBodyBytes),
 		lost:        make(chan struct{}),
 		opened:      time.Now(),
 	}
@@ -396,7 +395,7 @@
 func (c *monitoredCodec) ReadResponseHeader(r *rpc.Response) error {
 	err := c.clientCodec.ReadResponseHeader(r)
 	if err != nil {
-		c.once.Do(func() { close(c.lost) })
+		c.markLost()
 		return err
 	}
 	c.lastReceived.Store(int64(time.Since(c.opened)))
@@ -407,11 +406,20 @@
 func (c *monitoredCodec) ReadResponseBody(body any) error {
 	err := c.clientCodec.ReadResponseBody(body)
 	if err != nil {
-		c.once.Do(func() { close(c.lost) })
+		c.markLost()
 	}
 	return err
 }
 
+// markLost closes the connection after its responses can no longer be read.
+func (c *monitoredCodec) markLost() {
+	c.once.Do(func() {
+		close(c.lost)
+		// The connection is unusable, so an error does not matter.
+		_ = c.Close()
+	})
+}
+
 func (c *monitoredCodec) broken() bool {
 	select {
 	case <-c.lost:
--- a/transport/codec.go
+++ b/transport/codec.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/emptypb"
 
@@ -29,8 +30,10 @@
 	// controlMessageBytes bounds control messages. The largest one carries the
 	// complete member table and the catalogue to a node that starts.
 	controlMessageBytes = 4 << 20
-	// bufferBytes is the size of the read and write buffers of a connection.
+	// bufferBytes is the size of the read buffer of a connection.
 	bufferBytes = 8 << 10
+	// maxKeptBytes limits the size of a buffer for frames that is kept for reuse.
+	maxKeptBytes = 64 << 10
 	// writeTimeout closes a connection whose peer does not read.
 	writeTimeout = 5 * time.Second
 	// firstFrameTimeout closes an accepted connection on which no request arrives.
@@ -47,15 +50,15 @@
 type frames struct {
 	conn    net.Conn
 	reader  *bufio.Reader
-	writer  *bufio.Writer
 	options protodelim.UnmarshalOptions
+	// buffer holds the frame that is being written.
+	buffer []byte
 }
 
 func newFrames(conn net.Conn, maxBodyBytes int64) *frames {
 	return &frames{
 		conn:    conn,
 		reader:  bufio.NewReaderSize(conn, bufferBytes),
-		writer:  bufio.NewWriterSize(conn, bufferBytes),
 		options: protodelim.UnmarshalOptions{MaxSize: max(maxBodyBytes, controlMessageBytes) + frameOverheadBytes},
 	}
 }
@@ -88,20 +91,49 @@
 	return f.options.UnmarshalFrom(f.reader, &emptypb.Empty{})
 }
 
-// write writes one frame. A nil body writes only the header message.
+// write writes one frame. Nothing is written if a message cannot be encoded; the error
+// then matches errNotEncoded.
 func (f *frames) write(header, body proto.Message) error {
-	if err := f.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	frame, err := appendFrame(f.buffer[:0], header, body)
+	if err != nil {
 		return err
 	}
-	if _, err := protodelim.MarshalTo(f.writer, header); err != nil {
+	if cap(frame) <= maxKeptBytes {
+		f.buffer = frame
+	}
+	return writeFrames(f.conn, frame)
+}
+
+// writeFrames writes encoded frames.
+func writeFrames(conn net.Conn, encoded []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	if body != nil {
-		if _, err := protodelim.MarshalTo(f.writer, body); err != nil {
-			return err
-		}
+	_, err := conn.Write(encoded)
+	return err
+}
+
+// errNotEncoded marks a message that cannot be encoded, for example because a string
+// is not valid UTF-8.
+var errNotEncoded = errors.New("transport: the message cannot be encoded; report this to the developers")
+
+// appendFrame appends one frame. A nil body appends only the header message.
+func appendFrame(buffer []byte, header, body proto.Message) ([]byte, error) {
+	buffer, err := appendMessage(buffer, header)
+	if err != nil || body == nil {
+		return buffer, err
+	}
+	return appendMessage(buffer, body)
+}
+
+// appendMessage appends a message preceded by its length.
+func appendMessage(buffer []byte, m proto.Message) ([]byte, error) {
+	buffer = protowire.AppendVarint(buffer, uint64(proto.Size(m)))
+	buffer, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, m)
+	if err != nil {
+		return nil, errors.Mark(err, errNotEncoded)
 	}
-	return f.writer.Flush()
+	return buffer, nil
 }
 
 // serverCodec implements rpc.ServerCodec. net/rpc calls the read methods from
@@ -161,7 +193,8 @@
 	return c.frames.read(message)
 }
 
-// WriteResponse implements rpc.ServerCodec. An error response has no body.
+// WriteResponse implements rpc.ServerCodec. An error response has no body. A response
+// that cannot be encoded becomes an error response, so that its caller does not wait.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	header := &pb.RpcResponseHeader{
 		ServiceMethod: r.ServiceMethod,
@@ -172,7 +205,12 @@
 	if r.Error != "" || !ok {
 		return c.frames.write(header, nil)
 	}
-	return c.frames.write(header, message)
+	err := c.frames.write(header, message)
+	if errors.Is(err, errNotEncoded) {
+		header.Error = err.Error()
+		return c.frames.write(header, nil)
+	}
+	return err
 }
 
 // Close implements rpc.ServerCodec.
@@ -211,6 +249,7 @@
 // clientCodec implements rpc.ClientCodec.
 type clientCodec struct {
 	frames *frames
+	writer *requestWriter
 	// bodyFollows reports whether the response whose header was read last has a
 	// body; an error response has none.
 	bodyFollows bool
@@ -218,22 +257,21 @@
 
 var _ rpc.ClientCodec = (*clientCodec)(nil)
 
-// WriteRequest implements rpc.ClientCodec.
+func newClientCodec(conn net.Conn, maxBodyBytes int64) clientCodec {
+	return clientCodec{frames: newFrames(conn, maxBodyBytes), writer: newRequestWriter(conn)}
+}
+
+// WriteRequest implements rpc.ClientCodec. It queues the request and does not wait
+// until it is written.
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	out, ok := body.(*outgoing)
 	if !ok {
 		return ErrNotAMessage
 	}
-	if !out.start() {
+	if out.state.Load() == outgoingAbandoned {
 		return errAbandoned
 	}
-	header := &pb.RpcRequestHeader{ServiceMethod: r.ServiceMethod, Sequence: r.Seq}
-	if err := c.frames.write(header, out.message); err != nil {
-		// The stream is unusable after a partly written frame.
-		_ = c.frames.conn.Close()
-		return err
-	}
-	return nil
+	return c.writer.enqueue(out, &pb.RpcRequestHeader{ServiceMethod: r.ServiceMethod, Sequence: r.Seq})
 }
 
 // ReadResponseHeader implements rpc.ClientCodec.
@@ -265,7 +303,10 @@
 }
 
 // Close implements rpc.ClientCodec.
-func (c *clientCodec) Close() error { return c.frames.conn.Close() }
+func (c *clientCodec) Close() error {
+	c.writer.close()
+	return c.frames.conn.Close()
+}
 
 // normalizeEOF maps the errors of a closed connection to io.EOF, which net/rpc
 // treats as an orderly close.
--- a/transport/fuzz_test.go
+++ b/transport/fuzz_test.go
@@ -63,8 +63,9 @@
 // requireSameRequest encodes a request as a client does and decodes it again.
 func requireSameRequest(t *testing.T, header rpc.Request, request *pb.CallRequest) {
 	writer, conn := framesOf(nil)
-	client := &clientCodec{frames: writer}
+	client := &clientCodec{frames: writer, writer: &requestWriter{conn: conn, wake: make(chan struct{}, 1)}}
 	require.NoError(t, client.WriteRequest(&header, &outgoing{message: request}))
+	require.NoError(t, client.writer.write(client.writer.take(nil)))
 	reader, _ := framesOf(conn.output.Bytes())
 	server := &serverCodec{frames: reader}
 	var again rpc.Request
--- a/transport/server.go
+++ b/transport/server.go
@@ -135,10 +135,11 @@
 	if err != nil {
 		return
 	}
-	server.ServeCodec(&cancelingCodec{
+	calls := &connServer{rpc: server, codec: &cancelingCodec{
 		serverCodec: serverCodec{frames: newFrames(tlsConn, s.config.MaxBodyBytes)},
 		cancelCalls: cancel,
-	})
+	}}
+	calls.serve()
 }
 
 // newRPCServer returns a net/rpc server for one connection. The context is
@@ -182,7 +183,7 @@
 }
 
 // cancelingCodec cancels the calls of a connection as soon as the connection is
-// lost. rpc.Server.ServeCodec waits for running calls before it returns, so the
+// lost. connServer.serve waits for running calls before it returns, so the
 // cancellation cannot be left to the end of serveConn.
 type cancelingCodec struct {
 	serverCodec
