Keep a panic of a handler from ending the node

Cause: net/rpc does not recover from panics, so an unexpected error in the handling of one message from another node ended the process, and an admitted request kept its slot.

Change: the endpoints of a connection turn a panic into an error response, which says nothing of whether the request has run, and log it. The gate gets the slot back. In a test, one goroutine read the view of another one; the owner does it now.

Failing before: TestPanicFailsOnlyItsCall (the process ended), TestMessageThatCannotBeEncodedFailsOnlyItsCall.

--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -91,11 +91,21 @@
 	started := time.Now()
 	run := r.operations.Start(request.GetRoute(), outcome.Level(request.GetLevel()))
 	attemptID := string(request.GetAttemptId())
+	finished := false
+	defer func() {
+		if !finished {
+			// A panic, which the server of the connection handles, must not occupy
+			// the slot forever.
+			r.graph.End(attemptID)
+			r.gate.done(admitted.id, gate.Sample{Failed: true}, runSummary{result: runFailed})
+		}
+	}()
 	r.graph.Start(attemptID, callgraph.Parent{
 		Route: request.GetRoute(), Level: outcome.Level(request.GetLevel()), Trial: request.GetTrial(), Repeat: request.GetRepeat(),
 		PriorCompletedCalls: request.GetCompletedCalls(), Run: run,
 	})
 	result := r.targets.send(ctx, r.address(), admitted.targetID, request, deadline)
+	finished = true
 	r.graph.End(attemptID)
 	run.Finish(time.Now(), result.outcome != outcome.Completed || result.status >= 500)
 	callFailed, completed := run.HadFailedCall(), run.CompletedCalls()
--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
+	"github.com/primrosemount/primrosemount/core/roster"
 	"github.com/primrosemount/primrosemount/core/route"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
@@ -258,9 +259,17 @@
 	}
 }
 
-// readersFirst returns all nodes, the readers of their zones first.
+// readersFirst returns all nodes, the readers of their zones first. The task of a node
+// determines them, because only it may access its view.
 func (f *replayFleet) readersFirst() []string {
-	view := f.tasks[f.names[0]].roster
+	task := f.tasks[f.names[0]]
+	ordered := make(chan []string, 1)
+	task.events <- func() { ordered <- f.orderByRole(task.roster) }
+	return <-ordered
+}
+
+// orderByRole returns all nodes, those first that are readers in the view.
+func (f *replayFleet) orderByRole(view *roster.Roster) []string {
 	var readers, others []string
 	for _, vm := range f.names {
 		if slices.ContainsFunc(view.Readers(view.Get(vm).GetZone()), func(m *pb.RelayMember) bool { return m.GetVm() == vm }) {
--- a/transport/server.go
+++ b/transport/server.go
@@ -5,9 +5,11 @@
 	"crypto/tls"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
@@ -147,12 +149,12 @@
 func (s *Server) newRPCServer(ctx context.Context) (*rpc.Server, error) {
 	server := rpc.NewServer()
 	if s.config.Handler != nil {
-		if err := server.RegisterName(serviceName, &endpoint{ctx: ctx, handler: s.config.Handler}); err != nil {
+		if err := server.RegisterName(serviceName, &endpoint{guard: guard{s.config.Logger}, ctx: ctx, handler: s.config.Handler}); err != nil {
 			return nil, err
 		}
 	}
 	if s.config.Relay != nil {
-		if err := server.RegisterName(relayServiceName, &relayEndpoint{ctx: ctx, handler: s.config.Relay}); err != nil {
+		if err := server.RegisterName(relayServiceName, &relayEndpoint{guard: guard{s.config.Logger}, ctx: ctx, handler: s.config.Relay}); err != nil {
 			return nil, err
 		}
 	}
@@ -202,42 +204,66 @@
 // serviceName is the net/rpc service under which a node serves its methods.
 const serviceName = "Node"
 
+// errHandlerFailed is the response to a call whose handler panicked.
+var errHandlerFailed = errors.New("transport: the handler failed unexpectedly; the request may have run")
+
+// guard keeps a panic of a handler from ending the process, which net/rpc does not.
+type guard struct{ logger *zap.Logger }
+
+// recover is deferred by the methods that call handlers. It turns a panic into an
+// error response.
+func (g guard) recover(err *error) {
+	if cause := recover(); cause != nil {
+		g.logger.Error("A call failed unexpectedly; report this to the developers.",
+			zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
+		*err = errHandlerFailed
+	}
+}
+
 // endpoint is the net/rpc receiver of one connection.
 type endpoint struct {
+	guard
 	ctx     context.Context
 	handler Handler
 }
 
-func (e *endpoint) Call(request *pb.CallRequest, response *pb.CallResponse) error {
+func (e *endpoint) Call(request *pb.CallRequest, response *pb.CallResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.Call(e.ctx, request, response)
 	return nil
 }
 
-func (e *endpoint) Cancel(request *pb.CancelRequest, response *pb.CancelResponse) error {
+func (e *endpoint) Cancel(request *pb.CancelRequest, response *pb.CancelResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.Cancel(request, response)
 	return nil
 }
 
-func (e *endpoint) Probe(request *pb.ProbeRequest, response *pb.ProbeResponse) error {
+func (e *endpoint) Probe(request *pb.ProbeRequest, response *pb.ProbeResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.Probe(request, response)
 	return nil
 }
 
-func (e *endpoint) Exchange(request *pb.ExchangeRequest, response *pb.ExchangeResponse) error {
+func (e *endpoint) Exchange(request *pb.ExchangeRequest, response *pb.ExchangeResponse) (err error) {
+	defer e.recover(&err)
 	return e.handler.Exchange(e.ctx, request, response)
 }
 
-func (e *endpoint) Handover(request *pb.HandoverRequest, response *pb.HandoverResponse) error {
+func (e *endpoint) Handover(request *pb.HandoverRequest, response *pb.HandoverResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.Handover(request, response)
 	return nil
 }
 
-func (e *endpoint) Explain(request *pb.ExplainRequest, response *pb.ExplainResponse) error {
+func (e *endpoint) Explain(request *pb.ExplainRequest, response *pb.ExplainResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.Explain(request, response)
 	return nil
 }
 
-func (e *endpoint) Burn(request *pb.BurnRequest, response *pb.BurnResponse) error {
+func (e *endpoint) Burn(request *pb.BurnRequest, response *pb.BurnResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.Burn(request, response)
 	return nil
 }
@@ -248,21 +274,25 @@
 
 // relayEndpoint is the net/rpc receiver of one connection from a relaying node.
 type relayEndpoint struct {
+	guard
 	ctx     context.Context
 	handler RelayHandler
 }
 
-func (e *relayEndpoint) Forward(request *pb.ForwardRequest, response *pb.ForwardResponse) error {
+func (e *relayEndpoint) Forward(request *pb.ForwardRequest, response *pb.ForwardResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.Forward(e.ctx, request, response)
 	return nil
 }
 
-func (e *relayEndpoint) Cancel(request *pb.CancelRequest, response *pb.CancelResponse) error {
+func (e *relayEndpoint) Cancel(request *pb.CancelRequest, response *pb.CancelResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.CancelForward(request, response)
 	return nil
 }
 
-func (e *relayEndpoint) Sync(request *pb.SyncRequest, response *pb.SyncResponse) error {
+func (e *relayEndpoint) Sync(request *pb.SyncRequest, response *pb.SyncResponse) (err error) {
+	defer e.recover(&err)
 	e.handler.Sync(request, response)
 	return nil
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -107,6 +107,54 @@
 	require.NotErrorIs(t, err, ErrResponseLost)
 }
 
+// panicking fails unexpectedly in every call with a body.
+type panicking struct{ echo }
+
+func (p *panicking) Call(ctx context.Context, request *pb.CallRequest, response *pb.CallResponse) {
+	if len(request.GetBody()) > 0 {
+		panic("the handler fails")
+	}
+	p.echo.Call(ctx, request, response)
+}
+
+// Guards against a panic of a handler that ends the process, the connection or the
+// calls beside it, and against reporting the call as not sent.
+func TestPanicFailsOnlyItsCall(t *testing.T) {
+	address, _ := startServer(t, &panicking{})
+	pool := newTestPool(t)
+	for i := uint64(1); i <= 5; i++ {
+		_, err := pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(2 * i), Body: []byte("x")})
+		require.ErrorIs(t, err, ErrResponseLost)
+		_, err = pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(2*i + 1)})
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, pool.Connections())
+}
+
+// unencodable responds with text that protobuf cannot encode.
+type unencodable struct{ echo }
+
+func (u *unencodable) Call(_ context.Context, request *pb.CallRequest, response *pb.CallResponse) {
+	response.Id = request.GetId()
+	response.Detail = "\xff"
+}
+
+// Guards against a caller that waits until its deadline for a response that cannot be
+// encoded, and against a request that cannot be encoded and ends the connection.
+func TestMessageThatCannotBeEncodedFailsOnlyItsCall(t *testing.T) {
+	address, _ := startServer(t, &unencodable{})
+	pool := newTestPool(t)
+	started := time.Now()
+	_, err := pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(1)})
+	require.ErrorIs(t, err, ErrResponseLost)
+	_, err = pool.Call(context.Background(), address, &pb.CallRequest{Id: callID(2), Operation: "\xff"})
+	require.ErrorIs(t, err, ErrNotSent)
+	_, err = pool.Probe(context.Background(), address, &pb.ProbeRequest{})
+	require.NoError(t, err)
+	require.Equal(t, 1, pool.Connections())
+	require.Less(t, time.Since(started), time.Second)
+}
+
 // Guards against writing a request after its caller was notified that it was
 // not sent.
 func TestAbandonedRequestIsNeverWritten(t *testing.T) {
