Spend fewer timers and allocations on a request at the gate

The deadline of a request at the gate is that of the connection to the target, not of a context with a timer of its own. A request says that its sender reads header lines, so one without headers of its own takes the same path.

BenchmarkPathWithColdCaches: 144 allocations a request before, 126 after; 9,930 and 9,100 bytes; the machine was busy, so times are not compared.

--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -262,6 +262,8 @@
 		Trial:          o.trial,
 		Repeat:         o.isRetry,
 		CompletedCalls: m.GetCompletedCalls(),
+
+		ReadsHeaderLines: true,
 	}
 }
 
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -37,16 +37,16 @@
 // Forward implements transport.RelayHandler.
 func (r *receiver) Forward(ctx context.Context, request *pb.ForwardRequest, response *pb.ForwardResponse) {
 	deadline := time.Now().Add(time.Duration(request.GetRemainingNanos()))
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	// The gate and the connection to the target observe the deadline.
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.cancels.Add(request.GetId(), cancel)()
 	r.versionReceived(request.GetSenderAddress(), request.GetConfigVersion())
-	readsLines := len(request.GetHeaderLines()) > 0
-	if !readsLines {
+	if len(request.GetHeaders()) > 0 {
 		request.HeaderLines = linesOf(request.GetHeaders())
 	}
 	r.handle(ctx, request, response, deadline)
-	if !readsLines {
+	if !request.GetReadsHeaderLines() {
 		response.Headers, response.HeaderLines = headersOf(response.GetHeaderLines()), nil
 	}
 }
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -29,7 +29,8 @@
 
 // gateView is a snapshot of the gate's state for other goroutines.
 type gateView struct {
-	target targetstate.Announcement
+	// target is the latest announcement of the target. It is replaced, not modified.
+	target *targetstate.Announcement
 	// serving is set if new requests may be sent to the target.
 	serving bool
 	// draining is set if the target is draining or the node is stopping.
@@ -69,6 +70,8 @@
 
 	gate  *gate.Gate
 	state *targetstate.State
+	// target is the announcement in the snapshots, as of the last change of state.
+	target *targetstate.Announcement
 	// sequence is the number of the last request offered to the gate.
 	sequence uint64
 	// waiting holds the requests that wait for a decision, by number.
@@ -103,6 +106,7 @@
 		load:            loadMeter{since: now},
 	}
 	t.load.reported.Store(&gateTotals{})
+	t.target = &targetstate.Announcement{}
 	t.gate.SetDown(true)
 	t.publish()
 	return t
@@ -166,7 +170,7 @@
 	}
 	delete(t.waiting, id)
 	a.id = id
-	a.targetID = t.state.Current().TargetID
+	a.targetID = t.target.TargetID
 	reply <- a
 }
 
@@ -186,7 +190,7 @@
 // publish updates the snapshot of the gate's state for other goroutines.
 func (t *gateTask) publish() {
 	t.view.Store(&gateView{
-		target:         t.state.Current(),
+		target:         t.target,
 		serving:        t.state.Serving() && !t.stopping,
 		draining:       t.state.IsDraining() || t.stopping,
 		targetDraining: t.state.IsDraining(),
@@ -319,6 +323,7 @@
 // applyState updates the gate from the state of the target.
 func (t *gateTask) applyState() {
 	current := t.state.Current()
+	t.target = &current
 	slots := current.Slots
 	if bound := t.maxConnections(current.Service); bound > 0 {
 		slots = min(slots, bound)
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -75,12 +76,12 @@
 // send sends a request once and reads the complete response. Nothing is sent after
 // the context has ended.
 func (c *targetClient) send(ctx context.Context, address, targetID string, request *pb.ForwardRequest, deadline time.Time) targetResult {
-	if err := ctx.Err(); err != nil {
-		return notSent(ctx, err)
+	if err := ctx.Err(); err != nil || !time.Now().Before(deadline) {
+		return notSent(ctx, deadline, err)
 	}
-	conn, err := c.connection(ctx, address, request)
+	conn, err := c.connection(ctx, address, request, deadline)
 	if err != nil {
-		return notSent(ctx, err)
+		return notSent(ctx, deadline, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	sent := time.Now()
@@ -101,12 +102,12 @@
 	conn.used = true
 	conn.head = c.appendHead(conn.head[:0], targetID, request, time.Until(deadline))
 	if err := conn.write(request.GetBody()); err != nil {
-		return responseLost(ctx), false
+		return responseLost(ctx, err), false
 	}
 	for range maxUnrelatedResponses + 1 {
 		response, err := conn.readResponse(string(request.GetMethod()))
 		if err != nil {
-			return responseLost(ctx), false
+			return responseLost(ctx, err), false
 		}
 		info := c.codec.ReadResponse(response.StatusCode, response.Header)
 		body, err := c.bodies.read(response)
@@ -122,10 +123,10 @@
 			return classify(response, info, body), false
 		case info.AttemptID == "":
 			// It may be a duplicate of an earlier response.
-			return responseLost(ctx), false
+			return responseLost(ctx, nil), false
 		}
 	}
-	return responseLost(ctx), false
+	return responseLost(ctx, nil), false
 }
 
 func (c *targetConn) write(body []byte) error {
@@ -189,16 +190,16 @@
 // this target before always gets a new connection: on a reused one, a late
 // duplicate of the response to the earlier attempt could arrive and, having the
 // same attempt ID, be taken for the response to this attempt.
-func (c *targetClient) connection(ctx context.Context, address string, request *pb.ForwardRequest) (*targetConn, error) {
+func (c *targetClient) connection(ctx context.Context, address string, request *pb.ForwardRequest, deadline time.Time) (*targetConn, error) {
 	if request.GetSameTarget() {
-		return c.open(ctx, address)
+		return c.open(ctx, address, deadline)
 	}
 	for {
 		conn := c.takeIdle(address, request.GetIdempotent())
 		if conn == nil {
-			return c.open(ctx, address)
+			return c.open(ctx, address, deadline)
 		}
-		if conn.alive() {
+		if conn.SetDeadline(deadline) == nil && conn.alive() {
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -259,11 +260,18 @@
 	c.closeExpired(time.Now(), "")
 }
 
-func (c *targetClient) open(ctx context.Context, address string) (*targetConn, error) {
-	conn, err := socket.Dialer(targetDialTimeout).DialContext(ctx, "tcp", address)
+// open opens a connection whose reads and writes end at the deadline.
+func (c *targetClient) open(ctx context.Context, address string, deadline time.Time) (*targetConn, error) {
+	dialer := socket.Dialer(targetDialTimeout)
+	dialer.Deadline = deadline
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	if err := conn.SetDeadline(deadline); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	return newTargetConn(conn), nil
 }
 
@@ -289,9 +297,9 @@
 }
 
 // notSent classifies a request for which no connection could be opened.
-func notSent(ctx context.Context, err error) targetResult {
+func notSent(ctx context.Context, deadline time.Time, err error) targetResult {
 	result := targetResult{outcome: outcome.NotRun, reason: outcome.TargetDown}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !time.Now().Before(deadline) {
 		result.reason = outcome.DeadlineExceeded
 		return result
 	}
@@ -300,11 +308,13 @@
 	return result
 }
 
-// responseLost classifies a request that was sent but received no response.
-func responseLost(ctx context.Context) targetResult {
+// responseLost classifies a request that was sent but received no response, because of
+// the given error of the connection or because the responses were to other requests.
+// The deadline of the request is that of the connection.
+func responseLost(ctx context.Context, err error) targetResult {
 	result := targetResult{outcome: outcome.Unknown, reason: outcome.AnswerLost, sent: true}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded):
 		result.reason = outcome.DeadlineExceeded
 	case ctx.Err() != nil:
 		result.reason = outcome.Cancelled
@@ -314,11 +324,11 @@
 
 // incomplete classifies a response whose body was not received completely.
 func incomplete(ctx context.Context, err error) targetResult {
-	result := responseLost(ctx)
+	result := responseLost(ctx, err)
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		result.reason = outcome.TooLarge
-	case ctx.Err() == nil:
+	case result.reason == outcome.AnswerLost:
 		result.reason = outcome.AnswerTruncated
 	}
 	return result
--- a/node/relay/targetclient_test.go
+++ b/node/relay/targetclient_test.go
@@ -184,6 +184,42 @@
 	require.Equal(t, int64(1), reached.Load())
 }
 
+// Guards against a request that outlasts its deadline, against taking the end of the
+// deadline for a lost response, and against a deadline that ends a later request on the
+// same connection.
+func TestDeadlineEndsOnlyItsRequest(t *testing.T) {
+	var connections atomic.Int64
+	address := scriptedTarget(t, func(conn net.Conn, request *http.Request, number int) bool {
+		if number == 0 {
+			connections.Add(1)
+		}
+		if request.Header.Get("Id") == "slow" {
+			time.Sleep(300 * time.Millisecond)
+		}
+		reply(conn, request.Header.Get("Id"), "own")
+		return true
+	})
+	c := newTargetClient(testCodec{}, 1<<20)
+	defer c.closeIdle()
+	send := func(id string, within time.Duration) targetResult {
+		request := &pb.ForwardRequest{Method: []byte(http.MethodGet), Target: []byte("/"), Host: []byte("h"), AttemptId: []byte(id), Idempotent: true}
+		return c.send(context.Background(), address, "t", request, time.Now().Add(within))
+	}
+	require.Equal(t, outcome.Completed, send("first", 50*time.Millisecond).outcome)
+	time.Sleep(100 * time.Millisecond)
+	require.Equal(t, outcome.Completed, send("after the deadline of the first", time.Second).outcome)
+	require.Equal(t, int64(1), connections.Load())
+	started := time.Now()
+	slow := send("slow", 50*time.Millisecond)
+	require.Less(t, time.Since(started), 200*time.Millisecond)
+	require.Equal(t, outcome.Unknown, slow.outcome)
+	require.Equal(t, outcome.DeadlineExceeded, slow.reason)
+	late := send("late", -time.Millisecond)
+	require.Equal(t, outcome.NotRun, late.outcome)
+	require.Equal(t, outcome.DeadlineExceeded, late.reason)
+	require.False(t, late.unreachable)
+}
+
 // Guards against reporting that a request may have run, or that the target is
 // reachable, although the target refused the connection.
 func TestRequestOnRefusedConnectionHasNotRun(t *testing.T) {
