Follow the configuration by primary readers, one in sixteen members

Cause: in zones of up to 32 members, that is, in all zones of the large deployment, each node read each change itself and renewed its read every 1.25 bounds.

Change: in zones of more than 7 members only primary readers follow the configuration, one in sixteen members. They have an answer of the store at least each 0.35 bounds and a pause; the others compare with their primary each quarter of a bound and read the store themselves once their copy is older than 0.8 bounds. After a change a node does not read for 0.15 bounds. A read that returns a change proves the copy as of its start only, so the next one waits less. The experiment command models it (--propagation).

--- a/cmd/primrosemount/experiment.go
+++ b/cmd/primrosemount/experiment.go
@@ -16,11 +16,19 @@
 	Policies []string      `arg:"--policy,separate" help:"only this policy; may be repeated"`
 	Shortest time.Duration `arg:"--trigger" help:"cut triggers to this length; 0 is the full length"`
 	JSON     bool          `arg:"--json" help:"print one JSON object"`
+	// Propagation selects the model of the store's calls in place of the replay.
+	Propagation bool `arg:"--propagation" help:"show what it costs to follow the configuration, by size of the fleet"`
 }
 
 // run replays the same arrivals under several policies, using the decision logic of the
 // node, and prints a comparison.
 func (c *experimentCommand) run() int {
+	if c.Propagation {
+		if err := experiment.WritePropagation(os.Stdout, c.Seed); err != nil {
+			return fail(exitFailed, err)
+		}
+		return exitOK
+	}
 	report, err := experiment.Run(experiment.Options{
 		Seed:     c.Seed,
 		Users:    c.Users,
--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -29,6 +29,14 @@
 // ZoneSize returns the number of members of a zone that have not stopped.
 func (r *Roster) ZoneSize(zone string) int { return r.zone(zone).size }
 
+// Primaries returns the readers on which the other members of a zone rely for the
+// configuration. The remaining readers, if any, take over when one of them has stopped;
+// meanwhile they follow the members only. The caller must not modify the slice.
+func (r *Roster) Primaries(zone string) []*pb.RelayMember {
+	view := r.zone(zone)
+	return view.readers[:min(primaryCount(view.size), len(view.readers))]
+}
+
 // zoneView is derived from the members of a zone. It is computed once after
 // each change of the roster.
 type zoneView struct {
@@ -69,6 +77,6 @@
 	return zoneView{readers: readers, size: len(members)}
 }
 
-func readerCount(members int) int {
-	return max(minReaders, (members+membersPerReader-1)/membersPerReader)
-}
+func readerCount(members int) int { return max(minReaders, primaryCount(members)) }
+
+func primaryCount(members int) int { return (members + membersPerReader - 1) / membersPerReader }
--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -52,6 +52,11 @@
 	silent
 	// refusing means that the store refuses every call immediately.
 	refusing
+	// unreachable means that neither the store nor other nodes reach the node.
+	unreachable
+	// silentToAll means that neither the store nor other nodes get a response from the
+	// node or give one to it, and nobody gets an error.
+	silentToAll
 )
 
 // replayStore simulates a store that many nodes follow in virtual time.
@@ -159,9 +164,9 @@
 	for {
 		mode, version, changed := c.state()
 		switch {
-		case mode == refusing:
+		case mode == refusing || mode == unreachable:
 			return Batch{}, ErrUnavailable
-		case mode == silent:
+		case mode == silent || mode == silentToAll:
 			<-ctx.Done()
 			return Batch{}, ErrUnavailable
 		case version > from:
@@ -237,6 +242,15 @@
 // sync delivers a synchronization request to another node.
 func (f *replayFleet) sync(ctx context.Context, address string, request *pb.SyncRequest) (*pb.SyncResponse, error) {
 	sleep(ctx, peerLatency)
+	for _, vm := range []string{strings.TrimSuffix(address, replayPort), request.GetSelf().GetVm()} {
+		switch mode, _, _ := f.store.nodes[vm].state(); mode {
+		case unreachable:
+			return nil, ErrUnavailable
+		case silentToAll:
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	}
 	response := &pb.SyncResponse{}
 	f.tasks[strings.TrimSuffix(address, replayPort)].serveSync(f.ctx, request, response)
 	return response, ctx.Err()
@@ -373,6 +387,10 @@
 		{"silent to the readers of two large zones", 2, 60, 0.07, silent},
 		{"silent to most of two large zones", 2, 60, 0.7, silent},
 		{"refuses most of two large zones", 2, 60, 0.7, refusing},
+		{"silent to the readers of six zones of sixteen", 6, 16, 0.07, silent},
+		{"silent to most of six zones of sixteen", 6, 16, 0.6, silent},
+		{"readers of six zones of sixteen unreachable", 6, 16, 0.13, unreachable},
+		{"readers of six zones of sixteen silent to all", 6, 16, 0.13, silentToAll},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(replaySeeds) {
@@ -422,6 +440,47 @@
 	})
 }
 
+// Guards against a fleet of many zones whose calls to the store grow with its nodes. When
+// each node read each change and renewed its reads every 1.25 bounds, 94 nodes made
+// thousands of calls a day. The target is a quarter of that, without and with changes in
+// quick succession.
+func TestCallsOfManyZonesGrowWithTheirReaders(t *testing.T) {
+	const zones, perZone = 6, 16
+	const nodes = zones * perZone
+	for _, c := range []struct {
+		name    string
+		gap     time.Duration
+		changes int
+	}{
+		{"no changes", 0, 0},
+		{"a storm", 330 * time.Millisecond, 60},
+		{"now and then", 3 * time.Second, 7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var group sync.WaitGroup
+				f := startFleet(ctx, &group, zones, perZone)
+				time.Sleep(10 * time.Second)
+				before, started := f.storeCalls(), time.Now()
+				for range c.changes {
+					f.store.change()
+					time.Sleep(c.gap)
+					require.Empty(t, f.late(time.Now()))
+				}
+				time.Sleep(time.Until(started.Add(20 * time.Second)))
+				calls := f.storeCalls() - before
+				earlier := nodes*c.changes + int(nodes*time.Since(started)/(configBound*5/4))
+				t.Logf("%d calls, %d by reads of each node", calls, earlier)
+				require.Less(t, calls, earlier/4)
+				cancel()
+				group.Wait()
+				f.drain()
+			})
+		})
+	}
+}
+
 // Guards against a node that confirms its configuration as the newest although it
 // could not decode the newest one.
 func TestInvalidConfigurationIsNotConfirmed(t *testing.T) {
@@ -457,7 +516,7 @@
 			for _, vm := range f.names {
 				task := f.tasks[vm]
 				require.False(t, task.storeUnresponsive(time.Now()))
-				require.Equal(t, task.zoneRole.Load().Reader, task.role.active(), vm)
+				require.Equal(t, task.isReader(), task.role.active(), vm)
 				require.Less(t, task.config.tracker.Age(time.Now()), 2*testRules.Wait(*task.zoneRole.Load())+testRules.PollGrace())
 			}
 		}
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -74,8 +74,8 @@
 	name   string
 	topic  Topic
 	logger *zap.Logger
-	// pause is the time between two reads. It combines changes that occur in quick
-	// succession into one read.
+	// pause is the time without reads after a change. It combines changes that occur in
+	// quick succession into one read.
 	pause time.Duration
 	// apply processes records in the order of their offsets.
 	apply func(records []Record)
@@ -126,7 +126,7 @@
 		maxRetryWait: maxRetryWait, responded: func() {}}
 	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
 		loaded: func() {}, apply: t.config.apply, recordResponse: t.config.recordResponse,
-		wait: t.configWait, slack: t.rules.PollGrace(),
+		pause: t.rules.Pause(), wait: t.configWait, slack: t.rules.PollGrace(),
 		// While the store refuses reads, the node receives changes from peers, so
 		// long waits do no harm.
 		maxRetryWait: t.rules.PropagationBound, responded: members.restart}
@@ -134,8 +134,10 @@
 	return config, members
 }
 
-// configWait returns how long a read of the configuration waits for records.
-func (t *membersTask) configWait() time.Duration { return t.rules.Wait(*t.zoneRole.Load()) }
+// configWait returns how long the next read of the configuration waits for records.
+func (t *membersTask) configWait() time.Duration {
+	return t.rules.NextWait(*t.zoneRole.Load(), t.config.tracker.Age(time.Now()))
+}
 
 // run follows the topic until the context ends.
 func (f *follower) run(ctx context.Context) {
@@ -162,7 +164,7 @@
 		if !known {
 			f.loaded()
 		}
-		if after != next {
+		if after != next && known {
 			sleep(ctx, f.pause)
 		}
 		next, known, wait = after, true, minRetryWait
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/primrosemount/primrosemount/core/freshness"
@@ -45,6 +46,12 @@
 	return slices.ContainsFunc(t.roster.Readers(t.self.GetZone()), t.isSelf)
 }
 
+// isPrimary reports whether other nodes of the zone rely on this node for the
+// configuration.
+func (t *membersTask) isPrimary() bool {
+	return slices.ContainsFunc(t.roster.Primaries(t.self.GetZone()), t.isSelf)
+}
+
 // tick runs the periodic tasks that are due at now.
 func (t *membersTask) tick(ctx context.Context, now time.Time) {
 	t.ticks++
@@ -66,13 +73,14 @@
 // chooseRole decides whether this node follows the members and the configuration on
 // the store directly, rather than through peers.
 func (t *membersTask) chooseRole(now time.Time) {
-	zoneRole := freshness.ZoneRole{Members: t.roster.ZoneSize(t.self.GetZone()), Reader: t.isReader()}
+	zoneRole := freshness.ZoneRole{Members: t.roster.ZoneSize(t.self.GetZone()), Reader: t.isPrimary()}
 	t.zoneRole.Store(&zoneRole)
-	members := mustFollowMembers(zoneRole.Reader, t.readerReported, now)
+	reader := t.isReader()
+	members := mustFollowMembers(reader, t.readerReported, now)
 	config := t.rules.ReadsStore(zoneRole, t.config.tracker.Age(now))
 	changed := t.role.set(members)
 	if t.configRole.set(config) || changed {
-		fields := []zap.Field{zap.Bool("follows_members", members), zap.Bool("follows_configuration", config), zap.Bool("reader", zoneRole.Reader),
+		fields := []zap.Field{zap.Bool("follows_members", members), zap.Bool("follows_configuration", config), zap.Bool("reader", reader),
 			zap.Int("zone_members", zoneRole.Members), zap.Duration("reader_heard", now.Sub(t.readerReported)), zap.Int("members", t.roster.Len())}
 		t.logger.Info("The node changed how it receives configuration and member changes.", append(fields, t.config.ageFields()...)...)
 	}
@@ -90,24 +98,37 @@
 	return t.role.active() && t.storeResponds() && !t.storeUnresponsive(time.Now())
 }
 
-// syncWithNext synchronizes with the next peer. A reader selects any node at
-// random. Other nodes select the readers of their zone in turn and, every
-// randomPeerTurns times, any node in addition.
+// syncWithNext synchronizes with the next peer. A primary reader selects any node at
+// random. Other nodes select their primary reader, the next reader if that one does
+// not respond, and, every randomPeerTurns times, any node in addition.
 func (t *membersTask) syncWithNext(ctx context.Context) {
 	t.syncs++
 	readers := t.roster.Readers(t.self.GetZone())
-	if len(readers) == 0 || slices.ContainsFunc(readers, t.isSelf) {
+	if len(readers) == 0 || t.isPrimary() {
 		t.syncWithRandomPeer(ctx)
 		return
 	}
-	first := readers[t.syncs%len(readers)].GetAddress()
-	second := readers[(t.syncs+1)%len(readers)].GetAddress()
-	t.syncWith(ctx, first, second)
+	primary := t.primary()
+	fallback := readers[(primary+1)%len(readers)]
+	if t.isSelf(fallback) {
+		fallback = readers[primary]
+	}
+	t.syncWith(ctx, readers[primary].GetAddress(), fallback.GetAddress())
 	if t.syncs%randomPeerTurns == 0 {
 		t.syncWithRandomPeer(ctx)
 	}
 }
 
+// primary returns the index of the reader on which this node relies. The hash of its
+// name spreads the members of a zone over the primaries.
+func (t *membersTask) primary() int {
+	primaries := len(t.roster.Primaries(t.self.GetZone()))
+	if primaries == 0 {
+		return 0
+	}
+	return int(xxhash.Sum64String(t.vm) % uint64(primaries))
+}
+
 // syncWithRandomPeer synchronizes with a random peer.
 func (t *membersTask) syncWithRandomPeer(ctx context.Context) {
 	others := slices.DeleteFunc(t.roster.Members(), t.isSelf)
