--- a/review/3/main.go
+++ b/review/3/main.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"primrosemount-review/rig"
@@ -16,7 +17,7 @@
 
 const (
 	host = "rota.example"
-	work = 20 * time.Millisecond
+	work = 150 * time.Millisecond
 	// heartbeatDelay is how late the last heartbeat arrives.
 	heartbeatDelay = 2500 * time.Millisecond
 	// restartDelay is the time from the end of a process to its next start.
@@ -40,7 +41,8 @@
 	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() { sendRequests(r, stop) })
+	failed := 0
+	clients.Go(func() { failed = sendRequests(r, stop) })
 	time.Sleep(2 * time.Second)
 
 	// The last heartbeat is on its way when the backend leaves.
@@ -63,9 +65,12 @@
 		}
 	}
 	time.Sleep(time.Until(acknowledged.Add(stays)))
+	leaving.Stop()
+	r.Record("backend", "the backend of machine 1 has exited")
+	time.Sleep(time.Second)
 	close(stop)
 	clients.Wait()
-	judge(r, leaving, acknowledged, back)
+	judge(r, leaving, acknowledged, back, failed)
 }
 
 func start(r *rig.Rig, nodes []*rig.Node) (*rig.Backend, error) {
@@ -96,18 +101,24 @@
 }
 
 // sendRequests sends requests of clients on machine 2, whose node has no disruption.
-func sendRequests(r *rig.Rig, stop <-chan struct{}) {
+// It returns the number of requests that have been answered with a failure which doesn't say
+// that they have not run, or not at all.
+func sendRequests(r *rig.Rig, stop <-chan struct{}) int {
+	var failed atomic.Int64
 	var wait sync.WaitGroup
-	defer wait.Wait()
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
-			return
+			wait.Wait()
+			return int(failed.Load())
 		case <-time.After(requestGap):
 		}
 		wait.Go(func() {
 			id := fmt.Sprintf("r%d", n)
-			r.Send(2, rig.Request{ID: id, Method: http.MethodPost, Host: host, Path: "/slot/" + id, Deadline: 800 * time.Millisecond, Body: []byte("slot")})
+			answer := r.Send(2, rig.Request{ID: id, Method: http.MethodPost, Host: host, Path: "/slot/" + id, Deadline: 800 * time.Millisecond, Body: []byte("slot")})
+			if answer.Status != http.StatusOK && answer.Status != http.StatusServiceUnavailable {
+				failed.Add(1)
+			}
 		})
 	}
 }
@@ -115,7 +126,7 @@
 // judge applies DRAIN: no request reaches the backend later than drain_timeout after the
 // acknowledgement, from machines in touch. Machine 2 is in touch all the while, and
 // machine 1 from contact after its restart.
-func judge(r *rig.Rig, leaving *rig.Backend, acknowledged, back time.Time) {
+func judge(r *rig.Rig, leaving *rig.Backend, acknowledged, back time.Time, failed int) {
 	from := acknowledged.Add(rig.DrainTimeout)
 	if inTouch := back.Add(rig.Contact); inTouch.After(from) {
 		from = inTouch
@@ -136,7 +147,7 @@
 		r.End(rig.CantRun, "the backend served nothing before it left")
 	}
 	if reached > 0 {
-		r.End(rig.Broken, "DRAIN: %d requests reached the backend later than %v after its leaving was acknowledged, from machines in touch", reached, rig.DrainTimeout)
+		r.End(rig.Broken, "DRAIN: %d requests reached the backend later than %v after its leaving was acknowledged, from machines in touch; %d requests failed in all (502, 504 or no answer)", reached, rig.DrainTimeout, failed)
 	}
 	r.End(rig.Held, "no request reached the backend; it had served %d before", before)
 }
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -22,6 +22,9 @@
 	// feeGap and ledgerGap are the times between two requests of a route.
 	feeGap    = 50 * time.Millisecond
 	ledgerGap = 30 * time.Millisecond
+	// feeDeadline and ledgerDeadline are how long the clients wait.
+	feeDeadline    = 2 * time.Second
+	ledgerDeadline = 6 * time.Second
 	// answerSlack is the time after the timeout within which CONFIG wants an answer.
 	answerSlack = 500 * time.Millisecond
 	// minUnanswered is the number of requests from which the rule counts.
@@ -51,7 +54,7 @@
 	var seen []observed
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	send := func(route, method string, timeout, gap time.Duration) {
+	send := func(route, method string, deadline, gap time.Duration) {
 		clients.Go(func() {
 			var wait sync.WaitGroup
 			defer wait.Wait()
@@ -63,8 +66,7 @@
 				}
 				wait.Go(func() {
 					id := fmt.Sprintf("%s%d", route, n)
-					// The client waits longer than the route's timeout.
-					answer := r.Send(1, rig.Request{ID: id, Method: method, Host: host, Path: "/" + route + "/" + id, Deadline: 6 * time.Second, Body: nil})
+					answer := r.Send(1, rig.Request{ID: id, Method: method, Host: host, Path: "/" + route + "/" + id, Deadline: deadline})
 					mutex.Lock()
 					defer mutex.Unlock()
 					seen = append(seen, observed{route: route, answer: answer})
@@ -72,8 +74,8 @@
 			}
 		})
 	}
-	send("fee", http.MethodPost, feeTimeout, feeGap)
-	send("ledger", http.MethodGet, ledgerTimeout, ledgerGap)
+	send("fee", http.MethodPost, feeDeadline, feeGap)
+	send("ledger", http.MethodGet, ledgerDeadline, ledgerGap)
 	time.Sleep(calm)
 	cut := time.Now()
 	if r.Trouble {
@@ -120,8 +122,7 @@
 // timeout, half a second later a quarter or less, or fewer than eight, have no answer.
 // Only requests that were sent after the machine was cut off are taken.
 func judge(r *rig.Rig, seen []observed, cut time.Time) {
-	atTimeout, late, served := 0, 0, 0
-	var longest time.Duration
+	atTimeout, late, unanswered, served := 0, 0, 0, 0
 	for _, o := range seen {
 		timeout := ledgerTimeout
 		if o.route == "fee" {
@@ -137,13 +138,15 @@
 		atTimeout++
 		if took >= timeout+answerSlack {
 			late++
-			longest = max(longest, took-timeout)
+		}
+		if o.answer.Err != nil {
+			unanswered++
 		}
 	}
 	if served == 0 {
 		r.End(rig.CantRun, "nothing was served")
 	}
-	text := fmt.Sprintf("%d requests were unanswered at their route's timeout, and %d of them still %v later (the longest by %v)", atTimeout, late, answerSlack, longest.Round(time.Millisecond))
+	text := fmt.Sprintf("%d requests were unanswered at their route's timeout, and %d of them still %v later; %d got no answer before their client left", atTimeout, late, answerSlack, unanswered)
 	if late >= minUnanswered && 4*late > atTimeout {
 		r.End(rig.Broken, "CONFIG: %s", text)
 	}
