--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -30,6 +30,9 @@
 	Heartbeat    = 1500 * time.Millisecond
 )
 
+// caseTimeout ends a case that takes too long.
+const caseTimeout = 110 * time.Second
+
 // offsets of the ports of a machine from the first port.
 const (
 	portOutbound = iota
@@ -83,6 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
+	time.AfterFunc(caseTimeout, func() { r.End(CantRun, "the case took longer than %v", caseTimeout) })
 	r.Record("start", "trouble=%v addresses=%s.* first port=%d", r.Trouble, r.prefix, r.port)
 	return r, nil
 }
