--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -152,6 +153,38 @@
 	return 0
 }
 
+// watchInterval is the time between two looks at the memory of a process.
+const watchInterval = 5 * time.Millisecond
+
+// LimitMemory kills the process, as the platform does, once it exceeds its memory. It
+// returns the largest memory that was seen.
+func (n *Node) LimitMemory() *atomic.Int64 {
+	var peak atomic.Int64
+	go func() {
+		for !n.HasEnded() {
+			held := n.ResidentBytes()
+			peak.Store(max(peak.Load(), held))
+			if held > int64(n.MemoryMB)<<20 {
+				n.rig.Record("memory", "the process holds %d MB and may use %d MB; the platform kills it", held>>20, n.MemoryMB)
+				n.Signal(syscall.SIGKILL)
+				return
+			}
+			time.Sleep(watchInterval)
+		}
+	}()
+	return &peak
+}
+
+// HasEnded reports whether the latest process has ended.
+func (n *Node) HasEnded() bool {
+	select {
+	case <-n.Ended():
+		return true
+	default:
+		return false
+	}
+}
+
 func (n *Node) writeSettings() (string, error) {
 	r := n.rig
 	ip := fmt.Sprintf("%s.%d", r.prefix, n.Machine)
