--- a/review/5/main.go
+++ b/review/5/main.go
@@ -40,7 +40,7 @@
 }
 
 func main() {
-	r, err := rig.New(os.Args[1])
+	r, err := rig.New(os.Args[1], os.Args[2])
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(rig.CantRun)
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -64,13 +64,14 @@
 	ending   bool
 }
 
-// New prepares a deployment. The record is written to record.txt in caseFolder.
-func New(caseFolder string) (*Rig, error) {
-	root, err := filepath.Abs(filepath.Join(caseFolder, "..", ".."))
+// New prepares a deployment of the programs in the repository at root. What happens is
+// written to the file recordPath.
+func New(root, recordPath string) (*Rig, error) {
+	root, err := filepath.Abs(root)
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(caseFolder, "record.txt"))
+	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
 	}
