Let the stand-in of the store return from a copy

It now has copies that can be restored, eras that all responses tell, 410 for offsets that it does not have, and appends that take effect late.

--- /dev/null
+++ b/internal/standin/logservice/copy.go
@@ -0,0 +1,56 @@
+package logservice
+
+import (
+	"maps"
+	"slices"
+)
+
+// A Copy is the content of the service at one moment.
+type Copy struct{ streams map[string]*stream }
+
+// Copy returns a copy of the present content.
+func (s *Service) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{streams: cloneStreams(s.streams)}
+}
+
+// Restore replaces the content by a copy and starts the next era: records appended
+// since the copy was made are lost, and their offsets are given out again. A copy can
+// be restored several times.
+func (s *Service) Restore(c Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.streams = cloneStreams(c.streams)
+	s.era++
+	s.wakeReaders()
+}
+
+// SetEra sets the era that responses tell. 0 makes them tell none, like a store that
+// does not know eras.
+func (s *Service) SetEra(era uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era = era
+}
+
+// Era returns the present era.
+func (s *Service) Era() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
+
+// wakeReaders ends the waits of all reads. The mutex must be held.
+func (s *Service) wakeReaders() {
+	close(s.appended)
+	s.appended = make(chan struct{})
+}
+
+func cloneStreams(streams map[string]*stream) map[string]*stream {
+	clones := make(map[string]*stream, len(streams))
+	for name, st := range streams {
+		clones[name] = &stream{firstOffset: st.firstOffset, records: slices.Clone(st.records), newest: maps.Clone(st.newest)}
+	}
+	return clones
+}
--- a/internal/standin/logservice/http.go
+++ b/internal/standin/logservice/http.go
@@ -31,7 +31,47 @@
 	mux.HandleFunc("POST /v1/log-append", s.serveAppend)
 	mux.HandleFunc("GET /v1/log-read", s.serveRead)
 	mux.HandleFunc("GET /v1/log-newest", s.serveNewest)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mux.ServeHTTP(&eraWriter{ResponseWriter: w, service: s, era: s.Era()}, r)
+	})
+}
+
+// headerEra is the header of all responses that holds the era.
+const headerEra = "Store-Era"
+
+// eraWriter adds the era to the header of a response. A call that has begun in an
+// earlier era gets no response, because the return from a copy ends all connections.
+type eraWriter struct {
+	http.ResponseWriter
+	service *Service
+	// era is the era in which the call began.
+	era     uint64
+	written bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	w.addEra()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(data []byte) (int, error) {
+	w.addEra()
+	return w.ResponseWriter.Write(data)
+}
+
+func (w *eraWriter) addEra() {
+	if w.written {
+		return
+	}
+	w.written = true
+	if w.service.Era() != w.era {
+		panic(http.ErrAbortHandler)
+	}
+	if w.era > 0 {
+		w.Header().Set(headerEra, strconv.FormatUint(w.era, 10))
+	}
 }
 
 func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
@@ -63,7 +103,7 @@
 	switch {
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	case from < batch.Earliest:
+	case from < batch.Earliest || from > batch.Next:
 		writeJSON(w, http.StatusGone, map[string]uint64{"first": batch.Earliest})
 	default:
 		writeBatch(w, batch)
@@ -80,7 +120,7 @@
 		appended := s.appended
 		s.mutex.Unlock()
 		batch, err := s.Read(ctx, topic, from, maxRecords)
-		if err != nil || batch.Next > from {
+		if err != nil || batch.Next != from {
 			return batch, err
 		}
 		select {
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -1,7 +1,8 @@
 // Package logservice is a small stand-in for the platform's store. It has append-only
 // streams with offsets, topics that keep the newest record of each key, limited
-// retention and a rate limit. It can simulate outages, slow responses, and responses
-// that are lost after the append took effect.
+// retention and a rate limit. It can simulate outages, slow responses, responses that
+// are lost after the append took effect, appends that take effect after their caller
+// has given up, and a return from a copy that lacks the latest records.
 package logservice
 
 import (
@@ -37,6 +38,8 @@
 	Delay time.Duration
 	// LoseAppendResponses drops the responses to appends that took effect.
 	LoseAppendResponses bool
+	// AppendLateBy makes appends take effect this long after their response was lost.
+	AppendLateBy time.Duration
 }
 
 // Service holds the streams in memory. It implements streamlog.Log for use within the
@@ -48,10 +51,15 @@
 	streams map[string]*stream
 	faults  Faults
 	appends uint64
-	// appended is closed and replaced at each append.
+	// appended is closed and replaced at each append and at each return from a copy.
 	appended chan struct{}
+	// era counts the returns from a copy. 0 means that responses do not tell it.
+	era uint64
 }
 
+// firstEra is the era of a new service.
+const firstEra = 1
+
 type stream struct {
 	// firstOffset is the offset of the oldest record that is kept.
 	firstOffset uint64
@@ -91,7 +99,7 @@
 		limit = rate.Limit(config.AppendsPerSecond)
 	}
 	burst := int(config.AppendsPerSecond) + 1
-	return &Service{config: config, limiter: rate.NewLimiter(limit, burst), streams: make(map[string]*stream), appended: make(chan struct{})}
+	return &Service{config: config, limiter: rate.NewLimiter(limit, burst), streams: make(map[string]*stream), appended: make(chan struct{}), era: firstEra}
 }
 
 // SetFaults replaces the current faults.
@@ -117,6 +125,10 @@
 	if !s.limiter.Allow() {
 		return 0, errors.Wrap(streamlog.ErrRefused, "rate limit")
 	}
+	if faults.AppendLateBy > 0 {
+		time.AfterFunc(faults.AppendLateBy, func() { s.append(name, data) })
+		return 0, errors.Wrap(streamlog.ErrAppendUnknown, "answer lost")
+	}
 	offset := s.append(name, data)
 	if faults.LoseAppendResponses {
 		return 0, errors.Wrap(streamlog.ErrAppendUnknown, "answer lost")
@@ -132,8 +144,7 @@
 	st.records = append(st.records, append([]byte(nil), data...))
 	st.updateNewest(data)
 	s.appends++
-	close(s.appended)
-	s.appended = make(chan struct{})
+	s.wakeReaders()
 	offset := st.firstOffset + uint64(len(st.records)) - 1
 	if excess := len(st.records) - s.config.Retain; s.config.Retain > 0 && excess > 0 {
 		st.records = st.records[excess:]
--- a/internal/standin/logservice/logservice_test.go
+++ b/internal/standin/logservice/logservice_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -70,3 +72,48 @@
 	}
 	require.GreaterOrEqual(t, refused, 15)
 }
+
+// Guards against a stand-in that keeps records which a return from a copy loses, or that
+// does not give their offsets out again.
+func TestRestoredCopyGivesOffsetsOutAgain(t *testing.T) {
+	service := New(Config{})
+	server := httptest.NewServer(service.Handler())
+	defer server.Close()
+	ctx := context.Background()
+	service.append("keyed.s", []byte("\x01ka"))
+	saved := service.Copy()
+	service.append("keyed.s", []byte("\x01kb"))
+	for era := uint64(2); era <= 3; era++ {
+		service.Restore(saved)
+		require.Equal(t, map[string][]byte{"k": []byte("a")}, service.Newest("keyed.s"))
+		response, err := http.Get(server.URL + "/v1/log-read?topic=keyed.s&part=0&from=2")
+		require.NoError(t, err)
+		response.Body.Close()
+		require.Equal(t, http.StatusGone, response.StatusCode)
+		require.Equal(t, strconv.FormatUint(era, 10), response.Header.Get("Store-Era"))
+		offset, err := service.Append(ctx, "keyed.s", []byte("\x01kc"))
+		require.NoError(t, err)
+		require.Equal(t, uint64(1), offset)
+	}
+}
+
+// Guards against a response that tells another era than the one of its content.
+func TestReadAcrossReturnFromCopyGetsNoResponse(t *testing.T) {
+	service := New(Config{})
+	server := httptest.NewServer(service.Handler())
+	defer server.Close()
+	saved := service.Copy()
+	time.AfterFunc(50*time.Millisecond, func() { service.Restore(saved) })
+	_, err := http.Get(server.URL + "/v1/log-read?topic=s&part=0&from=0&wait_ms=500")
+	require.Error(t, err)
+}
+
+// Guards against a late append that takes effect at once or never.
+func TestAppendTakesEffectLate(t *testing.T) {
+	service := New(Config{})
+	service.SetFaults(Faults{AppendLateBy: 50 * time.Millisecond})
+	_, err := service.Append(context.Background(), "s", []byte("a"))
+	require.ErrorIs(t, err, streamlog.ErrAppendUnknown)
+	require.Zero(t, service.Appends())
+	require.Eventually(t, func() bool { return service.Appends() == 1 }, time.Second, time.Millisecond)
+}
