Log the era of the store in which a node learned something

A node compares offsets of the store as if its topics never went back, and no line tells whether the store has returned from a copy in between. The hypotheses of the incident could not be told apart.

Positions in topics now have the era of the response that gave them out. A node logs each later era that it sees and each position of another era, the lines of rejected requests and of configurations tell the latest era, and the gauge primrosemount_store_era exports it.

--- /dev/null
+++ b/core/era/era.go
@@ -0,0 +1,52 @@
+// Package era identifies the eras of the platform's store.
+//
+// Model. The store may return from a copy of its records that is some seconds old. The
+// records written since the copy was made are lost, and their offsets are given out
+// again for other records. The time between two such returns is an era. Within an era
+// the store loses nothing that it has acknowledged. What a process has learned from the
+// store holds in the era in which it was learned: an offset as a position, an
+// acknowledgement as a proof that a record is there, and a response without new records
+// as a proof of being current.
+package era
+
+import "sync/atomic"
+
+// An Era is the number of an era. Later eras have higher numbers.
+type Era uint64
+
+// Unknown is the era of a response that does not tell one. It cannot be told apart from
+// any other era.
+const Unknown Era = 0
+
+// Same reports whether two eras may be the same one.
+func (e Era) Same(other Era) bool { return e == other || e == Unknown || other == Unknown }
+
+// A Position is an offset in a topic of the store, in the era that gave it out.
+type Position struct {
+	Era    Era
+	Offset uint64
+}
+
+// ValidIn reports whether the position names the same place of the topic in an era.
+func (p Position) ValidIn(e Era) bool { return p.Era.Same(e) }
+
+// A Latest holds the latest era that a process has seen. The zero value holds Unknown.
+// It is safe for concurrent use.
+type Latest struct{ latest atomic.Uint64 }
+
+// Get returns the latest era.
+func (l *Latest) Get() Era { return Era(l.latest.Load()) }
+
+// Observe records an era and returns the latest one before. It reports whether the
+// recorded era is later. An earlier era is that of a late response and is ignored.
+func (l *Latest) Observe(e Era) (before Era, later bool) {
+	for {
+		before = l.Get()
+		if e <= before {
+			return before, false
+		}
+		if l.latest.CompareAndSwap(uint64(before), uint64(e)) {
+			return before, true
+		}
+	}
+}
--- /dev/null
+++ b/core/era/era_test.go
@@ -0,0 +1,41 @@
+package era_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/core/era"
+)
+
+// Guards against a position that is used in another era, and against one that is
+// given up because a store does not tell its era.
+func TestPositionIsValidInItsEraOnly(t *testing.T) {
+	p := era.Position{Era: 3, Offset: 7}
+	require.True(t, p.ValidIn(3))
+	require.True(t, p.ValidIn(era.Unknown))
+	require.True(t, era.Position{Offset: 7}.ValidIn(3))
+	require.False(t, p.ValidIn(4))
+	require.False(t, p.ValidIn(2))
+}
+
+// Guards against a late response of an earlier era that counts as a new era.
+func TestLatestNeverGoesBack(t *testing.T) {
+	var latest era.Latest
+	for _, step := range []struct {
+		observed, before, after era.Era
+		later                   bool
+	}{
+		{era.Unknown, era.Unknown, era.Unknown, false},
+		{5, era.Unknown, 5, true},
+		{5, 5, 5, false},
+		{4, 5, 5, false},
+		{era.Unknown, 5, 5, false},
+		{7, 5, 7, true},
+	} {
+		before, later := latest.Observe(step.observed)
+		require.Equal(t, step.before, before)
+		require.Equal(t, step.later, later)
+		require.Equal(t, step.after, latest.Get())
+	}
+}
--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/telemetry"
@@ -20,6 +21,8 @@
 	// tracker records the time as of which the version in force is known to be the
 	// newest.
 	tracker *freshness.Tracker
+	// storeEra is the latest era of the store that this node has seen.
+	storeEra era.Latest
 	// decodeFailed is set if the newest document on the store was rejected, so that
 	// an older version is in force.
 	decodeFailed atomic.Bool
@@ -80,10 +83,12 @@
 	return zap.Duration(name, age)
 }
 
-// ageFields returns the log fields for the staleness of the version in force.
+// ageFields returns the log fields for the staleness of the version in force and for the
+// era of the store.
 func (c *configuration) ageFields() []zap.Field {
 	now := time.Now()
-	return []zap.Field{ageField("config_age", c.tracker.Age(now)), ageField("store_age", c.tracker.StoreAge(now))}
+	return []zap.Field{ageField("config_age", c.tracker.Age(now)), ageField("store_age", c.tracker.StoreAge(now)),
+		zap.Uint64("store_era", uint64(c.storeEra.Get()))}
 }
 
 // offer puts a document in force if its version is newer. A document that cannot be
@@ -144,5 +149,5 @@
 // sample returns the values of the metrics.
 func (c *configuration) sample() telemetry.ConfigurationSample {
 	now := time.Now()
-	return telemetry.ConfigurationSample{Version: c.version(), Age: c.tracker.Age(now), StoreAge: c.tracker.StoreAge(now)}
+	return telemetry.ConfigurationSample{Version: c.version(), Age: c.tracker.Age(now), StoreAge: c.tracker.StoreAge(now), StoreEra: uint64(c.storeEra.Get())}
 }
--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/roster"
@@ -147,14 +148,14 @@
 }
 
 // Newest implements Topic.
-func (c *storeClient) Newest(ctx context.Context) ([]Record, uint64, error) {
-	batch, err := c.Read(ctx, 0, 0)
+func (c *storeClient) Newest(ctx context.Context) ([]Record, era.Position, error) {
+	batch, err := c.Read(ctx, era.Position{}, 0)
 	return batch.Records, batch.Next, err
 }
 
 // Read implements Topic. The offset after the record of a version equals the
 // version.
-func (c *storeClient) Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error) {
+func (c *storeClient) Read(ctx context.Context, from era.Position, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+2*time.Second)
 	defer cancel()
 	c.count()
@@ -169,9 +170,9 @@
 		case mode == silent || mode == silentToAll:
 			<-ctx.Done()
 			return Batch{}, ErrUnavailable
-		case version > from:
+		case version > from.Offset:
 			c.countVersion()
-			return Batch{Records: []Record{{Key: "config", Value: document(version)}}, Next: version, Complete: true}, nil
+			return Batch{Records: []Record{{Key: "config", Value: document(version)}}, Next: era.Position{Offset: version}, Complete: true}, nil
 		}
 		select {
 		case <-changed:
@@ -188,9 +189,11 @@
 // idleTopic is a members topic in which nothing changes.
 type idleTopic struct{ Topic }
 
-func (idleTopic) Newest(context.Context) ([]Record, uint64, error) { return nil, 0, nil }
+func (idleTopic) Newest(context.Context) ([]Record, era.Position, error) {
+	return nil, era.Position{}, nil
+}
 
-func (idleTopic) Read(ctx context.Context, _ uint64, wait time.Duration) (Batch, error) {
+func (idleTopic) Read(ctx context.Context, _ era.Position, wait time.Duration) (Batch, error) {
 	sleep(ctx, wait)
 	return Batch{Complete: true}, ctx.Err()
 }
@@ -529,7 +532,7 @@
 // emptyTopic responds to every read immediately and without records.
 type emptyTopic struct{ countingTopic }
 
-func (c *emptyTopic) Read(_ context.Context, from uint64, _ time.Duration) (Batch, error) {
+func (c *emptyTopic) Read(_ context.Context, from era.Position, _ time.Duration) (Batch, error) {
 	c.reads.Add(1)
 	return Batch{Next: from, Complete: true}, nil
 }
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/telemetry"
 )
 
@@ -23,8 +24,9 @@
 // A Batch is the result of reading a topic.
 type Batch struct {
 	Records []Record
-	// Next is the offset after the records covered by the batch.
-	Next uint64
+	// Next is the position after the records covered by the batch, in the era of the
+	// response.
+	Next era.Position
 	// Complete reports whether the topic had no further records when the store
 	// responded.
 	Complete bool
@@ -33,16 +35,17 @@
 // A Topic is a topic of the platform's store that keeps the newest record of each
 // key. Implementations must be safe for concurrent use.
 type Topic interface {
-	// Newest returns the newest record of each key and the offset after the records
+	// Newest returns the newest record of each key and the position after the records
 	// covered.
-	Newest(ctx context.Context) (records []Record, next uint64, err error)
-	// Read waits for records starting at an offset. It returns an empty batch if
+	Newest(ctx context.Context) (records []Record, next era.Position, err error)
+	// Read waits for records starting at a position. It returns an empty batch if
 	// there are none within the wait. It returns ErrHistoryDropped if the offset is
-	// before the first retained record or after the end of the topic.
-	Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error)
-	// Put writes a record of a key and returns its offset. After ErrPutUnknown the
+	// before the first retained record or after the end of the topic. The response may
+	// be of another era than the position; the caller compares them.
+	Read(ctx context.Context, from era.Position, wait time.Duration) (Batch, error)
+	// Put writes a record of a key and returns its position. After ErrPutUnknown the
 	// record may have been written.
-	Put(ctx context.Context, key string, value []byte) (offset uint64, err error)
+	Put(ctx context.Context, key string, value []byte) (era.Position, error)
 }
 
 // Errors returned by a Topic, possibly wrapped.
@@ -85,6 +88,8 @@
 	recordResponse func(asOf, responded time.Time)
 	// loaded is called each time a complete copy has been read.
 	loaded func()
+	// eraSeen is called with the era of each response.
+	eraSeen func(era.Era)
 	// role decides whether to continue reading after the first copy.
 	role *storeRole
 	// wait returns how long one read waits for records. slack is the additional
@@ -121,11 +126,11 @@
 // and the members current from the store.
 func (t *membersTask) followers(configTopic Topic) (config, members *follower) {
 	members = &follower{name: "members", topic: t.topic, logger: t.logger, role: t.role, pause: memberReadPause,
-		loaded: t.storeLoaded, apply: t.records, recordResponse: func(time.Time, time.Time) {},
+		loaded: t.storeLoaded, apply: t.records, eraSeen: t.observeStoreEra, recordResponse: func(time.Time, time.Time) {},
 		wait: func() time.Duration { return memberReadWait }, slack: shortReadTimeout,
 		maxRetryWait: maxRetryWait, responded: func() {}}
 	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
-		loaded: func() {}, apply: t.config.apply, recordResponse: t.config.recordResponse,
+		loaded: func() {}, apply: t.config.apply, eraSeen: t.observeStoreEra, recordResponse: t.config.recordResponse,
 		pause: t.rules.Pause(), wait: t.configWait, slack: t.rules.PollGrace(),
 		// While the store refuses reads, the node receives changes from peers, so
 		// long waits do no harm.
@@ -142,7 +147,7 @@
 // run follows the topic until the context ends.
 func (f *follower) run(ctx context.Context) {
 	wait := minRetryWait
-	next, known := uint64(0), false
+	next, known := era.Position{}, false
 	for ctx.Err() == nil {
 		if known {
 			f.role.waitActive(ctx)
@@ -164,7 +169,7 @@
 		if !known {
 			f.loaded()
 		}
-		if after != next && known {
+		if after.Offset != next.Offset && known {
 			sleep(ctx, f.pause)
 		}
 		next, known, wait = after, true, minRetryWait
@@ -173,13 +178,14 @@
 
 // step reads either the complete topic or, if an earlier part is known, the records
 // after it.
-func (f *follower) step(ctx context.Context, next uint64, known bool) (uint64, error) {
+func (f *follower) step(ctx context.Context, next era.Position, known bool) (era.Position, error) {
 	requestedAt := time.Now()
 	if !known {
 		records, after, err := f.topic.Newest(ctx)
 		if err != nil {
-			return 0, err
+			return era.Position{}, err
 		}
+		f.eraSeen(after.Era)
 		f.apply(records)
 		f.recordResponse(requestedAt, time.Now())
 		return after, nil
@@ -192,12 +198,17 @@
 	}
 	batch, err := f.read(ctx, next, wait, responseSlack)
 	if err != nil {
-		return 0, err
+		return era.Position{}, err
+	}
+	f.eraSeen(batch.Next.Era)
+	if !next.ValidIn(batch.Next.Era) {
+		f.logger.Warn("The position in the topic is of an earlier era of the store.", zap.String("topic", f.name),
+			zap.Uint64("era", uint64(batch.Next.Era)), zap.Uint64("position_era", uint64(next.Era)), zap.Uint64("offset", next.Offset))
 	}
 	f.apply(batch.Records)
 	respondedAt := time.Now()
 	f.recordResponse(asOf(batch, next, requestedAt, respondedAt, wait), respondedAt)
-	if batch.Next == next && respondedAt.Sub(requestedAt) < wait/2 {
+	if batch.Next.Offset == next.Offset && respondedAt.Sub(requestedAt) < wait/2 {
 		// The store responded at once without records. Pause, so that the loop does
 		// not call it without interruption.
 		sleep(ctx, minRetryWait)
@@ -208,11 +219,11 @@
 // asOf returns the time as of which the response to a read shows the copy to be
 // complete. The store responds immediately if it has a record, and otherwise only
 // after the wait.
-func asOf(batch Batch, next uint64, requestedAt, respondedAt time.Time, wait time.Duration) time.Time {
+func asOf(batch Batch, next era.Position, requestedAt, respondedAt time.Time, wait time.Duration) time.Time {
 	switch {
 	case !batch.Complete:
 		return time.Time{}
-	case batch.Next == next && respondedAt.Sub(requestedAt) >= wait:
+	case batch.Next.Offset == next.Offset && respondedAt.Sub(requestedAt) >= wait:
 		return requestedAt.Add(wait)
 	default:
 		return requestedAt
@@ -221,7 +232,7 @@
 
 // read waits for records. The response may take up to responseSlack longer than the
 // wait.
-func (f *follower) read(ctx context.Context, next uint64, wait, responseSlack time.Duration) (Batch, error) {
+func (f *follower) read(ctx context.Context, next era.Position, wait, responseSlack time.Duration) (Batch, error) {
 	interruptible, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.interrupt.Store(&cancel)
--- a/node/relay/storerole_test.go
+++ b/node/relay/storerole_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/route"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
@@ -62,10 +63,12 @@
 	reads atomic.Int64
 }
 
-func (c *countingTopic) Newest(context.Context) ([]Record, uint64, error) { return nil, 0, nil }
+func (c *countingTopic) Newest(context.Context) ([]Record, era.Position, error) {
+	return nil, era.Position{}, nil
+}
 
-func (c *countingTopic) Read(context.Context, uint64, time.Duration) (Batch, error) {
-	return Batch{Next: uint64(c.reads.Add(1))}, nil
+func (c *countingTopic) Read(context.Context, era.Position, time.Duration) (Batch, error) {
+	return Batch{Next: era.Position{Offset: uint64(c.reads.Add(1))}}, nil
 }
 
 // Guards against nodes that continue to read although others follow the store, and
@@ -74,7 +77,7 @@
 	topic := &countingTopic{}
 	loaded := make(chan struct{}, 1)
 	f := &follower{name: "members", topic: topic, logger: zap.NewNop(), role: newStoreRole(), pause: time.Millisecond,
-		apply: func([]Record) {}, recordResponse: func(time.Time, time.Time) {}, loaded: func() { loaded <- struct{}{} },
+		apply: func([]Record) {}, eraSeen: func(era.Era) {}, recordResponse: func(time.Time, time.Time) {}, loaded: func() { loaded <- struct{}{} },
 		wait: func() time.Duration { return time.Second }, slack: time.Second, maxRetryWait: time.Second, responded: func() {}}
 	require.True(t, f.role.set(false))
 	require.False(t, f.role.set(false))
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -40,7 +40,7 @@
 	m.SuppressedLine()
 	require.NoError(t, m.ObserveGate(func() GateSample { return GateSample{InFlight: 7, Limit: 9} }))
 	require.NoError(t, m.ObserveConfiguration(func() ConfigurationSample {
-		return ConfigurationSample{Version: 6, Age: 2 * time.Second, StoreAge: 3 * time.Second}
+		return ConfigurationSample{Version: 6, Age: 2 * time.Second, StoreAge: 3 * time.Second, StoreEra: 4}
 	}))
 	require.NoError(t, m.ObserveCertificate(func() time.Time { return time.Unix(12, 0) }))
 	require.NoError(t, m.ObserveJournal(func() uint64 { return 5 }))
@@ -60,6 +60,7 @@
 		`primrosemount_configuration_version 6`,
 		`primrosemount_configuration_age_milliseconds 2000`,
 		`primrosemount_configuration_store_age_milliseconds 3000`,
+		`primrosemount_store_era 4`,
 		`primrosemount_certificate_expiry_seconds 12`,
 		`primrosemount_journal_dropped_total 5`,
 		`primrosemount_stream_next_offset{stream="members"} 4`,
