Read topics again when the store has returned from a copy

Callers saw 404 on a route that a confirmed version had added: the nodes went on reading from an offset of before the return, while the version had been written again below it. Nodes compared offsets of different eras as if the topic were one and the same, and waited for records that they had already passed.

A response of another era makes the follower read the newest record of each key again; the first one that sees a later era also interrupts the waiting read of the other topic.

--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/roster"
 	"github.com/primrosemount/primrosemount/core/route"
@@ -84,6 +85,9 @@
 	// and whether this node is a reader.
 	rules    freshness.Rules
 	zoneRole atomic.Pointer[freshness.ZoneRole]
+	// startEra makes the followers read their topics again after the store has returned
+	// from a copy.
+	startEra func(era.Era)
 	// storeResponds reports whether the store responds to reads of the members.
 	storeResponds func() bool
 	// readerReported is when a reader last reported that it follows the store.
@@ -118,8 +122,9 @@
 		seen:           make(map[string]peerView),
 		// The caller replaces this function.
 		recordDraining: func(targetstate.Announcement) {},
-		// The method followers replaces this function.
+		// The method followers replaces these functions.
 		storeResponds: func() bool { return true },
+		startEra:      func(era.Era) {},
 		configRole:    newStoreRole(),
 	}
 	t.zoneRole.Store(&freshness.ZoneRole{})
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -104,11 +104,28 @@
 	unavailable atomic.Bool
 	// interrupt cancels the read in progress.
 	interrupt atomic.Pointer[context.CancelCauseFunc]
+	// positionEra is the era of the position in the topic. readAnew is set if the copy
+	// must be read completely because there is a later one.
+	positionEra atomic.Uint64
+	readAnew    atomic.Bool
 }
 
 // errInterrupted is the cause of a read that restart has canceled.
 var errInterrupted = errors.New("relay: the read was canceled to start a new one")
 
+// errEraChanged is returned for a read from a position of another era.
+var errEraChanged = errors.New("relay: the store has returned from a copy; read the newest record of each key again")
+
+// startEra makes the follower read the complete topic again if its position is of an
+// earlier era.
+func (f *follower) startEra(e era.Era) {
+	if position := (era.Position{Era: era.Era(f.positionEra.Load())}); position.ValidIn(e) {
+		return
+	}
+	f.readAnew.Store(true)
+	f.restart()
+}
+
 // restart cancels the read in progress and starts a new one. It is called when the
 // response to a waiting read may have been lost.
 func (f *follower) restart() {
@@ -136,6 +153,10 @@
 		// long waits do no harm.
 		maxRetryWait: t.rules.PropagationBound, responded: members.restart}
 	t.storeResponds = func() bool { return !members.unavailable.Load() }
+	t.startEra = func(e era.Era) {
+		config.startEra(e)
+		members.startEra(e)
+	}
 	return config, members
 }
 
@@ -152,6 +173,7 @@
 		if known {
 			f.role.waitActive(ctx)
 		}
+		known = !f.readAnew.Swap(false) && known
 		after, err := f.step(ctx, next, known)
 		if ctx.Err() != nil {
 			return
@@ -161,7 +183,7 @@
 		}
 		f.noteAvailability(err)
 		if err != nil {
-			known = known && !errors.Is(err, ErrHistoryDropped)
+			known = known && !isPositionLost(err)
 			sleep(ctx, jitter(wait))
 			wait = min(2*wait, f.maxRetryWait)
 			continue
@@ -173,9 +195,16 @@
 			sleep(ctx, f.pause)
 		}
 		next, known, wait = after, true, minRetryWait
+		f.positionEra.Store(uint64(next.Era))
 	}
 }
 
+// isPositionLost reports whether a read failed because its position names no record, or
+// another one than before.
+func isPositionLost(err error) bool {
+	return errors.Is(err, ErrHistoryDropped) || errors.Is(err, errEraChanged)
+}
+
 // step reads either the complete topic or, if an earlier part is known, the records
 // after it.
 func (f *follower) step(ctx context.Context, next era.Position, known bool) (era.Position, error) {
@@ -204,6 +233,7 @@
 	if !next.ValidIn(batch.Next.Era) {
 		f.logger.Warn("The position in the topic is of an earlier era of the store.", zap.String("topic", f.name),
 			zap.Uint64("era", uint64(batch.Next.Era)), zap.Uint64("position_era", uint64(next.Era)), zap.Uint64("offset", next.Offset))
+		return era.Position{}, errEraChanged
 	}
 	f.apply(batch.Records)
 	respondedAt := time.Now()
@@ -248,7 +278,8 @@
 // noteAvailability logs the start and the end of an outage of the store, once each.
 func (f *follower) noteAvailability(err error) {
 	switch {
-	case err != nil && !f.unavailable.Load() && !errors.Is(err, ErrHistoryDropped):
+	case isPositionLost(err):
+	case err != nil && !f.unavailable.Load():
 		f.logger.Warn("The store does not answer.", zap.String("topic", f.name), telemetry.ErrorField(err))
 		f.unavailable.Store(true)
 	case err == nil && f.unavailable.Load():
--- a/node/relay/storeera.go
+++ b/node/relay/storeera.go
@@ -14,4 +14,5 @@
 	}
 	t.logger.Warn("The store has returned from a copy.", zap.Uint64("era", uint64(seen)), zap.Uint64("before", uint64(before)),
 		zap.Uint64("config", t.config.version()))
+	t.startEra(seen)
 }
