Compare with other nodes before relying on a store that has returned from a copy

Callers of a node that had started after the return saw 404 on a route that the other nodes served: the store had lost the version that added it, and the node took the older one for the newest, served it and confirmed it to others. A response of a later era does not disprove what was learned in an earlier one.

A node that sees a later era, from the store or from another node, compares with a random node every 250 ms for 0.4 of the propagation bound, and counts no response of the store as a confirmation meanwhile. Nodes tell each other the era.

--- a/core/freshness/rules.go
+++ b/core/freshness/rules.go
@@ -29,6 +29,13 @@
 	// pollGracePercent is the time that a read may take beyond its long-poll
 	// wait before it counts as overdue.
 	pollGracePercent = 50
+	// eraComparePercent is how long a node compares with other nodes, in percent of
+	// the propagation bound, before it relies on responses of the store again after the
+	// store has returned from a copy. A version that any node has reaches all others in
+	// this time if each compares with another one every quarter of a second, and
+	// together with the interval of the reader's evidence it stays below
+	// maxReliedAgePercent.
+	eraComparePercent = 40
 	// maxReliedAgePercent is the age of the local copy above which a node reads
 	// the store itself instead of relying on readers. It is more than the interval
 	// of the reader's evidence, a pause and the interval of the comparisons
@@ -97,6 +104,10 @@
 // counts as overdue.
 func (r Rules) PollGrace() time.Duration { return r.percentOfBound(pollGracePercent) }
 
+// EraCompare returns how long a node compares with other nodes after the store has
+// returned from a copy.
+func (r Rules) EraCompare() time.Duration { return r.percentOfBound(eraComparePercent) }
+
 // StoreOverdue reports whether the store should have responded by now to a node
 // that reads it, given the time since its latest response.
 func (r Rules) StoreOverdue(role ZoneRole, storeAge time.Duration) bool {
--- a/core/freshness/tracker.go
+++ b/core/freshness/tracker.go
@@ -6,6 +6,10 @@
 // since the latest such time. Responses of the store and comparisons with other
 // nodes advance it. The absence of errors does not, because a store or a
 // network path that has stopped responding returns no error either.
+//
+// A store that has returned from a copy may have lost versions that it had
+// acknowledged. Its responses do not show a copy to be complete until the node has
+// compared with others, which may have those versions.
 package freshness
 
 import (
@@ -26,6 +30,9 @@
 	// nanoseconds after start; 0 means never.
 	completeAsOf atomic.Int64
 	respondedAt  atomic.Int64
+	// suspendedUntil is the time before which the store's responses confirm nothing, in
+	// nanoseconds after start.
+	suspendedUntil atomic.Int64
 }
 
 // NewTracker returns a Tracker for a copy that is not confirmed yet. start must
@@ -36,8 +43,15 @@
 func (t *Tracker) StoreResponded(at time.Time) { advance(&t.respondedAt, t.since(at)) }
 
 // ConfirmStore records that a response of the store showed the copy to be
-// complete as of the given time.
-func (t *Tracker) ConfirmStore(asOf time.Time) { advance(&t.completeAsOf, t.since(asOf)) }
+// complete as of the given time. It has no effect while responses are suspended.
+func (t *Tracker) ConfirmStore(asOf time.Time) {
+	if t.since(asOf) >= t.suspendedUntil.Load() {
+		advance(&t.completeAsOf, t.since(asOf))
+	}
+}
+
+// Suspend makes responses of the store as of times before until confirm nothing.
+func (t *Tracker) Suspend(until time.Time) { t.suspendedUntil.Store(t.since(until)) }
 
 // ConfirmPeer records the result of a comparison: another node, which received
 // a request sent at the given time, had no newer state, and its copy had the
--- a/core/freshness/tracker_test.go
+++ b/core/freshness/tracker_test.go
@@ -29,3 +29,18 @@
 	tracker.ConfirmPeer(at(900), -time.Second)
 	require.Equal(t, 600*time.Millisecond, tracker.Age(at(1000)), "a negative age is ignored")
 }
+
+// Guards against a response of a store that has returned from a copy and that confirms an
+// older version than other nodes have.
+func TestSuspendedResponsesConfirmNothing(t *testing.T) {
+	start := time.Now()
+	tracker := freshness.NewTracker(start)
+	tracker.ConfirmStore(start.Add(time.Second))
+	tracker.Suspend(start.Add(3 * time.Second))
+	tracker.ConfirmStore(start.Add(2 * time.Second))
+	require.Equal(t, 3*time.Second, tracker.Age(start.Add(4*time.Second)))
+	tracker.ConfirmPeer(start.Add(2*time.Second), 500*time.Millisecond)
+	require.Equal(t, 2500*time.Millisecond, tracker.Age(start.Add(4*time.Second)), "other nodes confirm the copy")
+	tracker.ConfirmStore(start.Add(3 * time.Second))
+	require.Equal(t, time.Second, tracker.Age(start.Add(4*time.Second)))
+}
--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -30,6 +30,17 @@
 	// document is the encoded form of table. It is passed on to nodes that cannot
 	// reach the store.
 	document []byte
+	// holding is set while versions are held back until the node has compared with
+	// others, and held is the newest of them.
+	holding bool
+	held    *heldVersion
+}
+
+// heldVersion is a version that is known but not in force yet.
+type heldVersion struct {
+	table    *ingress.Table
+	document []byte
+	from     origin
 }
 
 func newConfiguration(decode func([]byte) (*ingress.Table, error), start time.Time, logger *zap.Logger) *configuration {
@@ -105,16 +116,86 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	offered := heldVersion{table: table, document: document, from: from}
+	if !c.holding {
+		c.install(offered)
+		return
+	}
+	if c.held == nil || table.Version > c.held.table.Version {
+		c.held = &offered
+		c.logger.Info("A configuration waits until the node has compared with others.",
+			append(from.fields(), zap.Uint64("version", table.Version), zap.Uint64("store_era", uint64(c.storeEra.Get())))...)
+	}
+}
+
+// install puts a version in force if it is newer. c.mu must be held.
+func (c *configuration) install(v heldVersion) {
 	before := c.version()
-	if c.table.Load() != nil && table.Version <= before {
+	if c.table.Load() != nil && v.table.Version <= before {
 		return
 	}
-	c.document = document
-	c.table.Store(table)
-	fields := append(from.fields(), zap.Uint64("version", table.Version), zap.Uint64("before", before), zap.Int("routes", table.RouteCount()))
+	c.document = v.document
+	c.table.Store(v.table)
+	fields := append(v.from.fields(), zap.Uint64("version", v.table.Version), zap.Uint64("before", before), zap.Int("routes", v.table.RouteCount()))
 	c.logger.Info("A configuration is in force.", append(fields, c.ageFields()...)...)
 }
 
+// hold keeps versions back until release is called. A node that starts after the store
+// has returned from a copy would otherwise serve an older version than the other nodes,
+// and confirm it to them.
+func (c *configuration) hold() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holding = true
+	c.tracker.Suspend(maxTime)
+}
+
+// maxTime is later than any time that a process measures.
+var maxTime = time.Now().Add(freshness.Unknown / 2)
+
+// release puts the newest version that was held back in force.
+func (c *configuration) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.holding {
+		return
+	}
+	c.holding = false
+	c.tracker.Suspend(time.Now())
+	if c.held != nil {
+		c.install(*c.held)
+	}
+	c.held = nil
+}
+
+// isHolding reports whether versions are held back, and whether there is one.
+func (c *configuration) isHolding() (holding, hasVersion bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holding, c.held != nil
+}
+
+// knownVersion returns the newest version that the node knows, whether or not it is in
+// force.
+func (c *configuration) knownVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held != nil {
+		return c.held.table.Version
+	}
+	return c.version()
+}
+
+// startEra makes the configuration unconfirmed until the given time, because the store
+// has returned from a copy.
+func (c *configuration) startEra(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.holding {
+		c.tracker.Suspend(until)
+	}
+}
+
 // apply offers the records of the store.
 func (c *configuration) apply(records []Record) {
 	for _, record := range records {
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -92,6 +92,11 @@
 	storeResponds func() bool
 	// readerReported is when a reader last reported that it follows the store.
 	readerReported time.Time
+	// comparesUntil is the end of the comparisons with other nodes after the store has
+	// returned from a copy.
+	comparesUntil time.Time
+	// queries are the comparisons of a node that starts.
+	queries startupQueries
 	// ticks counts calls of tick, syncs counts calls of syncWithNext.
 	ticks, syncs int
 	// seen holds the part of each peer's view that this node has received, by
@@ -128,6 +133,7 @@
 		configRole:    newStoreRole(),
 	}
 	t.zoneRole.Store(&freshness.ZoneRole{})
+	t.config.hold()
 	return t
 }
 
@@ -148,6 +154,9 @@
 		case <-ticker.C:
 			t.tick(ctx, time.Now())
 		}
+		if t.loaded {
+			t.startQueries(ctx)
+		}
 		t.publish(ctx)
 		t.notifyDrainWaiters(time.Now())
 	}
--- a/node/relay/storeera_test.go
+++ b/node/relay/storeera_test.go
@@ -40,6 +40,7 @@
 func runConfigFollower(t *testing.T, topic Topic) *membersTask {
 	task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1"}, idleTopic{}, route.New(route.Config{Start: time.Now()}), nil,
 		newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
+	task.config.release()
 	config, _ := task.followers(topic)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/freshness"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/telemetry"
@@ -59,6 +60,11 @@
 	if len(t.drainWaiters) > 0 {
 		t.syncWithNext(ctx)
 	}
+	t.startQueries(ctx)
+	t.releaseOverdue(now)
+	if now.Before(t.comparesUntil) {
+		t.syncWithRandomPeer(ctx)
+	}
 	storeUnresponsive := t.storeUnresponsive(now)
 	interval := syncInterval
 	if storeUnresponsive || t.zoneRole.Load().ReliesOnReaders() {
@@ -149,12 +155,13 @@
 	t.syncing[address] = true
 	seen := t.seen[address]
 	request := &pb.SyncRequest{
-		ConfigVersion: t.config.version(),
+		ConfigVersion: t.config.knownVersion(),
 		SenderAddress: t.self.GetAddress(),
 		Self:          t.self,
 		MembersDigest: t.roster.Digest(),
 		MembersSeen:   seen.changes,
 		MembersSeenOf: seen.incarnation,
+		StoreEra:      uint64(t.config.storeEra.Get()),
 	}
 	go func() {
 		requestedAt := time.Now()
@@ -175,8 +182,10 @@
 	delete(t.syncing, address)
 	if err == nil {
 		t.applySync(address, requestedAt, response)
+		t.startupQueryDone(address, response.GetConfigVersion() > 0)
 		return
 	}
+	t.startupQueryDone(address, false)
 	t.logger.Debug("The synchronization with a peer failed.", zap.String("address", address), telemetry.ErrorField(err))
 	if fallback != "" && fallback != address {
 		t.syncWith(ctx, fallback, "")
@@ -186,6 +195,7 @@
 // applySync merges the response of a peer to a request sent at requestedAt.
 func (t *membersTask) applySync(address string, requestedAt time.Time, response *pb.SyncResponse) {
 	age := time.Duration(response.GetConfigAgeNanos())
+	t.observeReportedEra(era.Era(response.GetStoreEra()), address)
 	if document := response.GetConfig(); len(document) > 0 {
 		t.config.offer(document, origin{name: "peer", address: address, age: age})
 	}
@@ -212,7 +222,8 @@
 			t.merge([]*pb.RelayMember{request.GetSelf()})
 		}
 		viewsDiffer := request.GetMembersDigest() != t.roster.Digest()
-		if request.GetConfigVersion() > t.config.version() || viewsDiffer && !t.followsStore() {
+		t.observeReportedEra(era.Era(request.GetStoreEra()), request.GetSenderAddress())
+		if request.GetConfigVersion() > t.config.knownVersion() || viewsDiffer && !t.followsStore() {
 			t.syncWith(ctx, request.GetSenderAddress(), "")
 		}
 		t.addMissing(response, request, viewsDiffer)
@@ -233,6 +244,7 @@
 	response.Incarnation = t.self.GetIncarnation()
 	response.MembersCount = t.roster.Changes()
 	response.FollowsStore = t.followsStore()
+	response.StoreEra = uint64(t.config.storeEra.Get())
 	if !viewsDiffer {
 		return
 	}
@@ -246,7 +258,7 @@
 // observeVersion starts a synchronization if a peer has a newer configuration
 // version.
 func (t *membersTask) observeVersion(ctx context.Context, address string, version uint64) {
-	if version <= t.config.version() {
+	if version <= t.config.knownVersion() {
 		return
 	}
 	select {
