Write member records again that the store has lost

Nodes that started after the store had returned from a copy did not find nodes whose records the copy lacked: each node believed for ever that the store had what it had once acknowledged.

An acknowledgement now belongs to its era. In a later one a node writes its record again, unless a read of that era shows that the copy has it. Nodes distribute these writes and the reads of both topics so that together they use half of the store's rate, which is read from the settings.

--- a/core/era/era.go
+++ b/core/era/era.go
@@ -9,7 +9,10 @@
 // as a proof of being current.
 package era
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // An Era is the number of an era. Later eras have higher numbers.
 type Era uint64
@@ -50,3 +53,17 @@
 		}
 	}
 }
+
+// recoveryShare is the part of the store's rate of calls that all callers together use
+// to read or write again after a return from a copy. The rest is for other calls.
+const recoveryShare = 0.5
+
+// Spread returns the time over which callers distribute one call each after the store has
+// returned from a copy, so that they stay within the store's rate of calls per second. A
+// rate of 0 means that there is no limit.
+func Spread(callers int, callsPerSecond float64) time.Duration {
+	if callsPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(callers) / (recoveryShare * callsPerSecond) * float64(time.Second))
+}
--- a/core/era/era_test.go
+++ b/core/era/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -39,3 +40,11 @@
 		require.Equal(t, step.after, latest.Get())
 	}
 }
+
+// Guards against nodes that all call the store at once when it returns, and against a
+// spread that makes small fleets late.
+func TestSpreadStaysWithinRate(t *testing.T) {
+	require.Zero(t, era.Spread(17, 0))
+	require.Equal(t, 85*time.Millisecond, era.Spread(17, 400))
+	require.Equal(t, 6*time.Second, era.Spread(9600, 3200))
+}
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -58,8 +58,17 @@
 	self *pb.RelayMember
 	// routedServices holds the services that have been passed to the router.
 	routedServices map[string]bool
-	// published is the revision of this node's announcement on the store.
+	// published is the revision of this node's announcement on the store, in the latest
+	// era of the store.
 	published uint64
+	// rewriteAfter is when an announcement that was on the store in an earlier era is
+	// written again, and rewriteRevision is its revision.
+	rewriteAfter    time.Time
+	rewriteRevision uint64
+	// returnSeen is when this node saw that the store had returned from a copy.
+	returnSeen time.Time
+	// storeRates are the limits of the store on the calls of all nodes together.
+	storeRates StoreRates
 	// heldByPeer is the highest revision of this node's announcement that another
 	// node has received.
 	heldByPeer uint64
@@ -80,6 +89,8 @@
 	// follows the members and the configuration on the store directly.
 	role       *storeRole
 	configRole *storeRole
+	// members is the number of members of the roster, for other goroutines.
+	members atomic.Int64
 	// rules decide how the local copy of the configuration is kept current.
 	// zoneRole is the input of the rules: the number of members of this node's zone
 	// and whether this node is a reader.
@@ -194,8 +205,8 @@
 	t.merge([]*pb.RelayMember{t.self})
 }
 
-// records applies member records read from the store.
-func (t *membersTask) records(records []Record) {
+// records applies member records read from the store in an era.
+func (t *membersTask) records(records []Record, e era.Era) {
 	members := make([]*pb.RelayMember, 0, len(records))
 	// ownRecordReplaced is set if another writer deleted this node's record or
 	// replaced it with one that cannot be decoded. merge handles valid records.
@@ -215,6 +226,7 @@
 		members = append(members, m)
 	}
 	t.events <- func() {
+		t.noteOwnRecord(members, e)
 		t.merge(members)
 		if ownRecordReplaced {
 			t.reannounce()
@@ -363,9 +375,22 @@
 	return targets
 }
 
+// noteOwnRecord records that the store has the announcement of this node, so that it need
+// not be written again after the store has returned from a copy.
+func (t *membersTask) noteOwnRecord(members []*pb.RelayMember, e era.Era) {
+	if e != t.config.storeEra.Get() {
+		return
+	}
+	for _, m := range members {
+		if t.isSelf(m) && m.GetIncarnation() == t.self.GetIncarnation() {
+			t.published = max(t.published, m.GetRevision())
+		}
+	}
+}
+
 // publish starts to write this node's announcement if the store does not have it.
 func (t *membersTask) publish(ctx context.Context) {
-	if t.writing || !t.loaded || t.published >= t.self.GetRevision() || t.awaitsTarget() {
+	if t.writing || !t.loaded || t.published >= t.self.GetRevision() || t.awaitsTarget() || t.awaitsRewrite(time.Now()) {
 		return
 	}
 	t.writing = true
@@ -387,7 +412,8 @@
 	pending := make(chan *pb.RelayMember, 1)
 	t.events <- func() { pending <- t.self }
 	self := <-pending
-	err := t.put(ctx, self)
+	position, err := t.put(ctx, self)
+	t.observeStoreEra(position.Era)
 	if err != nil {
 		t.logger.Warn("The announcement of this node is not on the store yet.", telemetry.ErrorField(err))
 		sleep(ctx, maxRetryWait)
@@ -396,22 +422,22 @@
 		t.writing = false
 		if err == nil {
 			t.logger.Info("The announcement of this node is on the store.", zap.Uint64("incarnation", self.GetIncarnation()),
-				zap.Uint64("revision", self.GetRevision()), zap.String("target", self.GetTargetId()), zap.Bool("draining", self.GetDraining()))
-			t.published = self.GetRevision()
+				zap.Uint64("revision", self.GetRevision()), zap.String("target", self.GetTargetId()), zap.Bool("draining", self.GetDraining()),
+				zap.Uint64("store_era", uint64(position.Era)), t.sinceReturnField(self.GetRevision()))
+			t.notePublished(self.GetRevision(), position.Era)
 			t.finishRestore()
 		}
 	}
 }
 
-func (t *membersTask) put(ctx context.Context, self *pb.RelayMember) error {
+func (t *membersTask) put(ctx context.Context, self *pb.RelayMember) (era.Position, error) {
 	record, err := roster.Encode(self)
 	if err != nil {
-		return err
+		return era.Position{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	_, err = t.topic.Put(ctx, self.GetVm(), record)
-	return err
+	return t.topic.Put(ctx, self.GetVm(), record)
 }
 
 // announceStop publishes that this node has stopped. It returns when the store has
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -126,6 +126,9 @@
 	RetryRatio float64
 	RetrySlack float64
 
+	// StoreRates are the limits of the store on the calls of all nodes together.
+	StoreRates StoreRates
+
 	HeaderCodec HeaderCodec
 	Config      Topic
 	Members     Topic
@@ -210,6 +213,7 @@
 	r.members = newMembersTask(self, o.Members, router, r.pool.Sync, r.config,
 		freshness.Rules{PropagationBound: cmp.Or(o.ConfigBound, defaultConfigBound)}, telemetry.Named(o.Logger, telemetry.PartControl))
 	r.gate = newGateTask(o.TargetAddress, o.Service, r.config.maxConnections, events.gate, r.members.targetChanged)
+	r.members.storeRates = o.StoreRates
 	r.members.restore = r.gate.restore
 	r.members.recordDraining = r.gate.recordDraining
 	r.targets = newTargetClient(o.HeaderCodec, r.budget)
--- a/node/relay/startup.go
+++ b/node/relay/startup.go
@@ -35,8 +35,11 @@
 
 // startQueries compares with other nodes as soon as some are known.
 func (t *membersTask) startQueries(ctx context.Context) {
+	if t.queries.started {
+		return
+	}
 	others := slices.DeleteFunc(t.roster.Members(), t.isSelf)
-	if t.queries.started || !t.loaded && len(others) == 0 {
+	if !t.loaded && len(others) == 0 {
 		return
 	}
 	t.queries.started = true
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -80,8 +80,11 @@
 	// pause is the time without reads after a change. It combines changes that occur in
 	// quick succession into one read.
 	pause time.Duration
-	// apply processes records in the order of their offsets.
-	apply func(records []Record)
+	// apply processes records in the order of their offsets. All are of one era.
+	apply func(records []Record, e era.Era)
+	// eraSpread returns the time over which nodes distribute their reads after the
+	// store has returned from a copy.
+	eraSpread func() time.Duration
 	// recordResponse is called after each response with the time as of which the
 	// copy is complete, or zero if it is not complete, and the time of the
 	// response.
@@ -143,11 +146,12 @@
 // and the members current from the store.
 func (t *membersTask) followers(configTopic Topic) (config, members *follower) {
 	members = &follower{name: "members", topic: t.topic, logger: t.logger, role: t.role, pause: memberReadPause,
-		loaded: t.storeLoaded, apply: t.records, eraSeen: t.observeStoreEra, recordResponse: func(time.Time, time.Time) {},
+		loaded: t.storeLoaded, apply: t.records, eraSeen: t.observeStoreEra, eraSpread: t.readSpread, recordResponse: func(time.Time, time.Time) {},
 		wait: func() time.Duration { return memberReadWait }, slack: shortReadTimeout,
 		maxRetryWait: maxRetryWait, responded: func() {}}
 	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
-		loaded: func() {}, apply: t.config.apply, eraSeen: t.observeStoreEra, recordResponse: t.config.recordResponse,
+		loaded: func() {}, recordResponse: t.config.recordResponse, eraSeen: t.observeStoreEra, eraSpread: t.readSpread,
+		apply: func(records []Record, _ era.Era) { t.config.apply(records) },
 		pause: t.rules.Pause(), wait: t.configWait, slack: t.rules.PollGrace(),
 		// While the store refuses reads, the node receives changes from peers, so
 		// long waits do no harm.
@@ -173,7 +177,10 @@
 		if known {
 			f.role.waitActive(ctx)
 		}
-		known = !f.readAnew.Swap(false) && known
+		if f.readAnew.Swap(false) && known {
+			known = false
+			sleep(ctx, rand.N(f.eraSpread()+1))
+		}
 		after, err := f.step(ctx, next, known)
 		if ctx.Err() != nil {
 			return
@@ -184,6 +191,10 @@
 		f.noteAvailability(err)
 		if err != nil {
 			known = known && !isPositionLost(err)
+			if errors.Is(err, errEraChanged) {
+				sleep(ctx, jitter(minRetryWait)+rand.N(f.eraSpread()+1))
+				continue
+			}
 			sleep(ctx, jitter(wait))
 			wait = min(2*wait, f.maxRetryWait)
 			continue
@@ -215,7 +226,7 @@
 			return era.Position{}, err
 		}
 		f.eraSeen(after.Era)
-		f.apply(records)
+		f.apply(records, after.Era)
 		f.recordResponse(requestedAt, time.Now())
 		return after, nil
 	}
@@ -235,7 +246,7 @@
 			zap.Uint64("era", uint64(batch.Next.Era)), zap.Uint64("position_era", uint64(next.Era)), zap.Uint64("offset", next.Offset))
 		return era.Position{}, errEraChanged
 	}
-	f.apply(batch.Records)
+	f.apply(batch.Records, batch.Next.Era)
 	respondedAt := time.Now()
 	f.recordResponse(asOf(batch, next, requestedAt, respondedAt, wait), respondedAt)
 	if batch.Next.Offset == next.Offset && respondedAt.Sub(requestedAt) < wait/2 {
--- a/node/relay/storeera_test.go
+++ b/node/relay/storeera_test.go
@@ -102,3 +102,64 @@
 		})
 	}
 }
+
+// putTopic counts the writes of member records.
+type putTopic struct {
+	idleTopic
+	era  era.Era
+	puts atomic.Int64
+}
+
+// Put implements Topic.
+func (p *putTopic) Put(context.Context, string, []byte) (era.Position, error) {
+	p.puts.Add(1)
+	return era.Position{Era: p.era}, nil
+}
+
+// newPublishedTask returns a task whose announcement is on the store in an era.
+func newPublishedTask(topic Topic, e era.Era) *membersTask {
+	task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 7, Revision: 3}, topic, route.New(route.Config{Start: time.Now()}), nil,
+		newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
+	task.loaded, task.published = true, 3
+	task.config.storeEra.Observe(e)
+	return task
+}
+
+// Guards against announcements that are believed to be on the store because an earlier
+// era had acknowledged them.
+func TestAcknowledgementEndsWithItsEra(t *testing.T) {
+	task := newPublishedTask(nil, 1)
+	task.observeReportedEra(2, "other:1")
+	require.Zero(t, task.published)
+	task.notePublished(3, 1)
+	require.Zero(t, task.published, "a late acknowledgement of the earlier era")
+	task.noteOwnRecord([]*pb.RelayMember{{Vm: "vm", Incarnation: 7, Revision: 3}}, 1)
+	require.Zero(t, task.published, "a late response of the earlier era")
+	task.notePublished(3, 2)
+	require.Equal(t, uint64(3), task.published)
+}
+
+// Guards against writes of announcements that the copy of the store has, and against an
+// announcement that has changed meanwhile and waits for them.
+func TestAnnouncementInTheCopyIsNotWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &putTopic{era: 2}
+		task := newPublishedTask(topic, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			task.run(ctx)
+			close(ended)
+		}()
+		task.observeStoreEra(2)
+		record := &pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 7, Revision: 3}
+		task.events <- func() { task.noteOwnRecord([]*pb.RelayMember{record}, 2) }
+		time.Sleep(3 * time.Second)
+		require.Zero(t, topic.puts.Load())
+		task.events <- task.reannounce
+		time.Sleep(2 * publishDelay)
+		require.Equal(t, int64(1), topic.puts.Load())
+		cancel()
+		<-ended
+	})
+}
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -84,6 +84,7 @@
 func (t *membersTask) chooseRole(now time.Time) {
 	zoneRole := freshness.ZoneRole{Members: t.roster.ZoneSize(t.self.GetZone()), Reader: t.isPrimary()}
 	t.zoneRole.Store(&zoneRole)
+	t.members.Store(int64(t.roster.Len()))
 	reader := t.isReader()
 	members := mustFollowMembers(reader, t.readerReported, now)
 	config := t.rules.ReadsStore(zoneRole, t.config.tracker.Age(now))
