Do not trust a member record of an earlier era when a node starts

Requests reached a target after its drain had been acknowledged: the store had lost the drain, the node was killed, and its next incarnation took the record of the copy, in which the target was ready, for the last word of the earlier one.

A record now tells the era in which it was written. If that is not the era in which it is read, a node that has a configuration in force has to respond first; it returns drains that the store has lost. Without a response the target is used after two announcements, as without a store. A stop that a copy may have brought back does not count as final.

TestRecordOfEarlierEraIsNotTrustedAlone, TestStopOfEarlierEraIsNotFinal, TestUnansweredQueriesLeaveTheProofToTheTarget and TestRecordOfSameEraIsTrustedAtOnce are new.

--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -76,8 +76,10 @@
 	drainWaiters []drainWaiter
 	// loaded is set once the members topic has been read completely.
 	loaded bool
+	// loadedEra is the era in which the members topic was read completely.
+	loadedEra era.Era
 	// previous is the last announcement of an earlier incarnation of this node. It
-	// is collected until the store has been read.
+	// is collected until restore is called.
 	previous *pb.RelayMember
 	// writing is set while a write of the announcement is in progress.
 	writing bool
@@ -246,22 +248,41 @@
 	t.merge([]*pb.RelayMember{t.self})
 }
 
-// storeLoaded records that the complete topic has been read once.
-func (t *membersTask) storeLoaded() {
+// storeLoaded records that the complete topic has been read in an era.
+func (t *membersTask) storeLoaded(e era.Era) {
 	t.events <- func() {
 		t.loaded = true
+		t.loadedEra = e
 		t.restorePrevious()
 	}
 }
 
+// isPreviousCurrent reports whether the store has the last announcement of the earlier
+// incarnation of this node. It may have lost it if it has returned from a copy since the
+// one that it has was written.
+func (t *membersTask) isPreviousCurrent() bool {
+	return t.loadedEra == era.Unknown || t.previous != nil && t.previous.GetStoreEra() == uint64(t.loadedEra)
+}
+
+// knowsPrevious reports whether this node knows what its earlier incarnation had
+// announced: from the store, or from another node that keeps drains.
+func (t *membersTask) knowsPrevious() bool {
+	return t.loaded && (t.isPreviousCurrent() || t.queries.answered || t.queries.ended && !t.hasOthers())
+}
+
+// hasOthers reports whether other nodes are known.
+func (t *membersTask) hasOthers() bool {
+	return t.roster.Len() > 1 || t.roster.Len() == 1 && t.roster.Get(t.vm) == nil
+}
+
 // restorePrevious passes on the state that an earlier incarnation of this node had
-// published.
+// published, once it is known.
 func (t *membersTask) restorePrevious() {
-	if t.restore == nil {
+	if t.restore == nil || !t.knowsPrevious() {
 		return
 	}
 	t.merge([]*pb.RelayMember{t.self})
-	if t.previous.GetStopped() {
+	if t.previous.GetStopped() && t.isPreviousCurrent() {
 		// The announcement of a stop may be relied on only once. Replace it on the
 		// store before passing it on. Otherwise the next incarnation would rely on
 		// it, although the target may have drained since and this incarnation
@@ -283,7 +304,7 @@
 	if t.previous != nil {
 		published = announcementOf(t.previous)
 	}
-	t.restore(published, t.previous.GetStopped())
+	t.restore(published, t.previous.GetStopped() && t.isPreviousCurrent())
 	t.restore = nil
 }
 
@@ -327,7 +348,7 @@
 		return false
 	}
 	t.applyEarlierDrain(m)
-	if !t.loaded && (t.previous == nil || roster.Newer(m, t.previous)) {
+	if t.restore != nil && t.supersedesPrevious(m) {
 		t.previous = m
 	}
 	if m.GetIncarnation() >= t.self.GetIncarnation() {
@@ -341,6 +362,15 @@
 	return false
 }
 
+// supersedesPrevious reports whether an announcement of an earlier incarnation of this
+// node is newer than the known one, or is the same as read from the store in a later era.
+func (t *membersTask) supersedesPrevious(m *pb.RelayMember) bool {
+	if t.previous == nil || roster.Newer(m, t.previous) {
+		return true
+	}
+	return !roster.Newer(t.previous, m) && m.GetStoreEra() > t.previous.GetStoreEra()
+}
+
 // route passes the members to the router.
 func (t *membersTask) route() {
 	now := time.Now()
@@ -425,13 +455,17 @@
 				zap.Uint64("revision", self.GetRevision()), zap.String("target", self.GetTargetId()), zap.Bool("draining", self.GetDraining()),
 				zap.Uint64("store_era", uint64(position.Era)), t.sinceReturnField(self.GetRevision()))
 			t.notePublished(self.GetRevision(), position.Era)
-			t.finishRestore()
+			if t.knowsPrevious() {
+				t.finishRestore()
+			}
 		}
 	}
 }
 
 func (t *membersTask) put(ctx context.Context, self *pb.RelayMember) (era.Position, error) {
-	record, err := roster.Encode(self)
+	tagged := proto.CloneOf(self)
+	tagged.StoreEra = uint64(t.config.storeEra.Get())
+	record, err := roster.Encode(tagged)
 	if err != nil {
 		return era.Position{}, err
 	}
--- a/node/relay/startup.go
+++ b/node/relay/startup.go
@@ -55,10 +55,10 @@
 // startupQueryDone records the end of a comparison. answered is true if the node has
 // responded and has a configuration in force.
 func (t *membersTask) startupQueryDone(address string, answered bool) {
+	t.queries.answered = t.queries.answered || answered
 	if !t.queries.started || t.queries.ended {
 		return
 	}
-	t.queries.answered = t.queries.answered || answered
 	delete(t.queries.pending, address)
 	t.endQueries()
 }
@@ -76,6 +76,7 @@
 	}
 	t.queries.ended = true
 	t.config.release()
+	t.restorePrevious()
 }
 
 // releaseOverdue puts the newest configuration in force if the comparisons have not
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -89,8 +89,8 @@
 	// copy is complete, or zero if it is not complete, and the time of the
 	// response.
 	recordResponse func(asOf, responded time.Time)
-	// loaded is called each time a complete copy has been read.
-	loaded func()
+	// loaded is called each time a complete copy has been read, with its era.
+	loaded func(era.Era)
 	// eraSeen is called with the era of each response.
 	eraSeen func(era.Era)
 	// role decides whether to continue reading after the first copy.
@@ -150,7 +150,7 @@
 		wait: func() time.Duration { return memberReadWait }, slack: shortReadTimeout,
 		maxRetryWait: maxRetryWait, responded: func() {}}
 	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
-		loaded: func() {}, recordResponse: t.config.recordResponse, eraSeen: t.observeStoreEra, eraSpread: t.readSpread,
+		loaded: func(era.Era) {}, recordResponse: t.config.recordResponse, eraSeen: t.observeStoreEra, eraSpread: t.readSpread,
 		apply: func(records []Record, _ era.Era) { t.config.apply(records) },
 		pause: t.rules.Pause(), wait: t.configWait, slack: t.rules.PollGrace(),
 		// While the store refuses reads, the node receives changes from peers, so
@@ -200,7 +200,7 @@
 			continue
 		}
 		if !known {
-			f.loaded()
+			f.loaded(after.Era)
 		}
 		if after.Offset != next.Offset && known {
 			sleep(ctx, f.pause)
--- a/node/relay/storeera_test.go
+++ b/node/relay/storeera_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/route"
+	"github.com/primrosemount/primrosemount/core/targetstate"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
@@ -163,3 +164,71 @@
 		<-ended
 	})
 }
+
+// restoreCalls records what a starting node passed on of its earlier incarnation.
+type restoreCalls struct {
+	calls    int
+	final    bool
+	draining bool
+}
+
+// startTask returns the task of a node that has just read the members in an era, with its
+// earlier record as the only one of the node, and what it passes on.
+func startTask(e era.Era, record *pb.RelayMember) (*membersTask, *restoreCalls) {
+	task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 9}, nil, route.New(route.Config{Start: time.Now()}), nil,
+		newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
+	got := &restoreCalls{}
+	task.restore = func(_ targetstate.Announcement, final bool) { got.calls, got.final = got.calls+1, final }
+	task.recordDraining = func(targetstate.Announcement) { got.draining = true }
+	task.merge([]*pb.RelayMember{{Vm: "other", Address: "other:1", Incarnation: 1}, record})
+	task.loaded, task.loadedEra, task.queries.started = true, e, true
+	task.queries.pending = map[string]bool{"other:1": true}
+	task.restorePrevious()
+	return task, got
+}
+
+// earlierRecord returns a record of an earlier incarnation of the node, written in an era.
+func earlierRecord(e uint64, stopped bool) *pb.RelayMember {
+	return &pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 5, Revision: 2, TargetId: "i-1", Stopped: stopped, StoreEra: e}
+}
+
+// Guards against a node that uses its target because of a record of an earlier era, while
+// the store may have lost a later one which says that the target is draining.
+func TestRecordOfEarlierEraIsNotTrustedAlone(t *testing.T) {
+	task, got := startTask(2, earlierRecord(1, false))
+	require.Zero(t, got.calls, "other nodes have not responded yet")
+	drained := earlierRecord(0, false)
+	drained.Revision, drained.TargetLeaving = 3, true
+	task.applySync("other:1", time.Now(), &pb.SyncResponse{Members: []*pb.RelayMember{drained}})
+	task.startupQueryDone("other:1", true)
+	require.True(t, got.draining)
+	require.Equal(t, 1, got.calls)
+	require.True(t, task.previous.GetTargetLeaving())
+}
+
+// Guards against a stop of an earlier incarnation that a copy of the store has brought
+// back, and because of which a target is used without a new announcement.
+func TestStopOfEarlierEraIsNotFinal(t *testing.T) {
+	task, got := startTask(2, earlierRecord(1, true))
+	task.startupQueryDone("other:1", true)
+	require.Equal(t, &restoreCalls{calls: 1}, got)
+}
+
+// Guards against a node that does not use its target because no other node that could
+// know of a drain has responded, after the two announcements have become the proof.
+func TestUnansweredQueriesLeaveTheProofToTheTarget(t *testing.T) {
+	task, got := startTask(2, earlierRecord(1, false))
+	task.startupQueryDone("other:1", false)
+	require.Zero(t, got.calls)
+	task.startupQueryDone("other:1", true)
+	task.restorePrevious()
+	require.Equal(t, 1, got.calls, "a node that responds later")
+}
+
+// Guards against waits for other nodes where the store has lost nothing.
+func TestRecordOfSameEraIsTrustedAtOnce(t *testing.T) {
+	for _, e := range []uint64{0, 4} {
+		_, got := startTask(era.Era(e), earlierRecord(e, false))
+		require.Equal(t, &restoreCalls{calls: 1}, got)
+	}
+}
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -184,6 +184,7 @@
 	if err == nil {
 		t.applySync(address, requestedAt, response)
 		t.startupQueryDone(address, response.GetConfigVersion() > 0)
+		t.restorePrevious()
 		return
 	}
 	t.startupQueryDone(address, false)
