Acknowledge a drain once the store and another node hold it

The acknowledgement now waits until both the store and another node hold the announcement, to which it is sent at once. After 350 ms one of the two suffices, and without other nodes the store does.

--- a/node/relay/drainrecord.go
+++ b/node/relay/drainrecord.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -12,12 +13,13 @@
 // An acknowledgement that the target is draining binds later incarnations of this node
 // too. A process keeps nothing when it is killed, so the acknowledgement is given once
 // the announcement of the node, which says so, is held outside the process: by the
-// store or, while the store does not respond, by another node, which returns it to the
-// next incarnation.
+// store, which may lose it when it returns from a copy, and by another node, which returns
+// it to the next incarnation. While one of them does not respond, the other one suffices.
 
 const (
-	// storeRecordWait is how long only the store counts as holding the announcement.
-	storeRecordWait = 350 * time.Millisecond
+	// bothRecordWait is how long the announcement has to be held by both the store and
+	// another node.
+	bothRecordWait = 350 * time.Millisecond
 	// drainRecordWait limits the wait. A target waits one second for a response.
 	drainRecordWait = 750 * time.Millisecond
 )
@@ -29,8 +31,8 @@
 // drainWaiter waits until an announcement of this node is held outside the process.
 type drainWaiter struct {
 	revision uint64
-	// peerCounts is when another node suffices.
-	peerCounts time.Time
+	// oneSuffices is when the store or another node suffices.
+	oneSuffices time.Time
 	expires    time.Time
 	recorded   chan struct{}
 }
@@ -39,13 +41,14 @@
 // the process. It must not be called by the task.
 func (t *membersTask) awaitDrainRecorded() error {
 	started := time.Now()
-	waiter := drainWaiter{peerCounts: started.Add(storeRecordWait), expires: started.Add(drainRecordWait), recorded: make(chan struct{})}
+	waiter := drainWaiter{oneSuffices: started.Add(bothRecordWait), expires: started.Add(drainRecordWait), recorded: make(chan struct{})}
 	timeout := time.NewTimer(drainRecordWait)
 	defer timeout.Stop()
 	select {
 	case t.events <- func() {
 		waiter.revision = t.self.GetRevision()
 		t.drainWaiters = append(t.drainWaiters, waiter)
+		t.drainUnsent = true
 	}:
 	case <-timeout.C:
 		return ErrNotRecorded
@@ -62,7 +65,7 @@
 // and drops those that have expired.
 func (t *membersTask) notifyDrainWaiters(now time.Time) {
 	t.drainWaiters = slices.DeleteFunc(t.drainWaiters, func(w drainWaiter) bool {
-		if t.published >= w.revision || t.heldByPeer >= w.revision && now.After(w.peerCounts) {
+		if t.isRecorded(w, now) {
 			close(w.recorded)
 			return true
 		}
@@ -70,6 +73,24 @@
 	})
 }
 
+// isRecorded reports whether the announcement that a waiter waits for is held outside the
+// process.
+func (t *membersTask) isRecorded(w drainWaiter, now time.Time) bool {
+	byStore, byPeer := t.published >= w.revision, t.heldByPeer >= w.revision || !t.hasOthers()
+	if now.After(w.oneSuffices) {
+		return byStore || t.heldByPeer >= w.revision
+	}
+	return byStore && byPeer
+}
+
+// sendDrain passes the announcement of a drain on to another node at once.
+func (t *membersTask) sendDrain(ctx context.Context) {
+	if t.drainUnsent {
+		t.drainUnsent = false
+		t.syncWithNext(ctx)
+	}
+}
+
 // notePeerHolds records that another node has received an announcement of this node.
 func (t *membersTask) notePeerHolds(sent *pb.RelayMember) {
 	if sent.GetIncarnation() == t.self.GetIncarnation() {
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -74,6 +74,9 @@
 	heldByPeer uint64
 	// drainWaiters wait until an announcement is held outside this process.
 	drainWaiters []drainWaiter
+	// drainUnsent is set until an announcement that is waited for has been sent to
+	// another node.
+	drainUnsent bool
 	// loaded is set once the members topic has been read completely.
 	loaded bool
 	// loadedEra is the era in which the members topic was read completely.
@@ -171,6 +174,7 @@
 			t.startQueries(ctx)
 		}
 		t.publish(ctx)
+		t.sendDrain(ctx)
 		t.notifyDrainWaiters(time.Now())
 	}
 }
