Wait for reports of others if a starting node finds none

TestNodeStartedAfterReturnFromCopyServesLostVersion failed once in a full run of platform: 404 at a node that was ready. The copy lacked the records of all other nodes, so the starting node found nobody to compare with and put the older version in force.

Such a node now holds its configuration back until another one has reported itself, which those that see a later era do every 250 ms, or for one second. A store that does not tell its era loses nothing, so nothing is held back there.

--- a/node/relay/drainrecord.go
+++ b/node/relay/drainrecord.go
@@ -33,8 +33,8 @@
 	revision uint64
 	// oneSuffices is when the store or another node suffices.
 	oneSuffices time.Time
-	expires    time.Time
-	recorded   chan struct{}
+	expires     time.Time
+	recorded    chan struct{}
 }
 
 // awaitDrainRecorded waits until the current announcement of this node is held outside
--- a/node/relay/startup.go
+++ b/node/relay/startup.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/primrosemount/primrosemount/core/era"
 )
 
 // A node that starts does not know whether the store has returned from a copy lately, so
@@ -33,13 +35,17 @@
 	heldSince time.Time
 }
 
-// startQueries compares with other nodes as soon as some are known.
+// startQueries compares with other nodes as soon as some are known. If the store has no
+// records of others, it may have lost them, so others may report themselves.
 func (t *membersTask) startQueries(ctx context.Context) {
 	if t.queries.started {
 		return
 	}
 	others := slices.DeleteFunc(t.roster.Members(), t.isSelf)
-	if !t.loaded && len(others) == 0 {
+	if len(others) == 0 {
+		if t.loaded && t.loadedEra == era.Unknown {
+			t.finishQueries()
+		}
 		return
 	}
 	t.queries.started = true
@@ -74,7 +80,12 @@
 		t.queries.started = false
 		return
 	}
-	t.queries.ended = true
+	t.finishQueries()
+}
+
+// finishQueries makes the node use what it knows by now.
+func (t *membersTask) finishQueries() {
+	t.queries.started, t.queries.ended = true, true
 	t.config.release()
 	t.restorePrevious()
 }
@@ -91,6 +102,6 @@
 	}
 	if now.Sub(t.queries.heldSince) >= startupTimeout {
 		t.logger.Info("The first configuration comes into force before the node could compare with others.", zap.Int("pending", len(t.queries.pending)))
-		t.config.release()
+		t.finishQueries()
 	}
 }
