Let readers write announcements that the store lacks and their nodes cannot write

After the store had returned from a copy, a drain that it had lost was known only to the memory of other nodes if its own node was gone: once these had restarted too, or for nodes that started later, the target was ready again.

Readers compare what they read of the members topic with their view, by digest, once a second. What is missing for 1.5 s is written by the first reader of its zone, later by the others, in one append that takes effect only if the topic still ends where it was read. Such records tell no era, since the writer cannot know whether there was a newer one. Nothing is written while nothing is missing.

The stand-in of the store takes several records and as_of.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -64,7 +64,7 @@
 		return r.mergeEarlierDrain(m, known)
 	}
 	if ok {
-		r.digest -= announcementHash(known)
+		r.digest -= AnnouncementHash(known)
 		if known.GetTargetLeaving() {
 			r.drained[m.GetVm()] = known
 		}
@@ -72,7 +72,7 @@
 	if m.GetTargetLeaving() || !mayBeTarget(m, r.drained[m.GetVm()]) {
 		delete(r.drained, m.GetVm())
 	}
-	r.digest += announcementHash(m)
+	r.digest += AnnouncementHash(m)
 	r.changes++
 	r.changedAt[m.GetVm()] = r.changes
 	r.members[m.GetVm()] = m
@@ -158,9 +158,10 @@
 // Digest returns a hash of the view. Equal views have equal digests.
 func (r *Roster) Digest() uint64 { return r.digest }
 
-// announcementHash returns a hash of the VM, incarnation and revision, which
-// together identify an announcement.
-func announcementHash(m *pb.RelayMember) uint64 {
+// AnnouncementHash returns a hash of the VM, incarnation and revision, which
+// together identify an announcement. The digest of a view is the sum of those of its
+// announcements.
+func AnnouncementHash(m *pb.RelayMember) uint64 {
 	return hash(m.GetVm(), m.GetIncarnation(), m.GetRevision())
 }
 
--- a/internal/standin/logservice/http.go
+++ b/internal/standin/logservice/http.go
@@ -76,19 +76,43 @@
 
 func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAppendBytes))
-	if err != nil || len(body) < lengthPrefixBytes || int(binary.BigEndian.Uint32(body)) != len(body)-lengthPrefixBytes {
-		http.Error(w, "the body is not one whole record", http.StatusBadRequest)
+	records, whole := splitRecords(body)
+	if err != nil || !whole {
+		http.Error(w, "the body does not consist of whole records", http.StatusBadRequest)
 		return
 	}
-	offset, err := s.Append(r.Context(), r.URL.Query().Get("topic"), body[lengthPrefixBytes:])
+	condition := noCondition
+	if text := r.URL.Query().Get("as_of"); text != "" {
+		if condition, err = strconv.ParseInt(text, 10, 64); err != nil || condition < 0 {
+			http.Error(w, "as_of must be an offset", http.StatusBadRequest)
+			return
+		}
+	}
+	offset, err := s.appendAll(r.Context(), r.URL.Query().Get("topic"), records, condition)
 	switch {
+	case errors.Is(err, errEndDiffers):
+		writeJSON(w, http.StatusPreconditionFailed, map[string]uint64{"end": offset})
 	case errors.Is(err, streamlog.ErrRefused):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	case err != nil:
 		panic(http.ErrAbortHandler)
 	default:
-		writeJSON(w, http.StatusOK, map[string]uint64{"offset": offset, "end": offset + 1})
+		writeJSON(w, http.StatusOK, map[string]uint64{"offset": offset, "end": offset + uint64(len(records))})
+	}
+}
+
+// splitRecords splits records with their length prefixes. It reports whether there is at
+// least one and all are whole.
+func splitRecords(body []byte) (records [][]byte, whole bool) {
+	for len(body) >= lengthPrefixBytes {
+		size := int(binary.BigEndian.Uint32(body))
+		if size > len(body)-lengthPrefixBytes {
+			return nil, false
+		}
+		records = append(records, body[lengthPrefixBytes:lengthPrefixBytes+size])
+		body = body[lengthPrefixBytes+size:]
 	}
+	return records, len(records) > 0 && len(body) == 0
 }
 
 func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -118,6 +118,19 @@
 
 // Append implements streamlog.Log.
 func (s *Service) Append(ctx context.Context, name string, data []byte) (uint64, error) {
+	return s.appendAll(ctx, name, [][]byte{data}, noCondition)
+}
+
+// noCondition lets an append take effect wherever the stream ends.
+const noCondition int64 = -1
+
+// errEndDiffers is returned for an append whose condition does not hold.
+var errEndDiffers = errors.New("the stream ends at another offset")
+
+// appendAll appends records in one step, if the stream ends at the offset in condition or
+// there is none. It returns the offset of the first record, or the end of the stream with
+// errEndDiffers.
+func (s *Service) appendAll(ctx context.Context, name string, records [][]byte, condition int64) (uint64, error) {
 	faults, err := s.applyFaults(ctx)
 	if err != nil {
 		return 0, err
@@ -126,10 +139,13 @@
 		return 0, errors.Wrap(streamlog.ErrRefused, "rate limit")
 	}
 	if faults.AppendLateBy > 0 {
-		time.AfterFunc(faults.AppendLateBy, func() { s.append(name, data) })
+		time.AfterFunc(faults.AppendLateBy, func() { s.store(name, records, condition) })
 		return 0, errors.Wrap(streamlog.ErrAppendUnknown, "answer lost")
 	}
-	offset := s.append(name, data)
+	offset, holds := s.store(name, records, condition)
+	if !holds {
+		return offset, errEndDiffers
+	}
 	if faults.LoseAppendResponses {
 		return 0, errors.Wrap(streamlog.ErrAppendUnknown, "answer lost")
 	}
@@ -138,19 +154,36 @@
 
 // append stores a record and returns its offset.
 func (s *Service) append(name string, data []byte) uint64 {
+	offset, _ := s.store(name, [][]byte{data}, noCondition)
+	return offset
+}
+
+// store stores records if the condition holds, which it reports, and returns the offset of
+// the first one or else the end of the stream.
+func (s *Service) store(name string, records [][]byte, condition int64) (offset uint64, holds bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	st := s.stream(name)
+	end := st.firstOffset + uint64(len(st.records))
+	if condition != noCondition && uint64(condition) != end {
+		return end, false
+	}
+	for _, data := range records {
+		s.storeOne(st, data)
+	}
+	s.wakeReaders()
+	return end, true
+}
+
+// storeOne stores a record. The mutex must be held.
+func (s *Service) storeOne(st *stream, data []byte) {
 	st.records = append(st.records, append([]byte(nil), data...))
 	st.updateNewest(data)
 	s.appends++
-	s.wakeReaders()
-	offset := st.firstOffset + uint64(len(st.records)) - 1
 	if excess := len(st.records) - s.config.Retain; s.config.Retain > 0 && excess > 0 {
 		st.records = st.records[excess:]
 		st.firstOffset += uint64(excess)
 	}
-	return offset
 }
 
 // Read implements streamlog.Log.
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -67,6 +67,8 @@
 	rewriteRevision uint64
 	// returnSeen is when this node saw that the store had returned from a copy.
 	returnSeen time.Time
+	// stored is what the store has of the members, as far as this node reads it.
+	stored storedMembers
 	// storeRates are the limits of the store on the calls of all nodes together.
 	storeRates StoreRates
 	// heldByPeer is the highest revision of this node's announcement that another
@@ -135,6 +137,7 @@
 		logger:         logger,
 		roster:         roster.New(),
 		self:           self,
+		stored:         newStoredMembers(),
 		routedServices: make(map[string]bool),
 		syncing:        make(map[string]bool),
 		started:        time.Now(),
@@ -211,8 +214,8 @@
 	t.merge([]*pb.RelayMember{t.self})
 }
 
-// records applies member records read from the store in an era.
-func (t *membersTask) records(records []Record, e era.Era) {
+// records applies the member records that the store has before a position.
+func (t *membersTask) records(records []Record, next era.Position) {
 	members := make([]*pb.RelayMember, 0, len(records))
 	// ownRecordReplaced is set if another writer deleted this node's record or
 	// replaced it with one that cannot be decoded. merge handles valid records.
@@ -232,7 +235,8 @@
 		members = append(members, m)
 	}
 	t.events <- func() {
-		t.noteOwnRecord(members, e)
+		t.stored.apply(records, members, next)
+		t.noteOwnRecord(members, next.Era)
 		t.merge(members)
 		if ownRecordReplaced {
 			t.reannounce()
--- a/node/relay/propagation_test.go
+++ b/node/relay/propagation_test.go
@@ -193,6 +193,8 @@
 	return nil, era.Position{}, nil
 }
 
+func (idleTopic) PutAll(context.Context, []Record, era.Position) error { return ErrUnavailable }
+
 func (idleTopic) Read(ctx context.Context, _ era.Position, wait time.Duration) (Batch, error) {
 	sleep(ctx, wait)
 	return Batch{Complete: true}, ctx.Err()
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -46,6 +46,10 @@
 	// Put writes a record of a key and returns its position. After ErrPutUnknown the
 	// record may have been written.
 	Put(ctx context.Context, key string, value []byte) (era.Position, error)
+	// PutAll writes several records if the topic ends at a position, and nothing
+	// otherwise, in which case it returns ErrConflict. After ErrPutUnknown the records
+	// may have been written.
+	PutAll(ctx context.Context, records []Record, end era.Position) error
 }
 
 // Errors returned by a Topic, possibly wrapped.
@@ -55,6 +59,8 @@
 	ErrHistoryDropped = errors.New("relay: the store no longer retains the records; read the newest record of each key instead")
 	// ErrPutUnknown is returned by Put if the response of the store was lost.
 	ErrPutUnknown = errors.New("relay: the record may have been written; write it again, which replaces it")
+	// ErrConflict is returned by PutAll if the topic does not end at the position.
+	ErrConflict = errors.New("relay: the topic has changed and nothing was written; read the changes first")
 	// ErrUnavailable is returned if the store refused the call or did not respond.
 	ErrUnavailable = errors.New("relay: the store refused the call or did not respond; the node retries it later")
 )
@@ -80,8 +86,9 @@
 	// pause is the time without reads after a change. It combines changes that occur in
 	// quick succession into one read.
 	pause time.Duration
-	// apply processes records in the order of their offsets. All are of one era.
-	apply func(records []Record, e era.Era)
+	// apply processes the records before a position in the order of their offsets. All
+	// are of its era.
+	apply func(records []Record, next era.Position)
 	// eraSpread returns the time over which nodes distribute their reads after the
 	// store has returned from a copy.
 	eraSpread func() time.Duration
@@ -89,7 +96,9 @@
 	// copy is complete, or zero if it is not complete, and the time of the
 	// response.
 	recordResponse func(asOf, responded time.Time)
-	// loaded is called each time a complete copy has been read, with its era.
+	// reset is called before the records of a complete copy are applied, and loaded
+	// after that, with the era of the copy.
+	reset  func()
 	loaded func(era.Era)
 	// eraSeen is called with the era of each response.
 	eraSeen func(era.Era)
@@ -146,12 +155,12 @@
 // and the members current from the store.
 func (t *membersTask) followers(configTopic Topic) (config, members *follower) {
 	members = &follower{name: "members", topic: t.topic, logger: t.logger, role: t.role, pause: memberReadPause,
-		loaded: t.storeLoaded, apply: t.records, eraSeen: t.observeStoreEra, eraSpread: t.readSpread, recordResponse: func(time.Time, time.Time) {},
+		reset: t.resetStored, loaded: t.storeLoaded, apply: t.records, eraSeen: t.observeStoreEra, eraSpread: t.readSpread, recordResponse: func(time.Time, time.Time) {},
 		wait: func() time.Duration { return memberReadWait }, slack: shortReadTimeout,
 		maxRetryWait: maxRetryWait, responded: func() {}}
 	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
-		loaded: func(era.Era) {}, recordResponse: t.config.recordResponse, eraSeen: t.observeStoreEra, eraSpread: t.readSpread,
-		apply: func(records []Record, _ era.Era) { t.config.apply(records) },
+		reset: func() {}, loaded: func(era.Era) {}, recordResponse: t.config.recordResponse, eraSeen: t.observeStoreEra, eraSpread: t.readSpread,
+		apply: func(records []Record, _ era.Position) { t.config.apply(records) },
 		pause: t.rules.Pause(), wait: t.configWait, slack: t.rules.PollGrace(),
 		// While the store refuses reads, the node receives changes from peers, so
 		// long waits do no harm.
@@ -226,7 +235,8 @@
 			return era.Position{}, err
 		}
 		f.eraSeen(after.Era)
-		f.apply(records, after.Era)
+		f.reset()
+		f.apply(records, after)
 		f.recordResponse(requestedAt, time.Now())
 		return after, nil
 	}
@@ -246,7 +256,7 @@
 			zap.Uint64("era", uint64(batch.Next.Era)), zap.Uint64("position_era", uint64(next.Era)), zap.Uint64("offset", next.Offset))
 		return era.Position{}, errEraChanged
 	}
-	f.apply(batch.Records, batch.Next.Era)
+	f.apply(batch.Records, batch.Next)
 	respondedAt := time.Now()
 	f.recordResponse(asOf(batch, next, requestedAt, respondedAt, wait), respondedAt)
 	if batch.Next.Offset == next.Offset && respondedAt.Sub(requestedAt) < wait/2 {
--- a/node/relay/storeera_test.go
+++ b/node/relay/storeera_test.go
@@ -232,3 +232,56 @@
 		require.Equal(t, &restoreCalls{calls: 1}, got)
 	}
 }
+
+// Guards against a node that starts while the store has lost the records of all others, and
+// serves an older version than they do before they have reported themselves.
+func TestNodeThatFindsNoOthersWaitsForTheirReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 9}, idleTopic{}, route.New(route.Config{Start: time.Now()}),
+			func(context.Context, string, *pb.SyncRequest) (*pb.SyncResponse, error) {
+				return &pb.SyncResponse{ConfigVersion: 2, Config: document(2), StoreEra: 2}, nil
+			}, newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			task.run(ctx)
+			close(ended)
+		}()
+		task.config.offer(document(1), storeOrigin)
+		task.storeLoaded(2)
+		time.Sleep(startupTimeout / 2)
+		require.Zero(t, task.config.version())
+		other := &pb.RelayMember{Vm: "other", Address: "other:1", Incarnation: 1}
+		task.serveSync(ctx, &pb.SyncRequest{SenderAddress: "other:1", Self: other, ConfigVersion: 2}, &pb.SyncResponse{})
+		synctest.Wait()
+		require.Equal(t, uint64(2), task.config.version())
+		cancel()
+		<-ended
+	})
+}
+
+// Guards against a node that never serves because it is the only one.
+func TestOnlyNodeServesAfterTheWaitForOthers(t *testing.T) {
+	for _, c := range []struct {
+		era  era.Era
+		wait time.Duration
+	}{{era.Unknown, 0}, {2, startupTimeout + 2*tickInterval}} {
+		synctest.Test(t, func(t *testing.T) {
+			task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 9}, idleTopic{}, route.New(route.Config{Start: time.Now()}), nil,
+				newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() {
+				task.run(ctx)
+				close(ended)
+			}()
+			task.config.offer(document(1), storeOrigin)
+			task.storeLoaded(c.era)
+			time.Sleep(c.wait)
+			synctest.Wait()
+			require.Equal(t, uint64(1), task.config.version())
+			cancel()
+			<-ended
+		})
+	}
+}
--- a/node/relay/storerole_test.go
+++ b/node/relay/storerole_test.go
@@ -77,7 +77,7 @@
 	topic := &countingTopic{}
 	loaded := make(chan struct{}, 1)
 	f := &follower{name: "members", topic: topic, logger: zap.NewNop(), role: newStoreRole(), pause: time.Millisecond,
-		apply: func([]Record, era.Era) {}, eraSeen: func(era.Era) {}, eraSpread: func() time.Duration { return 0 }, recordResponse: func(time.Time, time.Time) {}, loaded: func(era.Era) { loaded <- struct{}{} },
+		apply: func([]Record, era.Position) {}, reset: func() {}, eraSeen: func(era.Era) {}, eraSpread: func() time.Duration { return 0 }, recordResponse: func(time.Time, time.Time) {}, loaded: func(era.Era) { loaded <- struct{}{} },
 		wait: func() time.Duration { return time.Second }, slack: time.Second, maxRetryWait: time.Second, responded: func() {}}
 	require.True(t, f.role.set(false))
 	require.False(t, f.role.set(false))
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -60,6 +60,7 @@
 	if len(t.drainWaiters) > 0 {
 		t.syncWithNext(ctx)
 	}
+	t.repairStore(ctx, now)
 	t.startQueries(ctx)
 	t.releaseOverdue(now)
 	if now.Before(t.comparesUntil) {
