Notice sooner that reads of the store have gone silent

Found by schedules in virtual time: after connections to the store had gone silent at its return, nodes were current 3.5 s later and more, while nodes are to be current 3 s after such a reset (bound 2 s: 2.5 s of wait and 1 s of grace). A node that was told of the return by another one also went on with a wait of up to 2 s after a failed read.

The grace is now 0.2 instead of 0.5 of the bound, the first read after a failed one is repeated after 20 ms, and a report of a later era ends the wait.

--- a/core/freshness/rules.go
+++ b/core/freshness/rules.go
@@ -27,8 +27,9 @@
 	// combines changes in quick succession into one read.
 	pausePercent = 15
 	// pollGracePercent is the time that a read may take beyond its long-poll
-	// wait before it counts as overdue.
-	pollGracePercent = 50
+	// wait before it counts as overdue. Both together stay below 150 percent of the
+	// bound: that long after connections have gone silent, nodes have to be current.
+	pollGracePercent = 20
 	// eraComparePercent is how long a node compares with other nodes, in percent of
 	// the propagation bound, before it relies on responses of the store again after the
 	// store has returned from a copy. A version that any node has reaches all others in
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -69,7 +69,10 @@
 	// memberReadWait is how long one read waits for changes of members. It is long
 	// because each call to the store is billed, and peers report changes as well.
 	memberReadWait = 10 * time.Second
-	// minRetryWait and maxRetryWait limit the exponential backoff after failed
+	// firstRetryWait is the wait after a read that failed although the one before did
+	// not. Its connection may have gone silent.
+	firstRetryWait = 20 * time.Millisecond
+	// minRetryWait and maxRetryWait limit the exponential backoff after further failed
 	// reads of the members.
 	minRetryWait = 100 * time.Millisecond
 	maxRetryWait = time.Second
@@ -116,6 +119,8 @@
 	unavailable atomic.Bool
 	// interrupt cancels the read in progress.
 	interrupt atomic.Pointer[context.CancelCauseFunc]
+	// retry ends the wait after a failed read.
+	retry chan struct{}
 	// positionEra is the era of the position in the topic. readAnew is set if the copy
 	// must be read completely because there is a later one.
 	positionEra atomic.Uint64
@@ -138,9 +143,13 @@
 	f.restart()
 }
 
-// restart cancels the read in progress and starts a new one. It is called when the
-// response to a waiting read may have been lost.
+// restart cancels the read in progress, or the wait after a failed one, and starts a new
+// one. It is called when the response to a waiting read may have been lost.
 func (f *follower) restart() {
+	select {
+	case f.retry <- struct{}{}:
+	default:
+	}
 	if cancel := f.interrupt.Load(); cancel != nil {
 		(*cancel)(errInterrupted)
 	}
@@ -154,11 +163,11 @@
 // followers returns the followers that keep the local copies of the configuration
 // and the members current from the store.
 func (t *membersTask) followers(configTopic Topic) (config, members *follower) {
-	members = &follower{name: "members", topic: t.topic, logger: t.logger, role: t.role, pause: memberReadPause,
+	members = &follower{retry: make(chan struct{}, 1), name: "members", topic: t.topic, logger: t.logger, role: t.role, pause: memberReadPause,
 		reset: t.resetStored, loaded: t.storeLoaded, apply: t.records, eraSeen: t.observeStoreEra, eraSpread: t.readSpread, recordResponse: func(time.Time, time.Time) {},
 		wait: func() time.Duration { return memberReadWait }, slack: shortReadTimeout,
 		maxRetryWait: maxRetryWait, responded: func() {}}
-	config = &follower{name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
+	config = &follower{retry: make(chan struct{}, 1), name: "configuration", topic: configTopic, logger: t.logger, role: t.configRole,
 		reset: func() {}, loaded: func(era.Era) {}, recordResponse: t.config.recordResponse, eraSeen: t.observeStoreEra, eraSpread: t.readSpread,
 		apply: func(records []Record, _ era.Position) { t.config.apply(records) },
 		pause: t.rules.Pause(), wait: t.configWait, slack: t.rules.PollGrace(),
@@ -180,7 +189,7 @@
 
 // run follows the topic until the context ends.
 func (f *follower) run(ctx context.Context) {
-	wait := minRetryWait
+	wait := firstRetryWait
 	next, known := era.Position{}, false
 	for ctx.Err() == nil {
 		if known {
@@ -201,11 +210,11 @@
 		if err != nil {
 			known = known && !isPositionLost(err)
 			if errors.Is(err, errEraChanged) {
-				sleep(ctx, jitter(minRetryWait)+rand.N(f.eraSpread()+1))
+				sleep(ctx, jitter(firstRetryWait)+rand.N(f.eraSpread()+1))
 				continue
 			}
-			sleep(ctx, jitter(wait))
-			wait = min(2*wait, f.maxRetryWait)
+			f.awaitRetry(ctx, jitter(wait))
+			wait = min(max(2*wait, minRetryWait), f.maxRetryWait)
 			continue
 		}
 		if !known {
@@ -214,11 +223,22 @@
 		if after.Offset != next.Offset && known {
 			sleep(ctx, f.pause)
 		}
-		next, known, wait = after, true, minRetryWait
+		next, known, wait = after, true, firstRetryWait
 		f.positionEra.Store(uint64(next.Era))
 	}
 }
 
+// awaitRetry waits until a failed read is repeated.
+func (f *follower) awaitRetry(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.retry:
+	}
+}
+
 // isPositionLost reports whether a read failed because its position names no record, or
 // another one than before.
 func isPositionLost(err error) bool {
