Let any node that reads the members write missing announcements

Found by schedules in virtual time: once all readers of a zone were gone for good, nobody wrote what the store had lost. Nodes that follow the members because no reader responds now take their turn after the readers.

--- a/node/relay/storedmembers.go
+++ b/node/relay/storedmembers.go
@@ -16,8 +16,8 @@
 
 // Each node writes its own announcement to the store. A node that has been killed cannot,
 // and one that the store refuses cannot either. If the store lacks an announcement that
-// other nodes have, such as a drain that it lost when it returned from a copy, a reader of
-// the members writes it.
+// other nodes have, such as a drain that it lost when it returned from a copy, a node that
+// reads the members writes it.
 
 const (
 	// repairDelay is how long an announcement is missing on the store before the first
@@ -93,7 +93,7 @@
 
 // repairStore writes announcements that the store has lacked for long enough.
 func (t *membersTask) repairStore(ctx context.Context, now time.Time) {
-	if t.ticks%repairTicks != 0 || t.stored.writing || !t.isReader() || !t.readsCurrentMembers() {
+	if t.ticks%repairTicks != 0 || t.stored.writing || !t.readsCurrentMembers() {
 		return
 	}
 	if t.stored.digest == t.roster.Digest() {
@@ -120,7 +120,8 @@
 }
 
 // isMissingLongEnough reports whether the store has lacked an announcement for so long
-// that this node writes it. The readers of its zone come first, one after the other.
+// that this node writes it. The readers of its zone come first, one after the other, then
+// all others that read the members, because no reader responds to them.
 func (t *membersTask) isMissingLongEnough(m *pb.RelayMember, now time.Time) bool {
 	if t.isSelf(m) || !t.stored.lacks(m) {
 		delete(t.stored.missingSince, m.GetVm())
