Ask the nodes that hold a drain when a node starts

Found by schedules in virtual time: a drain that one other node held, and that the store lost at once, was not known to the nodes which the next incarnation asked, so the target was used for up to half a second. A node that found nobody, because the store had lost all records, took that for a proof that there was no drain.

A drain is now sent to two nodes that follow from the view: the first readers of the zone or else of the fleet. A starting node asks the same two, also those that it learns of from the first responses, and relies on its old record only if they respond, or another node a second later. Otherwise its target has to announce itself twice. The store alone suffices for an acknowledgement 1.2 s after the first call of the target only, since it may lose the announcement.

The stand-in of the store tells no era unless a test asks for it, like an older store, so that the earlier tests show what holds there.

--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -37,6 +37,23 @@
 	return view.readers[:min(primaryCount(view.size), len(view.readers))]
 }
 
+// maxHolders is the maximum number of nodes that hold what a node has announced until it
+// has reached the others.
+const maxHolders = 2
+
+// Holders returns the nodes that first receive what the node on a VM announces, and that
+// its next incarnation asks for it: the first readers of its zone or, if it is the only
+// member of its zone, of all members. A node and its next incarnation determine the same
+// ones if their views agree.
+func (r *Roster) Holders(vm, zone string) []*pb.RelayMember {
+	others := func(m *pb.RelayMember) bool { return m.GetVm() != vm && !m.GetStopped() }
+	holders := r.rank(func(m *pb.RelayMember) bool { return others(m) && m.GetZone() == zone })
+	if len(holders) == 0 {
+		holders = r.rank(others)
+	}
+	return holders[:min(maxHolders, len(holders))]
+}
+
 // zoneView is derived from the members of a zone. It is computed once after
 // each change of the roster.
 type zoneView struct {
@@ -61,20 +78,26 @@
 }
 
 func (r *Roster) computeZone(zone string) zoneView {
-	var members []rankedMember
+	members := r.rank(func(m *pb.RelayMember) bool { return m.GetZone() == zone && !m.GetStopped() })
+	return zoneView{readers: slices.Clone(members[:min(readerCount(len(members)), len(members))]), size: len(members)}
+}
+
+// rank returns the members that match, in the order of readers.
+func (r *Roster) rank(matches func(*pb.RelayMember) bool) []*pb.RelayMember {
+	var ranked []rankedMember
 	for _, m := range r.members {
-		if m.GetZone() == zone && !m.GetStopped() {
-			members = append(members, rankedMember{rank: xxhash.Sum64String(m.GetVm()), member: m})
+		if matches(m) {
+			ranked = append(ranked, rankedMember{rank: xxhash.Sum64String(m.GetVm()), member: m})
 		}
 	}
-	slices.SortFunc(members, func(a, b rankedMember) int {
+	slices.SortFunc(ranked, func(a, b rankedMember) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.member.GetVm(), b.member.GetVm()))
 	})
-	readers := make([]*pb.RelayMember, 0, readerCount(len(members)))
-	for _, m := range members[:min(readerCount(len(members)), len(members))] {
-		readers = append(readers, m.member)
+	members := make([]*pb.RelayMember, 0, len(ranked))
+	for _, m := range ranked {
+		members = append(members, m.member)
 	}
-	return zoneView{readers: readers, size: len(members)}
+	return members
 }
 
 func readerCount(members int) int { return max(minReaders, primaryCount(members)) }
--- a/internal/standin/logservice/copy.go
+++ b/internal/standin/logservice/copy.go
@@ -15,30 +15,33 @@
 	return Copy{streams: cloneStreams(s.streams)}
 }
 
-// Restore replaces the content by a copy and starts the next era: records appended
-// since the copy was made are lost, and their offsets are given out again. A copy can
-// be restored several times.
+// Restore replaces the content by a copy: records appended since the copy was made are
+// lost, and their offsets are given out again. It starts the next era if responses tell
+// the era. A copy can be restored several times.
 func (s *Service) Restore(c Copy) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.streams = cloneStreams(c.streams)
-	s.era++
+	s.returns++
+	if s.era > 0 {
+		s.era++
+	}
 	s.wakeReaders()
 }
 
-// SetEra sets the era that responses tell. 0 makes them tell none, like a store that
-// does not know eras.
+// SetEra sets the era that responses tell. A new service tells none, like a store that
+// does not know eras, and neither does it for 0.
 func (s *Service) SetEra(era uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.era = era
 }
 
-// Era returns the present era.
-func (s *Service) Era() uint64 {
+// eraAndReturns returns the present era and the number of returns from a copy.
+func (s *Service) eraAndReturns() (era uint64, returns int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.era
+	return s.era, s.returns
 }
 
 // wakeReaders ends the waits of all reads. The mutex must be held.
--- a/internal/standin/logservice/http.go
+++ b/internal/standin/logservice/http.go
@@ -32,7 +32,8 @@
 	mux.HandleFunc("GET /v1/log-read", s.serveRead)
 	mux.HandleFunc("GET /v1/log-newest", s.serveNewest)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		mux.ServeHTTP(&eraWriter{ResponseWriter: w, service: s, era: s.Era()}, r)
+		era, returns := s.eraAndReturns()
+		mux.ServeHTTP(&eraWriter{ResponseWriter: w, service: s, era: era, returns: returns}, r)
 	})
 }
 
@@ -44,8 +45,9 @@
 type eraWriter struct {
 	http.ResponseWriter
 	service *Service
-	// era is the era in which the call began.
+	// era is the era in which the call began, and returns the number of returns before.
 	era     uint64
+	returns int
 	written bool
 }
 
@@ -66,7 +68,7 @@
 		return
 	}
 	w.written = true
-	if w.service.Era() != w.era {
+	if _, returns := w.service.eraAndReturns(); returns != w.returns {
 		panic(http.ErrAbortHandler)
 	}
 	if w.era > 0 {
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -53,13 +53,12 @@
 	appends uint64
 	// appended is closed and replaced at each append and at each return from a copy.
 	appended chan struct{}
-	// era counts the returns from a copy. 0 means that responses do not tell it.
-	era uint64
+	// era is the era that responses tell. 0 means that they tell none. returns counts
+	// the returns from a copy.
+	era     uint64
+	returns int
 }
 
-// firstEra is the era of a new service.
-const firstEra = 1
-
 type stream struct {
 	// firstOffset is the offset of the oldest record that is kept.
 	firstOffset uint64
@@ -99,7 +98,7 @@
 		limit = rate.Limit(config.AppendsPerSecond)
 	}
 	burst := int(config.AppendsPerSecond) + 1
-	return &Service{config: config, limiter: rate.NewLimiter(limit, burst), streams: make(map[string]*stream), appended: make(chan struct{}), era: firstEra}
+	return &Service{config: config, limiter: rate.NewLimiter(limit, burst), streams: make(map[string]*stream), appended: make(chan struct{})}
 }
 
 // SetFaults replaces the current faults.
--- a/internal/standin/logservice/logservice_test.go
+++ b/internal/standin/logservice/logservice_test.go
@@ -77,6 +77,7 @@
 // does not give their offsets out again.
 func TestRestoredCopyGivesOffsetsOutAgain(t *testing.T) {
 	service := New(Config{})
+	service.SetEra(1)
 	server := httptest.NewServer(service.Handler())
 	defer server.Close()
 	ctx := context.Background()
--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -168,11 +168,18 @@
 	c.held = nil
 }
 
-// isHolding reports whether versions are held back, and whether there is one.
-func (c *configuration) isHolding() (holding, hasVersion bool) {
+// isHolding reports whether versions are held back.
+func (c *configuration) isHolding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.holding, c.held != nil
+	return c.holding
+}
+
+// isHoldingVersion reports whether a version is held back.
+func (c *configuration) isHoldingVersion() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held != nil
 }
 
 // knownVersion returns the newest version that the node knows, whether or not it is in
--- a/node/relay/drainrecord.go
+++ b/node/relay/drainrecord.go
@@ -14,12 +14,16 @@
 // too. A process keeps nothing when it is killed, so the acknowledgement is given once
 // the announcement of the node, which says so, is held outside the process: by the
 // store, which may lose it when it returns from a copy, and by another node, which returns
-// it to the next incarnation. While one of them does not respond, the other one suffices.
+// it to the next incarnation. If one of them does not respond, the other one suffices after
+// a while.
 
 const (
-	// bothRecordWait is how long the announcement has to be held by both the store and
-	// another node.
-	bothRecordWait = 350 * time.Millisecond
+	// peerSufficesAfter is how long after a call of the target another node suffices.
+	peerSufficesAfter = 350 * time.Millisecond
+	// storeSufficesAfter is how long after the first call the store suffices. It is
+	// longer than a call, so that only a repeated call is acknowledged because of the
+	// store alone, which may lose the announcement.
+	storeSufficesAfter = 1200 * time.Millisecond
 	// drainRecordWait limits the wait. A target waits one second for a response.
 	drainRecordWait = 750 * time.Millisecond
 )
@@ -31,22 +35,24 @@
 // drainWaiter waits until an announcement of this node is held outside the process.
 type drainWaiter struct {
 	revision uint64
-	// oneSuffices is when the store or another node suffices.
-	oneSuffices time.Time
-	expires     time.Time
-	recorded    chan struct{}
+	// peerSuffices and storeSuffices are when one holder suffices.
+	peerSuffices  time.Time
+	storeSuffices time.Time
+	expires       time.Time
+	recorded      chan struct{}
 }
 
 // awaitDrainRecorded waits until the current announcement of this node is held outside
 // the process. It must not be called by the task.
 func (t *membersTask) awaitDrainRecorded() error {
 	started := time.Now()
-	waiter := drainWaiter{oneSuffices: started.Add(bothRecordWait), expires: started.Add(drainRecordWait), recorded: make(chan struct{})}
+	waiter := drainWaiter{peerSuffices: started.Add(peerSufficesAfter), expires: started.Add(drainRecordWait), recorded: make(chan struct{})}
 	timeout := time.NewTimer(drainRecordWait)
 	defer timeout.Stop()
 	select {
 	case t.events <- func() {
 		waiter.revision = t.self.GetRevision()
+		waiter.storeSuffices = t.firstDrainCall(started).Add(storeSufficesAfter)
 		t.drainWaiters = append(t.drainWaiters, waiter)
 		t.drainUnsent = true
 	}:
@@ -76,18 +82,28 @@
 // isRecorded reports whether the announcement that a waiter waits for is held outside the
 // process.
 func (t *membersTask) isRecorded(w drainWaiter, now time.Time) bool {
-	byStore, byPeer := t.published >= w.revision, t.heldByPeer >= w.revision || !t.hasOthers()
-	if now.After(w.oneSuffices) {
-		return byStore || t.heldByPeer >= w.revision
+	byStore, byPeer := t.published >= w.revision, t.heldByPeer >= w.revision
+	return byStore && (byPeer || !t.hasOthers() || now.After(w.storeSuffices)) || byPeer && now.After(w.peerSuffices)
+}
+
+// firstDrainCall returns when the present target was first announced to be draining, for
+// a call at now.
+func (t *membersTask) firstDrainCall(now time.Time) time.Time {
+	if t.drainTarget != t.self.GetTargetId() || t.drainCalled.IsZero() {
+		t.drainTarget, t.drainCalled = t.self.GetTargetId(), now
 	}
-	return byStore && byPeer
+	return t.drainCalled
 }
 
-// sendDrain passes the announcement of a drain on to another node at once.
+// sendDrain passes the announcement of a drain at once on to the nodes that the next
+// incarnation of this node asks.
 func (t *membersTask) sendDrain(ctx context.Context) {
-	if t.drainUnsent {
-		t.drainUnsent = false
-		t.syncWithNext(ctx)
+	if !t.drainUnsent {
+		return
+	}
+	t.drainUnsent = false
+	for _, holder := range t.roster.Holders(t.vm, t.self.GetZone()) {
+		t.syncWith(ctx, holder.GetAddress(), "")
 	}
 }
 
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -76,6 +76,10 @@
 	heldByPeer uint64
 	// drainWaiters wait until an announcement is held outside this process.
 	drainWaiters []drainWaiter
+	// drainTarget is the target that was announced to be draining, and drainCalled is
+	// when that was first waited for.
+	drainTarget string
+	drainCalled time.Time
 	// drainUnsent is set until an announcement that is waited for has been sent to
 	// another node.
 	drainUnsent bool
@@ -273,9 +277,10 @@
 }
 
 // knowsPrevious reports whether this node knows what its earlier incarnation had
-// announced: from the store, or from another node that keeps drains.
+// announced: from the store, or from another node that keeps drains. If nobody knows, the
+// target shows by a second announcement that it is not draining.
 func (t *membersTask) knowsPrevious() bool {
-	return t.loaded && (t.isPreviousCurrent() || t.queries.answered || t.queries.ended && !t.hasOthers())
+	return t.loaded && (t.isPreviousCurrent() || t.queries.answered)
 }
 
 // hasOthers reports whether other nodes are known.
--- a/node/relay/storeera_test.go
+++ b/node/relay/storeera_test.go
@@ -183,6 +183,7 @@
 	task.merge([]*pb.RelayMember{{Vm: "other", Address: "other:1", Incarnation: 1}, record})
 	task.loaded, task.loadedEra, task.queries.started = true, e, true
 	task.queries.pending = map[string]bool{"other:1": true}
+	task.queries.asked = map[string]bool{"other:1": true}
 	task.restorePrevious()
 	return task, got
 }
@@ -200,7 +201,7 @@
 	drained := earlierRecord(0, false)
 	drained.Revision, drained.TargetLeaving = 3, true
 	task.applySync("other:1", time.Now(), &pb.SyncResponse{Members: []*pb.RelayMember{drained}})
-	task.startupQueryDone("other:1", true)
+	task.startupQueryDone(t.Context(), "other:1", true)
 	require.True(t, got.draining)
 	require.Equal(t, 1, got.calls)
 	require.True(t, task.previous.GetTargetLeaving())
@@ -210,19 +211,22 @@
 // back, and because of which a target is used without a new announcement.
 func TestStopOfEarlierEraIsNotFinal(t *testing.T) {
 	task, got := startTask(2, earlierRecord(1, true))
-	task.startupQueryDone("other:1", true)
+	task.startupQueryDone(t.Context(), "other:1", true)
 	require.Equal(t, &restoreCalls{calls: 1}, got)
 }
 
-// Guards against a node that does not use its target because no other node that could
-// know of a drain has responded, after the two announcements have become the proof.
+// Guards against a node that uses its target because of an old record although a node that
+// could know of a drain has not responded, and against one that never uses it then.
 func TestUnansweredQueriesLeaveTheProofToTheTarget(t *testing.T) {
-	task, got := startTask(2, earlierRecord(1, false))
-	task.startupQueryDone("other:1", false)
-	require.Zero(t, got.calls)
-	task.startupQueryDone("other:1", true)
-	task.restorePrevious()
-	require.Equal(t, 1, got.calls, "a node that responds later")
+	synctest.Test(t, func(t *testing.T) {
+		task, got := startTask(2, earlierRecord(1, false))
+		task.startupQueryDone(t.Context(), "other:1", false)
+		require.Zero(t, got.calls)
+		time.Sleep(syncInterval + time.Millisecond)
+		task.startupQueryDone(t.Context(), "third:1", true)
+		task.restorePrevious()
+		require.Equal(t, 1, got.calls, "a node that responds later")
+	})
 }
 
 // Guards against waits for other nodes where the store has lost nothing.
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -58,7 +58,8 @@
 	t.ticks++
 	t.chooseRole(now)
 	if len(t.drainWaiters) > 0 {
-		t.syncWithNext(ctx)
+		t.drainUnsent = true
+		t.sendDrain(ctx)
 	}
 	t.repairStore(ctx, now)
 	t.startQueries(ctx)
@@ -184,11 +185,11 @@
 	delete(t.syncing, address)
 	if err == nil {
 		t.applySync(address, requestedAt, response)
-		t.startupQueryDone(address, response.GetConfigVersion() > 0)
+		t.startupQueryDone(ctx, address, response.GetConfigVersion() > 0)
 		t.restorePrevious()
 		return
 	}
-	t.startupQueryDone(address, false)
+	t.startupQueryDone(ctx, address, false)
 	t.logger.Debug("The synchronization with a peer failed.", zap.String("address", address), telemetry.ErrorField(err))
 	if fallback != "" && fallback != address {
 		t.syncWith(ctx, fallback, "")
