Let the store return from copies in the fault soak

The soak could not play what users reported. Half of its schedules now have up to three returns: the store loses what it takes for a while, is away, and the operator writes the newest configuration again. They come from random numbers of their own, so that the schedules of recorded seeds stay as they are; --no-returns leaves them out.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,6 +24,7 @@
 	Faults     time.Duration `arg:"--faults" default:"20s" help:"time in which faults begin"`
 	Calm       time.Duration `arg:"--calm" default:"3s" help:"time of load after the recovery"`
 	Sabotage   bool          `arg:"--sabotage" help:"duplicate what is sent to targets, which the checks must find"`
+	NoReturns  bool          `arg:"--no-returns" help:"leave out returns of the store from copies"`
 	Regression bool          `arg:"--regression" help:"play the schedules that failed once instead of seeds"`
 }
 
@@ -92,6 +93,8 @@
 	report, err := soak.Run(soak.Options{
 		Binary: binary, Folder: folder, Seed: s.Seed, VMs: s.VMs, Clients: a.Clients,
 		Faults: s.Faults, Calm: a.Calm, Sabotage: a.Sabotage,
+		// The schedules that failed once had no returns.
+		Returns: !a.NoReturns && !a.Regression,
 	})
 	if err != nil {
 		return false, err
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -93,6 +93,7 @@
 // nodes and targets.
 func newFleet(o Options, history *History) (*fleet, error) {
 	f := &fleet{history: history, store: logservice.New(logservice.Config{})}
+	f.store.SetEra(1)
 	addresses, err := freeport.Addresses(1 + o.VMs*addressesPerVM)
 	if err != nil {
 		return nil, err
@@ -182,7 +183,18 @@
 func (f *fleet) configure() error {
 	f.configMutex.Lock()
 	defer f.configMutex.Unlock()
-	next := f.generation() + 1
+	return f.write(f.generation() + 1)
+}
+
+// configureAgain stores the newest generation again, which the store may have lost.
+func (f *fleet) configureAgain() error {
+	f.configMutex.Lock()
+	defer f.configMutex.Unlock()
+	return f.write(f.generation())
+}
+
+// write stores a generation of the configuration. The caller must hold configMutex.
+func (f *fleet) write(next int) error {
 	change := Change{Generation: next, Sent: time.Now()}
 	record := plainplatform.KeyedRecord(plainplatform.KeyConfig, plainplatform.Configuration(next, routes(next)))
 	for range maxConfigAttempts {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -172,5 +172,5 @@
 
 // affectsStore reports whether the kind is a fault of the store or of a link to it.
 func (k Kind) affectsStore() bool {
-	return k == StoreDown || k == StoreSlow || k == StoreLosesResponses || k == StoreLink
+	return k == StoreDown || k == StoreSlow || k == StoreLosesResponses || k == StoreLink || k == StoreReturns
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,12 +54,20 @@
 	// RunnerStalled is a period in which the soak process itself did not run, so that
 	// clients, targets and proxies made no progress. It is measured, not scheduled.
 	RunnerStalled
+	// StoreReturns makes the store return from a copy. For is divided among the time in
+	// which the store takes writes that it loses, an outage, and the time until the
+	// operator writes the newest configuration again. It is drawn by PlanReturns, so
+	// that the schedules of earlier seeds stay as they are.
+	StoreReturns
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
-	if k == RunnerStalled {
+	switch k {
+	case RunnerStalled:
 		return "runner stalled"
+	case StoreReturns:
+		return "store returns from a copy"
 	}
 	return [...]string{
 		"node killed", "node paused", "node stopped", "node reloads", "node with its clock back",
@@ -146,6 +154,29 @@
 	return clip(steps, length)
 }
 
+const (
+	// One in returnsOneIn schedules has returns of the store from copies, up to
+	// maxReturns of them.
+	returnsOneIn = 2
+	maxReturns   = 3
+	// returnsStream is the stream of random numbers of PlanReturns.
+	returnsStream = 44
+)
+
+// PlanReturns draws the returns of the store from copies that a seed adds to a schedule,
+// and returns both in order.
+func PlanReturns(steps []Step, seed uint64, length time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, returnsStream))
+	if r.IntN(returnsOneIn) > 0 {
+		return steps
+	}
+	for range 1 + r.IntN(maxReturns) {
+		at := initialDelay + time.Duration(r.Int64N(int64(length-initialDelay-minFault)))
+		steps = append(steps, Step{At: at, Kind: StoreReturns, For: minFault + time.Duration(r.Int64N(int64(maxFault-minFault)))})
+	}
+	return clip(steps, length)
+}
+
 func drawStep(r *rand.Rand, from []Kind, at time.Duration, vms int) Step {
 	step := Step{
 		At: at, Kind: from[r.IntN(len(from))], VM: r.IntN(vms),
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,8 @@
 	// Sabotage applies LinkDuplicate to the links to targets for the whole run, to
 	// show that the checks find a real violation.
 	Sabotage bool
+	// Returns adds returns of the store from copies to the schedule.
+	Returns bool
 }
 
 // Report is the result of one run.
@@ -72,6 +74,9 @@
 	defer f.close()
 	r := &run{options: o, history: history, fleet: f}
 	steps := Plan(o.Seed, o.VMs, o.Faults)
+	if o.Returns {
+		steps = PlanReturns(steps, o.Seed, o.Faults)
+	}
 	if err := r.writeSchedule(steps); err != nil {
 		return nil, err
 	}
@@ -129,7 +134,8 @@
 func (r *run) step(s Step) {
 	v := r.fleet.vms[s.VM]
 	affected := s.VM
-	if s.Kind == StoreDown || s.Kind == StoreSlow || s.Kind == StoreLosesResponses || s.Kind == ConfigChange {
+	switch s.Kind {
+	case StoreDown, StoreSlow, StoreLosesResponses, StoreReturns, ConfigChange:
 		affected = allVMs
 	}
 	defer r.history.beginDisturbance(s.Kind, affected)()
@@ -147,6 +153,8 @@
 		applyLinkFault(v.toStore, s)
 	case StoreDown, StoreSlow, StoreLosesResponses:
 		r.stepStore(s)
+	case StoreReturns:
+		err = r.returnStore(s)
 	case ConfigChange:
 		err = r.fleet.configure()
 	default:
@@ -220,6 +228,19 @@
 	r.fleet.store.SetFaults(logservice.Faults{})
 }
 
+// returnStore lets the store return from a copy: it loses what it takes in the first half
+// of the step, is away for a quarter, and the operator writes again after the rest.
+func (r *run) returnStore(s Step) error {
+	saved := r.fleet.store.Copy()
+	time.Sleep(s.For / 2)
+	r.fleet.store.SetFaults(logservice.Faults{Down: true})
+	time.Sleep(s.For / 4)
+	r.fleet.store.Restore(saved)
+	r.fleet.store.SetFaults(logservice.Faults{})
+	time.Sleep(s.For / 4)
+	return r.fleet.configureAgain()
+}
+
 func (r *run) stepTarget(s Step, t *target) error {
 	switch s.Kind {
 	case TargetSlow, TargetFaulty:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +30,19 @@
 	require.NotZero(t, report.Served)
 }
 
+// Runs a short schedule in which the store returns from copies, and guards against any
+// violation of the guarantees in it.
+func TestSoakWithReturnsFromCopies(t *testing.T) {
+	report, err := Run(Options{
+		Binary: build(t), Folder: t.TempDir(), Seed: 44, VMs: 4, Clients: 2,
+		Faults: 8 * time.Second, Calm: time.Second, Returns: true,
+	})
+	require.NoError(t, err)
+	require.True(t, slices.ContainsFunc(report.Steps, func(s Step) bool { return s.Kind == StoreReturns }))
+	require.Empty(t, report.Findings, "seed %d", report.Seed)
+	require.NotZero(t, report.Served)
+}
+
 // Guards against schedules that differ between two runs with the same seed, against
 // kinds of faults that no schedule uses, and against too few schedules with planned
 // work only, without which the rules about planned work would never apply.
@@ -53,6 +67,23 @@
 	require.Len(t, played, int(kindCount))
 }
 
+// Guards against returns of the store that change the schedules of earlier seeds, and
+// against seeds without any.
+func TestReturnsAreAddedToSchedules(t *testing.T) {
+	with := 0
+	for seed := range uint64(50) {
+		steps := Plan(seed, 6, 20*time.Second)
+		added := PlanReturns(slices.Clone(steps), seed, 20*time.Second)
+		require.True(t, slices.IsSortedFunc(added, func(a, b Step) int { return int(a.At - b.At) }))
+		others := slices.DeleteFunc(added, func(s Step) bool { return s.Kind == StoreReturns })
+		require.Equal(t, steps, others)
+		if len(added) > len(steps) {
+			with++
+		}
+	}
+	require.Greater(t, with, 10)
+}
+
 // Guards against entries of seeds.txt that cannot be run again or that name no cause.
 func TestParseRegressions(t *testing.T) {
 	_, err := Regressions()
