Append records again that the catalogue and members logs have lost

After a return from a copy, nodes ignored new records below their offset, applied later ones on top, and differed from nodes that started later; edits that had been acknowledged were gone for those. A read beyond the end was taken for an outage for ever.

Offsets of a replica now belong to an era. In a later one nothing is applied or appended until the last records before the end of the log have been compared with those of the replica. If they agree, what the log lacks is appended again at the same offsets, on the condition that the log still ends there. If other records have taken the offsets, the node keeps its state, refuses changes and says that it has to be restarted. Nodes exchange nothing between eras.

--- a/core/spread/replica.go
+++ b/core/spread/replica.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
@@ -87,6 +88,9 @@
 	// of the earliest retained record and the offset after the last one.
 	earliest uint64
 	end      uint64
+	// era is the era of the log in which the applied offset holds.
+	era      era.Era
+	returned returned
 }
 
 // search collects records from the log until a usable checkpoint is found.
@@ -129,13 +133,16 @@
 	if !r.hasState {
 		return nil, false
 	}
-	return &pb.StreamPosition{Stream: r.stream, NextOffset: r.Next(), OldestHeld: r.buffer.oldest()}, true
+	return &pb.StreamPosition{Stream: r.stream, NextOffset: r.Next(), OldestHeld: r.buffer.oldest(), Era: uint64(r.era)}, true
 }
 
 // NextReadOffset returns the offset at which the next read of the log starts.
 // The first read of a replica without state starts at offset 0 and returns the
 // bounds of the log.
 func (r *Replica) NextReadOffset() uint64 {
+	if r.Verifying() {
+		return r.compareFrom()
+	}
 	if r.search.active || !r.hasState {
 		return r.search.next
 	}
@@ -143,11 +150,16 @@
 }
 
 // ApplyLogRead processes the result of reading the log at the offset from, with
-// the bounds of the log at that time. It reports whether the applied offset has
-// advanced. A returned error matches ErrNoCheckpoint or ErrLogBehind.
-func (r *Replica) ApplyLogRead(from uint64, records []Record, earliest, end uint64) (bool, error) {
+// the bounds and the era of the log at that time. It reports whether the applied
+// offset has advanced. A returned error matches ErrNoCheckpoint, ErrLogBehind or
+// ErrLogDiverged.
+func (r *Replica) ApplyLogRead(from uint64, records []Record, earliest, end uint64, e era.Era) (bool, error) {
 	r.earliest = earliest
 	r.end = end
+	r.observeEra(e)
+	if r.Verifying() {
+		return false, r.verify(from, records)
+	}
 	r.recordCheckpoints(records)
 	if r.search.active || !r.hasState {
 		return r.searchFrom(from, records)
@@ -317,6 +329,9 @@
 // that the stream was empty so far, so the empty state is valid.
 // ObservePeerPosition reports whether that made the state available.
 func (r *Replica) ObservePeerPosition(p *pb.StreamPosition) bool {
+	if !r.hasState && r.era == era.Unknown {
+		r.era = era.Era(p.GetEra())
+	}
 	if !r.Known() {
 		r.goal = max(r.goal, p.GetNextOffset())
 	}
--- a/core/spread/replica_test.go
+++ b/core/spread/replica_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/membership"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
@@ -32,6 +33,8 @@
 	// delayed holds checkpoint records that were encoded but not appended yet.
 	delayed [][]byte
 	id      uint64
+	// era is the era of the log.
+	era era.Era
 }
 
 func (w *writer) append(data []byte) {
@@ -115,7 +118,7 @@
 	for at := max(from, r.earliest); at < uint64(len(w.records)) && len(records) < limit; at++ {
 		records = append(records, w.records[at])
 	}
-	_, r.lastErr = r.replica.ApplyLogRead(from, records, r.earliest, uint64(len(w.records)))
+	_, r.lastErr = r.replica.ApplyLogRead(from, records, r.earliest, uint64(len(w.records)), w.era)
 	return r.check(w)
 }
 
@@ -333,7 +336,7 @@
 	w.append(w.fold.CheckpointRecord())
 	r := &reader{replica: membersReplica()}
 	require.NoError(t, finish(r, w))
-	_, err := r.replica.ApplyLogRead(1, nil, 0, 0)
+	_, err := r.replica.ApplyLogRead(1, nil, 0, 0, era.Unknown)
 	require.ErrorIs(t, err, ErrLogBehind)
 	require.Equal(t, uint64(1), r.replica.Next())
 }
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/streamlog"
 )
 
@@ -120,6 +121,15 @@
 	return s.appendAll(ctx, name, [][]byte{data}, noCondition)
 }
 
+// AppendAt implements streamlog.Log.
+func (s *Service) AppendAt(ctx context.Context, name string, records [][]byte, end uint64) error {
+	_, err := s.appendAll(ctx, name, records, int64(end))
+	if errors.Is(err, errEndDiffers) {
+		return errors.Wrap(streamlog.ErrConflict, err.Error())
+	}
+	return err
+}
+
 // noCondition lets an append take effect wherever the stream ends.
 const noCondition int64 = -1
 
@@ -194,7 +204,7 @@
 	defer s.mutex.Unlock()
 	st := s.stream(name)
 	next := st.firstOffset + uint64(len(st.records))
-	batch := streamlog.Batch{Earliest: st.firstOffset, Next: next}
+	batch := streamlog.Batch{Earliest: st.firstOffset, Next: next, Era: era.Era(s.era)}
 	from = max(from, st.firstOffset)
 	for offset := from; offset < next && len(batch.Records) < limit; offset++ {
 		batch.Records = append(batch.Records, streamlog.Record{Offset: offset, Data: st.records[offset-st.firstOffset]})
--- a/internal/standin/logservice/logservice_test.go
+++ b/internal/standin/logservice/logservice_test.go
@@ -118,3 +118,28 @@
 	require.Zero(t, service.Appends())
 	require.Eventually(t, func() bool { return service.Appends() == 1 }, time.Second, time.Millisecond)
 }
+
+// Guards against a reader beyond the end of a restored stream that takes the log for
+// unavailable for ever, and against records appended where the stream does not end.
+func TestReadBeyondRestoredEndTellsEnd(t *testing.T) {
+	service := New(Config{})
+	service.SetEra(1)
+	log := newClient(t, service)
+	ctx := context.Background()
+	for i := range 3 {
+		_, err := log.Append(ctx, "s", []byte{byte(i)})
+		require.NoError(t, err)
+	}
+	saved := service.Copy()
+	_, err := log.Append(ctx, "s", []byte{3})
+	require.NoError(t, err)
+	service.Restore(saved)
+	batch, err := log.Read(ctx, "s", 4, 10)
+	require.NoError(t, err)
+	require.Equal(t, streamlog.Batch{Next: 3, Era: 2}, batch)
+	require.ErrorIs(t, log.AppendAt(ctx, "s", [][]byte{{9}}, 4), streamlog.ErrConflict)
+	require.NoError(t, log.AppendAt(ctx, "s", [][]byte{{3}, {4}}, 3))
+	batch, err = log.Read(ctx, "s", 3, 10)
+	require.NoError(t, err)
+	require.Len(t, batch.Records, 2)
+}
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/primrosemount/primrosemount/core/catalogue"
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/membership"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
@@ -31,6 +32,10 @@
 	// includes all records of the stream below them.
 	CataloguePosition uint64
 	MembersPosition   uint64
+	// CatalogueEra and MembersEra are the eras of the log in which the positions hold.
+	// They change once the log has been compared after a return from a copy.
+	CatalogueEra era.Era
+	MembersEra   era.Era
 	// Reader reports whether this node is a reader, which polls the log on
 	// behalf of its zone.
 	Reader bool
--- a/node/control/exchange.go
+++ b/node/control/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/membership"
 	"github.com/primrosemount/primrosemount/core/spread"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
@@ -277,6 +278,9 @@
 // applyPeerData applies the positions, full states and records received from a
 // peer.
 func (t *task) applyPeerData(positions []*pb.StreamPosition, records []*pb.StreamRecord, states []*pb.StreamState) {
+	if !t.sameEras(positions) {
+		return
+	}
 	for _, p := range positions {
 		if s := t.stream(p.GetStream()); s != nil && s.replica.ObservePeerPosition(p) {
 			t.advanced(s, 0, false)
@@ -293,6 +297,18 @@
 	}
 }
 
+// sameEras reports whether the positions of a peer are of the same era of the log as those
+// of this node. The offsets of different eras name different records.
+func (t *task) sameEras(positions []*pb.StreamPosition) bool {
+	for _, p := range positions {
+		s := t.stream(p.GetStream())
+		if s != nil && !s.replica.Era().Same(era.Era(p.GetEra())) {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *task) installState(state *pb.StreamState) {
 	s := t.stream(state.GetStream())
 	if s == nil {
@@ -311,7 +327,7 @@
 // followUp starts another exchange with the same peer if one side still lacks
 // records and the previous exchange has made progress.
 func (t *task) followUp(m exchangeDone) {
-	if m.round >= maxFollowUps {
+	if m.round >= maxFollowUps || !t.sameEras(m.response.GetPositions()) {
 		return
 	}
 	request := t.request()
@@ -370,7 +386,9 @@
 	t.applyPeerData(m.request.GetPositions(), m.request.GetRecords(), nil)
 	response := &pb.ExchangeResponse{Responder: t.self.GetIncarnation()}
 	response.RegistrationsAccepted = t.acceptRegistrations(now, m.request.GetRegistrations())
-	t.addMissing(response, m.request, now)
+	if t.sameEras(m.request.GetPositions()) {
+		t.addMissing(response, m.request, now)
+	}
 	t.addStateHolders(response, m.request)
 	t.recordServed(response, m.request.GetSenderAddress())
 	response.Positions = t.positions()
@@ -413,7 +431,7 @@
 // is still behind it after applying the records of the request.
 func (t *task) exchangeWithSender(now time.Time, request *pb.ExchangeRequest) {
 	address := request.GetSenderAddress()
-	if address == "" || address == t.self.GetNodeAddress() || !t.links.available(address, now) {
+	if address == "" || address == t.self.GetNodeAddress() || !t.links.available(address, now) || !t.sameEras(request.GetPositions()) {
 		return
 	}
 	for _, p := range request.GetPositions() {
--- a/node/control/fake_test.go
+++ b/node/control/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/streamlog"
 )
@@ -41,6 +43,8 @@
 	appendsInSecond int
 	appends         int
 	peakAppends     int
+	// era is the era of the log; 0 means that it does not tell it.
+	era era.Era
 	// markedEnds holds the end of each stream at the call of mark, and
 	// bytesReadBeforeMark the bytes of the records below these ends that each
 	// address has read since.
@@ -140,6 +144,32 @@
 	return s.next() - 1, nil
 }
 
+func (l *fakeLog) AppendAt(ctx context.Context, stream string, records [][]byte, end uint64) error {
+	if l.simulateDelay(ctx) != nil {
+		return streamlog.ErrAppendUnknown
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	switch {
+	case l.down:
+		return streamlog.ErrRefused
+	case s.next() != end:
+		return streamlog.ErrConflict
+	}
+	s.records = append(s.records, records...)
+	return nil
+}
+
+// returnFromCopy starts the next era without the latest records of a stream.
+func (l *fakeLog) returnFromCopy(stream string, lost int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	s.records = slices.Clone(s.records[:len(s.records)-lost])
+	l.era++
+}
+
 func (l *fakeLog) Read(ctx context.Context, stream string, from uint64, limit int) (streamlog.Batch, error) {
 	if err := l.simulateDelay(ctx); err != nil {
 		return streamlog.Batch{}, errors.Wrapf(streamlog.ErrUnavailable, "%v", err)
@@ -150,7 +180,7 @@
 		return streamlog.Batch{}, streamlog.ErrUnavailable
 	}
 	s := l.stream(stream)
-	batch := streamlog.Batch{Earliest: s.earliest, Next: s.next()}
+	batch := streamlog.Batch{Earliest: s.earliest, Next: s.next(), Era: l.era}
 	for at := max(from, s.earliest); at < s.next() && len(batch.Records) < limit; at++ {
 		batch.Records = append(batch.Records, streamlog.Record{Offset: at, Data: s.records[at-s.earliest]})
 	}
--- a/node/control/log.go
+++ b/node/control/log.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/core/membership"
 	"github.com/primrosemount/primrosemount/core/spread"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
@@ -108,13 +109,60 @@
 	}
 	r := m.s.replica
 	before, known := r.Next(), r.Known()
-	advanced, err := r.ApplyLogRead(m.from, records, m.batch.Earliest, m.batch.Next)
+	eraBefore := r.Era()
+	advanced, err := r.ApplyLogRead(m.from, records, m.batch.Earliest, m.batch.Next, m.batch.Era)
 	t.logReadError(m.s, err)
+	t.dirty = t.dirty || r.Era() != eraBefore
+	if r.Era() != eraBefore && eraBefore != era.Unknown {
+		t.logger.Warn("control: the log has returned from a copy and has all records again", zap.String("stream", m.s.name),
+			zap.Uint64("era", uint64(r.Era())), zap.Uint64("before", uint64(eraBefore)))
+	}
+	t.restoreLost(m.s)
 	if advanced || r.Known() != known {
 		t.advanced(m.s, before, known && advanced)
 	}
 }
 
+// restoreLost appends the records that the log has lost at their offsets.
+func (t *task) restoreLost(s *stream) {
+	records, end := s.replica.LostRecords()
+	if len(records) == 0 || s.restoring {
+		return
+	}
+	s.restoring = true
+	log, timeout := t.cfg.Log, t.cfg.Intervals.LogTimeout
+	t.spawn(func(ctx context.Context) message {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		err := log.AppendAt(ctx, s.name, records, end)
+		t.c.stats.message(KindLogAppend, 0, len(records), err)
+		return lostRestored{s, len(records), end, err}
+	})
+}
+
+// lostRestored is the result of appending records that the log had lost.
+type lostRestored struct {
+	s       *stream
+	records int
+	end     uint64
+	err     error
+}
+
+func (lostRestored) kind() Kind { return KindLogAppend }
+
+func (m lostRestored) handle(t *task) {
+	m.s.restoring = false
+	m.s.nextReadAt = time.Now()
+	fields := []zap.Field{zap.String("stream", m.s.name), zap.Int("records", m.records), zap.Uint64("from", m.end)}
+	if m.err != nil {
+		// Another node was first, or the next read shows that something else was
+		// appended.
+		t.logger.Info("control: the records that the log has lost were not appended", append(fields, telemetry.ErrorField(m.err))...)
+		return
+	}
+	t.logger.Warn("control: the records that the log has lost were appended again", fields...)
+}
+
 // logReadError logs an error in applying a read, unless it is the same as that of
 // the previous read of the stream.
 func (t *task) logReadError(s *stream, err error) {
@@ -159,7 +207,8 @@
 
 // appendIfDue appends the next batch of registrations if it is time.
 func (t *task) appendIfDue(now time.Time) {
-	if t.appending || now.Before(t.nextAppendAt) {
+	if t.appending || now.Before(t.nextAppendAt) || t.logDown || t.stream(streamlog.MembersStream).replica.Verifying() {
+		// After an outage the log may have returned from a copy, which a read shows.
 		return
 	}
 	batch := t.batcher.TakeBatch(now)
@@ -225,7 +274,7 @@
 		if s.checkpointDueSince.IsZero() {
 			s.checkpointDueSince = now
 		}
-		if t.reader && !s.checkpointing && !t.logDown && t.mayWriteCheckpoint(s, now) {
+		if t.reader && !s.checkpointing && !t.logDown && !s.replica.Verifying() && t.mayWriteCheckpoint(s, now) {
 			t.writeCheckpoint(s, now)
 		}
 	}
--- a/node/control/submit.go
+++ b/node/control/submit.go
@@ -47,6 +47,10 @@
 	refusals int
 }
 
+// errLogReturned refuses a change while it is not known whether the log still has the
+// records that were applied.
+var errLogReturned = errors.New("control: the log has returned from a copy and is being compared with the records that were applied; submit the change again in a few seconds, and restart the node if its log says that other records have taken their offsets")
+
 func (s *submission) run(ctx context.Context) (*pb.ChangeResult, error) {
 	result, err := s.earlierResult(ctx)
 	for err == nil && result == nil {
@@ -125,9 +129,12 @@
 func (s *submission) end(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.c.cfg.Intervals.LogTimeout)
 	defer cancel()
-	from := s.c.Snapshot().CataloguePosition
-	batch, err := s.c.cfg.Log.Read(ctx, streamlog.CatalogueStream, from, 1)
+	snapshot := s.c.Snapshot()
+	batch, err := s.c.cfg.Log.Read(ctx, streamlog.CatalogueStream, snapshot.CataloguePosition, 1)
 	s.c.stats.message(KindLogRead, 0, 0, err)
+	if err == nil && !snapshot.CatalogueEra.Same(batch.Era) {
+		return 0, errLogReturned
+	}
 	return batch.Next, err
 }
 
--- a/node/control/task.go
+++ b/node/control/task.go
@@ -74,6 +74,8 @@
 	replica    *spread.Replica
 	reading    bool
 	nextReadAt time.Time
+	// restoring is true while records that the log has lost are being appended.
+	restoring bool
 	// failures is the number of consecutive failed reads.
 	failures int
 	// lastReadError is the error of the latest read that returned records which
@@ -229,6 +231,8 @@
 		MembersKnown:      mem.Known(),
 		CataloguePosition: cat.Next(),
 		MembersPosition:   mem.Next(),
+		CatalogueEra:      cat.Era(),
+		MembersEra:        mem.Era(),
 		Reader:            t.reader,
 		LogDown:           t.logDown,
 	}
--- a/node/status.go
+++ b/node/status.go
@@ -17,8 +17,11 @@
 	CatalogueKnown    bool
 	CataloguePosition uint64
 	MembersPosition   uint64
-	LogDown           bool
-	Draining          bool
+	// CatalogueEra is the era of the log in which the position holds, or 0 if the log
+	// does not tell it.
+	CatalogueEra uint64
+	LogDown      bool
+	Draining     bool
 	// Connections is the number of open connections to other nodes.
 	Connections int
 }
@@ -35,6 +38,7 @@
 		CatalogueKnown:    snapshot.CatalogueKnown,
 		CataloguePosition: snapshot.CataloguePosition,
 		MembersPosition:   snapshot.MembersPosition,
+		CatalogueEra:      uint64(snapshot.CatalogueEra),
 		LogDown:           snapshot.LogDown,
 		Draining:          n.draining.Load(),
 		Connections:       n.pool.Connections(),
