--- a/node/relay/eraschedule_test.go
+++ b/node/relay/eraschedule_test.go
@@ -303,6 +303,18 @@
 	// violations holds what went wrong, without repetitions.
 	violations map[string]bool
 	logger     *zap.Logger
+	// rates are the limits of the store, and counter counts the calls if it is set.
+	rates   StoreRates
+	counter *callCounter
+}
+
+// client returns the connection of a node to a topic.
+func (f *simFleet) client(n *simNode, topic *simTopic) Topic {
+	client := &simClient{store: f.store, node: n, topic: topic}
+	if f.counter == nil {
+		return client
+	}
+	return countedClient{simClient: client, counter: f.counter}
 }
 
 func (f *simFleet) violate(format string, arguments ...any) {
@@ -336,8 +348,9 @@
 	sync := func(ctx context.Context, address string, request *pb.SyncRequest) (*pb.SyncResponse, error) {
 		return f.deliver(ctx, n, address, request)
 	}
-	task := newMembersTask(self, &simClient{store: f.store, node: n, topic: &f.store.members}, route.New(route.Config{Start: time.Now()}), sync,
+	task := newMembersTask(self, f.client(n, &f.store.members), route.New(route.Config{Start: time.Now()}), sync,
 		newConfiguration(decodeDocument, time.Now(), f.logger.Named(n.vm)), testRules, f.logger.Named(n.vm))
+	task.storeRates = f.rates
 	state := targetstate.New(n.vm, n.service)
 	task.restore = func(published targetstate.Announcement, final bool) {
 		f.apply(n, task, state, func() bool {
@@ -352,7 +365,7 @@
 	f.mu.Lock()
 	n.task, n.state, n.cancel, n.highest, n.disturbed = task, state, cancel, 0, time.Now()
 	f.mu.Unlock()
-	config, members := task.followers(&simClient{store: f.store, node: n, topic: &f.store.config})
+	config, members := task.followers(f.client(n, &f.store.config))
 	for _, run := range []func(context.Context){task.run, config.run, members.run} {
 		f.group.Go(func() { run(ctx) })
 	}
