--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -117,6 +117,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	offered := heldVersion{table: table, document: document, from: from}
+	if c.storeEra.Get() == era.Unknown {
+		// A store that does not tell its era loses nothing.
+		c.endHold()
+	}
 	if !c.holding {
 		c.install(offered)
 		return
@@ -157,6 +161,11 @@
 func (c *configuration) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endHold()
+}
+
+// endHold is release with c.mu held.
+func (c *configuration) endHold() {
 	if !c.holding {
 		return
 	}
--- a/node/relay/startup.go
+++ b/node/relay/startup.go
@@ -49,11 +49,13 @@
 	if t.queries.started || t.queries.ended || !t.loaded && !t.config.isHolding() {
 		return
 	}
+	if t.loaded && t.loadedEra == era.Unknown {
+		// The store has lost nothing.
+		t.finishQueries(false)
+		return
+	}
 	others := slices.DeleteFunc(t.roster.Members(), t.isSelf)
 	if len(others) == 0 {
-		if t.loaded && t.loadedEra == era.Unknown {
-			t.finishQueries(false)
-		}
 		return
 	}
 	t.queries.started, t.queries.failed = true, false
