--- a/cmd/primrosemount/experiment.go
+++ b/cmd/primrosemount/experiment.go
@@ -18,6 +18,8 @@
 	JSON     bool          `arg:"--json" help:"print one JSON object"`
 	// Propagation selects the model of the store's calls in place of the replay.
 	Propagation bool `arg:"--propagation" help:"show what it costs to follow the configuration, by size of the fleet"`
+	// StoreReturn selects the model of the time after the store has returned from a copy.
+	StoreReturn bool `arg:"--store-return" help:"show the load of the store after it has returned from a copy, by size of the fleet"`
 }
 
 // run replays the same arrivals under several policies, using the decision logic of the
@@ -29,6 +31,12 @@
 		}
 		return exitOK
 	}
+	if c.StoreReturn {
+		if err := experiment.WriteReturn(os.Stdout, c.Seed); err != nil {
+			return fail(exitFailed, err)
+		}
+		return exitOK
+	}
 	report, err := experiment.Run(experiment.Options{
 		Seed:     c.Seed,
 		Users:    c.Users,
--- a/node/relay/storeera_test.go
+++ b/node/relay/storeera_test.go
@@ -291,3 +291,90 @@
 		})
 	}
 }
+
+// scriptTopic responds as a script says: two bytes for each response.
+type scriptTopic struct {
+	Topic
+	script []byte
+	// newest is the highest version that a complete response has told, or a response
+	// from a position of the same era.
+	newest uint64
+}
+
+// next returns the next response of the script: the era, the end of the topic and the
+// version of its last record. It returns false at the end of the script.
+func (s *scriptTopic) next() (e era.Era, end, version uint64, ok bool) {
+	if len(s.script) < 2 {
+		return 0, 0, 0, false
+	}
+	e, end, version = era.Era(s.script[0]%4), uint64(s.script[0]>>4), uint64(s.script[1]%8)+1
+	s.script = s.script[2:]
+	return e, end, version, true
+}
+
+// Newest implements Topic.
+func (s *scriptTopic) Newest(context.Context) ([]Record, era.Position, error) {
+	e, end, version, ok := s.next()
+	if !ok {
+		return nil, era.Position{}, ErrUnavailable
+	}
+	s.newest = max(s.newest, version)
+	return []Record{{Key: "config", Value: document(version)}}, era.Position{Era: e, Offset: end}, nil
+}
+
+// Read implements Topic.
+func (s *scriptTopic) Read(ctx context.Context, from era.Position, wait time.Duration) (Batch, error) {
+	e, end, version, ok := s.next()
+	switch {
+	case !ok:
+		sleep(ctx, wait)
+		return Batch{}, ErrUnavailable
+	case end < from.Offset:
+		return Batch{}, ErrHistoryDropped
+	case end == from.Offset:
+		return Batch{Next: era.Position{Era: e, Offset: end}, Complete: true}, nil
+	}
+	if from.ValidIn(e) {
+		s.newest = max(s.newest, version)
+	}
+	return Batch{Records: []Record{{Key: "config", Value: document(version)}}, Next: era.Position{Era: e, Offset: end}, Complete: true}, nil
+}
+
+// Guards against responses of mixed eras, with offsets that go back and forth, after which a
+// node goes back to an older version or lacks one that it was told.
+func FuzzFollowerWithMixedEras(f *testing.F) {
+	f.Add([]byte{0x11, 1, 0x21, 2, 0x12, 3, 0x12, 4})
+	f.Add([]byte{0x53, 5, 0x30, 2, 0x32, 7, 0x31, 6, 0x63, 1})
+	const maxScript = 64
+	f.Fuzz(func(t *testing.T, script []byte) {
+		script = script[:min(len(script), maxScript)]
+		synctest.Test(t, func(t *testing.T) {
+			topic := &scriptTopic{script: script}
+			task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1"}, idleTopic{}, route.New(route.Config{Start: time.Now()}), nil,
+				newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
+			task.config.release()
+			config, _ := task.followers(topic)
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() {
+				config.run(ctx)
+				close(ended)
+			}()
+			highest := uint64(0)
+			for range 40 + 4*len(script) {
+				time.Sleep(100 * time.Millisecond)
+				for len(task.events) > 0 {
+					(<-task.events)()
+				}
+				version := task.config.version()
+				require.GreaterOrEqual(t, version, highest)
+				highest = version
+			}
+			if len(topic.script) < 2 {
+				require.Equal(t, topic.newest, highest)
+			}
+			cancel()
+			<-ended
+		})
+	})
+}
