--- a/node/relay/storeera_test.go
+++ b/node/relay/storeera_test.go
@@ -43,17 +43,22 @@
 		newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
 	task.config.release()
 	config, _ := task.followers(topic)
+	runUntilCleanup(t, config.run)
+	return task
+}
+
+// runUntilCleanup runs a task in the background until the test ends.
+func runUntilCleanup(t *testing.T, run func(context.Context)) {
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
-		config.run(ctx)
+		run(ctx)
 		close(ended)
 	}()
 	t.Cleanup(func() {
 		cancel()
 		<-ended
 	})
-	return task
 }
 
 // Guards against a read that began before a return of the store from a copy and whose
@@ -146,12 +151,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		topic := &putTopic{era: 2}
 		task := newPublishedTask(topic, 1)
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() {
-			task.run(ctx)
-			close(ended)
-		}()
+		runUntilCleanup(t, task.run)
 		task.observeStoreEra(2)
 		record := &pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 7, Revision: 3}
 		task.events <- func() { task.noteOwnRecord([]*pb.RelayMember{record}, 2) }
@@ -160,8 +160,6 @@
 		task.events <- task.reannounce
 		time.Sleep(2 * publishDelay)
 		require.Equal(t, int64(1), topic.puts.Load())
-		cancel()
-		<-ended
 	})
 }
 
@@ -245,23 +243,16 @@
 			func(context.Context, string, *pb.SyncRequest) (*pb.SyncResponse, error) {
 				return &pb.SyncResponse{ConfigVersion: 2, Config: document(2), StoreEra: 2}, nil
 			}, newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() {
-			task.run(ctx)
-			close(ended)
-		}()
+		runUntilCleanup(t, task.run)
 		task.config.storeEra.Observe(2)
 		task.config.offer(document(1), storeOrigin)
 		task.storeLoaded(2)
 		time.Sleep(startupTimeout / 2)
 		require.Zero(t, task.config.version())
 		other := &pb.RelayMember{Vm: "other", Address: "other:1", Incarnation: 1}
-		task.serveSync(ctx, &pb.SyncRequest{SenderAddress: "other:1", Self: other, ConfigVersion: 2}, &pb.SyncResponse{})
+		task.serveSync(t.Context(), &pb.SyncRequest{SenderAddress: "other:1", Self: other, ConfigVersion: 2}, &pb.SyncResponse{})
 		synctest.Wait()
 		require.Equal(t, uint64(2), task.config.version())
-		cancel()
-		<-ended
 	})
 }
 
@@ -274,20 +265,13 @@
 		synctest.Test(t, func(t *testing.T) {
 			task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 9}, idleTopic{}, route.New(route.Config{Start: time.Now()}), nil,
 				newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan struct{})
-			go func() {
-				task.run(ctx)
-				close(ended)
-			}()
+			runUntilCleanup(t, task.run)
 			task.config.storeEra.Observe(c.era)
 			task.config.offer(document(1), storeOrigin)
 			task.storeLoaded(c.era)
 			time.Sleep(c.wait)
 			synctest.Wait()
 			require.Equal(t, uint64(1), task.config.version())
-			cancel()
-			<-ended
 		})
 	}
 }
@@ -354,12 +338,7 @@
 				newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
 			task.config.release()
 			config, _ := task.followers(topic)
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan struct{})
-			go func() {
-				config.run(ctx)
-				close(ended)
-			}()
+			runUntilCleanup(t, config.run)
 			highest := uint64(0)
 			for range 40 + 4*len(script) {
 				time.Sleep(100 * time.Millisecond)
@@ -373,8 +352,6 @@
 			if len(topic.script) < 2 {
 				require.Equal(t, topic.newest, highest)
 			}
-			cancel()
-			<-ended
 		})
 	})
 }
