--- a/operator/explainlogs.go
+++ b/operator/explainlogs.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// maxLogLineBytes is the maximum length of a line in a log file. A longer line makes
-	// reading the log fail.
+	// maxLogLineBytes is the maximum length of a line in a log file. Longer lines are
+	// skipped: another program has written them.
 	maxLogLineBytes = 1 << 20
 	// stateChangeMargin is the time before and after a request within which state
 	// changes of the nodes involved are included in its trace.
@@ -56,6 +56,8 @@
 	node    string
 	address string
 	lines   []logLine
+	// skipped is the number of lines that were too long.
+	skipped int
 }
 
 // logEntry holds the fields of a JSON log line that are used here.
@@ -77,26 +79,54 @@
 // because other programs may write to the same log.
 func readNodeLog(name string, r io.Reader) (nodeLog, error) {
 	log := nodeLog{node: strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))}
-	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, maxLogLineBytes)
-	for lines.Scan() {
-		var entry logEntry
-		if json.Unmarshal(lines.Bytes(), &entry) != nil || entry.Message == "" {
-			continue
+	reader := bufio.NewReaderSize(r, maxLogLineBytes)
+	for {
+		text, tooLong, err := readLine(reader)
+		if errors.Is(err, io.EOF) {
+			break
 		}
-		if entry.Message == telemetry.MessageNodeStarted {
-			log.node, log.address = cmp.Or(entry.VM, log.node), entry.Peers
+		if err != nil {
+			return log, errors.Wrapf(err, "operator: %s cannot be read; give files with one JSON object per line", name)
 		}
-		line := logLine{Time: entry.Time, Part: entry.Part, Message: entry.Message, Request: entry.Request, OtherFields: otherFields(lines.Bytes())}
-		if entry.Part == string(telemetry.PartPeers) {
-			line.unresponsive = entry.Address
+		if tooLong {
+			log.skipped++
+			continue
 		}
-		log.lines = append(log.lines, line)
+		log.add(text)
 	}
 	for i := range log.lines {
 		log.lines[i].Node = log.node
 	}
-	return log, errors.Wrapf(lines.Err(), "operator: %s cannot be read; give files with one JSON object per line", name)
+	return log, nil
+}
+
+// readLine reads one line, or skips one that does not fit into the buffer of the reader,
+// which it reports. The line is valid until the next call.
+func readLine(reader *bufio.Reader) (line []byte, tooLong bool, err error) {
+	line, more, err := reader.ReadLine()
+	for tooLong = more; more && err == nil; {
+		_, more, err = reader.ReadLine()
+	}
+	if tooLong && errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return line, tooLong, err
+}
+
+// add adds a line of a node's log.
+func (l *nodeLog) add(text []byte) {
+	var entry logEntry
+	if json.Unmarshal(text, &entry) != nil || entry.Message == "" {
+		return
+	}
+	if entry.Message == telemetry.MessageNodeStarted {
+		l.node, l.address = cmp.Or(entry.VM, l.node), entry.Peers
+	}
+	line := logLine{Time: entry.Time, Part: entry.Part, Message: entry.Message, Request: entry.Request, OtherFields: otherFields(text)}
+	if entry.Part == string(telemetry.PartPeers) {
+		line.unresponsive = entry.Address
+	}
+	l.lines = append(l.lines, line)
 }
 
 // otherFields returns the fields of a line except columnFields, in the order in which
@@ -147,7 +177,7 @@
 	}
 	t.requestLines = len(t.lines)
 	sortByTime(t.lines)
-	t.missingNotes = missingNotes(logs, t.lines, root)
+	t.missingNotes = append(missingNotes(logs, t.lines, root), skippedNotes(logs)...)
 	t.lines = append(t.lines, stateChanges(logs, t.lines)...)
 	sortByTime(t.lines)
 	return t
@@ -201,6 +231,17 @@
 	return texts
 }
 
+// skippedNotes returns a note for each log of which lines were skipped.
+func skippedNotes(logs []nodeLog) []string {
+	var texts []string
+	for _, log := range logs {
+		if log.skipped > 0 {
+			texts = append(texts, fmt.Sprintf("%d lines of the log of %s are longer than %d bytes and were skipped; a node writes none of this length.", log.skipped, log.node, maxLogLineBytes))
+		}
+	}
+	return texts
+}
+
 // explainLogs prints the trace of a request from log files.
 func (c *ExplainCommand) explainLogs(out Output) (int, error) {
 	if c.Request == "" || c.Target != "" {
--- a/operator/explainlogs_test.go
+++ b/operator/explainlogs_test.go
@@ -68,6 +68,17 @@
 	require.Contains(t, stdout, "No line reports that a1 failed")
 }
 
+// Guards against a long line of another program after which the rest of the log is missing.
+func TestExplainSkipsLinesThatAreTooLong(t *testing.T) {
+	long := strings.Repeat("x", 3*maxLogLineBytes) + "\n"
+	for _, content := range []string{long + entryLog, entryLog + long, entryLog + strings.TrimSuffix(long, "\n")} {
+		code, stdout, stderr := runCommand(t, append([]string{"explain", "--request", "a1"}, logFiles(t, content)...)...)
+		require.Equal(t, ExitOK, code, stderr)
+		require.Contains(t, stdout, "The request failed.")
+		require.Contains(t, stdout, "1 lines of the log of vm-1 are longer than 1048576 bytes")
+	}
+}
+
 // Guards against incomplete arguments that are accepted.
 func TestExplainRejectsIncompleteArguments(t *testing.T) {
 	for _, args := range [][]string{
