--- a/node/relay/storeera.go
+++ b/node/relay/storeera.go
@@ -49,8 +49,8 @@
 	return before, later
 }
 
-// startNextEra takes back what this node believed of the store in the era before. The
-// store may lack versions that it had acknowledged, so the node compares with others,
+// startNextEra invalidates what this node has learned from the store in the era before.
+// The store may lack versions that it had acknowledged, so the node compares with others,
 // which may have them, before it relies on the store again.
 func (t *membersTask) startNextEra(before era.Era) {
 	if before == era.Unknown {
