Compare nodes only once the last record has had its time to spread

Known red, traced: TestConcurrentEditsAreLinearizable compares positions 30 s after the last edit. In both failures of 180 runs with a trace, a node had appended a checkpoint 110 ms and 77 ms before, which had reached some nodes. The check took that for a divergence.

--- a/node/control/fake_test.go
+++ b/node/control/fake_test.go
@@ -43,6 +43,8 @@
 	appendsInSecond int
 	appends         int
 	peakAppends     int
+	// lastAppend is when the last append took effect.
+	lastAppend time.Time
 	// era is the era of the log; 0 means that it does not tell it.
 	era era.Era
 	// markedEnds holds the end of each stream at the call of mark, and
@@ -134,6 +136,7 @@
 	s := l.stream(stream)
 	s.records = append(s.records, data)
 	s.history = append(s.history, data)
+	l.lastAppend = time.Now()
 	if l.maxRetained > 0 && len(s.records) > l.maxRetained {
 		s.records = s.records[1:]
 		s.earliest++
--- a/node/control/history_test.go
+++ b/node/control/history_test.go
@@ -199,6 +199,7 @@
 		wait.Wait()
 		f.log.update(func() { f.log.lossRate = 0 })
 		time.Sleep(30 * time.Second)
+		f.waitForSpread()
 		f.requireAgreement(8)
 		attempts = e.attempts
 		for i, data := range f.log.stream(streamlog.CatalogueStream).history {
@@ -212,6 +213,22 @@
 	return attempts, final
 }
 
+// spreadBound is the time within which a record reaches every node.
+const spreadBound = 3 * time.Second
+
+// waitForSpread waits until the last record, which may be a checkpoint that a node has
+// just written, has had the time to reach every node.
+func (f *fleet) waitForSpread() {
+	for {
+		var last time.Time
+		f.log.update(func() { last = f.log.lastAppend })
+		if time.Since(last) >= spreadBound {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // operations converts attempts into a history. A change with a result unknown to
 // its operator is concurrent with all later ones if it was written to the log, and
 // is left out otherwise.
