--- a/node/control/log.go
+++ b/node/control/log.go
@@ -130,12 +130,16 @@
 		return
 	}
 	s.restoring = true
+	size := 0
+	for _, record := range records {
+		size += len(record)
+	}
 	log, timeout := t.cfg.Log, t.cfg.Intervals.LogTimeout
 	t.spawn(func(ctx context.Context) message {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		err := log.AppendAt(ctx, s.name, records, end)
-		t.c.stats.message(KindLogAppend, 0, len(records), err)
+		t.c.stats.message(KindLogAppend, 0, size, err)
 		return lostRestored{s, len(records), end, err}
 	})
 }
