--- /dev/null
+++ b/core/account/account.go
@@ -0,0 +1,99 @@
+// Package account holds the client accounts of a configuration and finds the account
+// of a key.
+//
+// A Directory keeps digests of keys, not the keys, so that no output of a node can show
+// one, and finds an account by one look-up, so that the time does not depend on the
+// keys of others.
+package account
+
+import (
+	"crypto/sha256"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A Digest is the SHA-256 digest of a key.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a key.
+func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
+
+// An Account is one client account.
+type Account struct {
+	Name string
+	// Keys holds the digests of all keys that are valid at the same time.
+	Keys []Digest
+	// Priority precedes the priority of the route if HasPriority is set; 0 is the
+	// highest.
+	Priority    int
+	HasPriority bool
+	// RatePerSecond and Burst are the quota over all nodes. A RatePerSecond of 0 means
+	// that there is no limit.
+	RatePerSecond float64
+	Burst         float64
+}
+
+// Limited reports whether the account has a quota.
+func (a *Account) Limited() bool { return a.RatePerSecond > 0 }
+
+// Kinds of errors of a directory; match them with errors.Is.
+var (
+	// ErrDuplicateKey marks a key that two accounts hold.
+	ErrDuplicateKey = errors.New("two client accounts hold the same key; remove it from one of them")
+	// ErrDuplicateName marks a name that two accounts have.
+	ErrDuplicateName = errors.New("two client accounts have the same name; rename one of them")
+	// ErrNoKeys marks an account without keys.
+	ErrNoKeys = errors.New("the client account has no key; give it one")
+	// ErrNegativeRate marks a negative rate or burst.
+	ErrNegativeRate = errors.New("the rate or the burst of the client account is negative; use 0 for no limit")
+)
+
+// A Directory finds accounts by key and by name. It is immutable and safe for
+// concurrent use.
+type Directory struct {
+	accounts []*Account
+	byKey    map[Digest]*Account
+	byName   map[string]*Account
+}
+
+// NewDirectory returns a directory of the accounts. The error names the account and
+// matches one of the kinds above.
+func NewDirectory(accounts []Account) (*Directory, error) {
+	d := &Directory{byKey: make(map[Digest]*Account), byName: make(map[string]*Account, len(accounts))}
+	for i := range accounts {
+		if err := d.add(accounts[i]); err != nil {
+			return nil, errors.Wrapf(err, "account %q", accounts[i].Name)
+		}
+	}
+	return d, nil
+}
+
+func (d *Directory) add(a Account) error {
+	switch {
+	case d.byName[a.Name] != nil:
+		return ErrDuplicateName
+	case len(a.Keys) == 0:
+		return ErrNoKeys
+	case a.RatePerSecond < 0 || a.Burst < 0:
+		return ErrNegativeRate
+	}
+	for _, key := range a.Keys {
+		if other := d.byKey[key]; other != nil && other != &a {
+			return ErrDuplicateKey
+		}
+		d.byKey[key] = &a
+	}
+	d.byName[a.Name] = &a
+	d.accounts = append(d.accounts, &a)
+	return nil
+}
+
+// Find returns the account of a key, or nil if no account holds it.
+func (d *Directory) Find(key string) *Account { return d.byKey[DigestOf(key)] }
+
+// ByName returns the account with a name, or nil if there is none.
+func (d *Directory) ByName(name string) *Account { return d.byName[name] }
+
+// All returns the accounts in the order of the configuration. The caller must not
+// modify the slice.
+func (d *Directory) All() []*Account { return d.accounts }
--- a/core/callgraph/callgraph.go
+++ b/core/callgraph/callgraph.go
@@ -23,7 +23,9 @@
 type Parent struct {
 	Route string
 	Level outcome.Level
-	Trial bool
+	// Account is the name of the client account of the root request, or empty.
+	Account string
+	Trial   bool
 	// Repeat is true if the request is a retry, so it may have run before.
 	Repeat bool
 	// PriorCompletedCalls is the number of calls that had been completed for
--- a/core/ingress/ingress.go
+++ b/core/ingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/primrosemount/primrosemount/core/account"
 	"github.com/primrosemount/primrosemount/core/outcome"
 )
 
@@ -48,6 +49,10 @@
 	Attempts int
 	// Destinations has at least one element.
 	Destinations []Destination
+	// Public is true if requests need no key of a client account.
+	Public bool
+	// LargeBodies is true if the bodies of requests are large.
+	LargeBodies bool
 	// totalWeight is the sum of the weights of Destinations.
 	totalWeight int
 }
@@ -94,10 +99,24 @@
 	BodyBytes   int64
 }
 
+// Features are parts of the product that only some configurations call for.
+type Features struct {
+	// PlaceByCost chooses targets by the expected cost of requests and the work that
+	// targets have left.
+	PlaceByCost bool
+	// LimitByRetryBudget refuses root requests whose calls the retry budget cannot
+	// finish.
+	LimitByRetryBudget bool
+}
+
 // A Table is one version of the configuration.
 type Table struct {
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Accounts holds the client accounts. It is nil if the configuration has none;
+	// requests then need no key.
+	Accounts *account.Directory
+	Features Features
 	services map[string]Service
 	// byHost holds the routes of each host, longest path prefix first.
 	byHost map[string][]*Route
--- a/core/outcome/reason.go
+++ b/core/outcome/reason.go
@@ -32,6 +32,9 @@
 	CallerLimit        = Reason(pb.Reason_REASON_CALLER_LIMIT)
 	DepthExceeded      = Reason(pb.Reason_REASON_DEPTH_EXCEEDED)
 	Internal           = Reason(pb.Reason_REASON_INTERNAL)
+	Unauthenticated    = Reason(pb.Reason_REASON_UNAUTHENTICATED)
+	QuotaExceeded      = Reason(pb.Reason_REASON_QUOTA_EXCEEDED)
+	QuotaUnknown       = Reason(pb.Reason_REASON_QUOTA_UNKNOWN)
 )
 
 // retryLater is the remedy for temporary conditions.
@@ -65,6 +68,9 @@
 	DoomedDownstream:   retryLater,
 	CallerLimit:        "keep fewer requests in progress at one time",
 	DepthExceeded:      "shorten the call chain; it may be a loop",
+	Unauthenticated:    "send the key of a client account that is in the configuration",
+	QuotaExceeded:      "wait for the time in Retry-After, or ask the operators to raise the quota of the client account",
+	QuotaUnknown:       retryLater,
 	Internal:           "report the request id to the operators; `primrosemount explain` shows its path",
 }
 
@@ -81,7 +87,8 @@
 	switch r {
 	case Overloaded, EvictedFromQueue, Draining, TargetDown, NoTarget,
 		ConnectFailed, CatalogueUnknown, AnswerLost, AnswerTruncated,
-		TargetRefused, DoomedDownstream, CallerLimit, ExecutorGone, InProgress:
+		TargetRefused, DoomedDownstream, CallerLimit, ExecutorGone, InProgress,
+		QuotaExceeded, QuotaUnknown:
 		return true
 	default:
 		return false
@@ -93,7 +100,8 @@
 func (r Reason) IsCallerError() bool {
 	switch r {
 	case NotAllowed, UnknownService, UnknownOperation, BadRequest, TooLarge,
-		CallerLimit, RetryBound, KeyMalformed, KeyConflict:
+		CallerLimit, RetryBound, KeyMalformed, KeyConflict,
+		Unauthenticated, QuotaExceeded:
 		return true
 	default:
 		return false
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -46,6 +46,7 @@
 	// least share is the minimum share of an operation's requests that is admitted
 	// before the order of classes counts.
 	shares        *leastshare.Tracker
+	quotas        *quotaTask
 	originService func() string
 	metrics       *telemetry.Metrics
 	events        *eventLog
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -32,6 +32,7 @@
 	// request.
 	versionReceived func(address string, version uint64)
 	sync            func(request *pb.SyncRequest, response *pb.SyncResponse)
+	quotas          *quotaTask
 }
 
 var _ transport.RelayHandler = (*receiver)(nil)
@@ -66,6 +67,11 @@
 	r.sync(request, response)
 }
 
+// ExchangeQuota implements transport.RelayHandler.
+func (r *receiver) ExchangeQuota(request *pb.QuotaRequest, response *pb.QuotaResponse) {
+	r.quotas.serve(request, response)
+}
+
 // handle passes the request through the gate and sends it to the target if it is
 // admitted. The account holds the body of the response.
 func (r *receiver) handle(ctx context.Context, request *pb.ForwardRequest, response *pb.ForwardResponse, deadline time.Time, account *memory.Account) {
--- a/node/relay/headercodec.go
+++ b/node/relay/headercodec.go
@@ -11,6 +11,9 @@
 	AttemptID string
 	// Remaining is how long the client waits, or 0 if the headers do not state it.
 	Remaining time.Duration
+	// Key is the key of the client account, or empty if the request has none. It must
+	// not be logged or passed on.
+	Key string
 }
 
 // A TargetEnvelope holds the values that the relay sends to a target with a request.
@@ -22,6 +25,8 @@
 	TargetID string
 	// OriginService is the service on whose VM the request originated.
 	OriginService string
+	// Account is the name of the client account, or empty if there is none.
+	Account string
 }
 
 // A TargetResponse holds the values that the relay reads from the headers of a
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -217,8 +217,10 @@
 	r.members.restore = r.gate.restore
 	r.members.recordDraining = r.gate.recordDraining
 	r.targets = newTargetClient(o.HeaderCodec, r.budget)
+	quotas := newQuotaTask()
 	r.receiver = &receiver{
 		gate:            r.gate,
+		quotas:          quotas,
 		targets:         r.targets,
 		operations:      threshold.NewOperations(downstream),
 		numbering:       newOperationNumbers(),
@@ -250,6 +252,7 @@
 		dispatcher:    dispatch,
 		graph:         graph,
 		shares:        leastshare.New(),
+		quotas:        quotas,
 		originService: func() string { return r.target.Load().service },
 		metrics:       o.Metrics,
 		events:        events,
--- a/transport/client.go
+++ b/transport/client.go
@@ -163,6 +163,11 @@
 	return send(ctx, p, address, relayServiceName+".Sync", request, &pb.SyncResponse{})
 }
 
+// ExchangeQuota exchanges quota tokens with the node at the address.
+func (p *Pool) ExchangeQuota(ctx context.Context, address string, request *pb.QuotaRequest) (*pb.QuotaResponse, error) {
+	return send(ctx, p, address, relayServiceName+".ExchangeQuota", request, &pb.QuotaResponse{})
+}
+
 // identifiedMessage is a message that carries the ID of its call.
 type identifiedMessage interface {
 	proto.Message
--- a/transport/largeframe_test.go
+++ b/transport/largeframe_test.go
@@ -24,6 +24,7 @@
 	}
 }
 func (echoRelay) CancelForward(*pb.CancelRequest, *pb.CancelResponse) {}
+func (echoRelay) ExchangeQuota(*pb.QuotaRequest, *pb.QuotaResponse)   {}
 func (echoRelay) Sync(*pb.SyncRequest, *pb.SyncResponse)              {}
 
 // startRelay starts a server and a pool, whose messages the budgets account for.
--- a/transport/server.go
+++ b/transport/server.go
@@ -40,6 +40,7 @@
 	Forward(ctx context.Context, request *pb.ForwardRequest, response *pb.ForwardResponse)
 	CancelForward(request *pb.CancelRequest, response *pb.CancelResponse)
 	Sync(request *pb.SyncRequest, response *pb.SyncResponse)
+	ExchangeQuota(request *pb.QuotaRequest, response *pb.QuotaResponse)
 }
 
 // Authorize decides whether a peer may connect; it returns an error to refuse
@@ -297,6 +298,12 @@
 	return nil
 }
 
+func (e *relayEndpoint) ExchangeQuota(request *pb.QuotaRequest, response *pb.QuotaResponse) (err error) {
+	defer e.recover(&err)
+	e.handler.ExchangeQuota(request, response)
+	return nil
+}
+
 func (e *relayEndpoint) Sync(request *pb.SyncRequest, response *pb.SyncResponse) (err error) {
 	defer e.recover(&err)
 	e.handler.Sync(request, response)
