--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -125,6 +125,13 @@
 	// may send in addition, regardless of the number of requests.
 	RetryRatio float64
 	RetrySlack float64
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the root requests of a client
+	// account that all nodes together run: in any window of QuotaWindow, at most
+	// (rate x QuotaWindow + burst) x (1 + QuotaOverage) + QuotaSlack. A QuotaWindow of
+	// 0 means 5 s.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 
 	// StoreRates are the limits of the store on the calls of all nodes together.
 	StoreRates StoreRates
