Draw cohorts by the load of client accounts

Under overload, gates shed whole cohorts, which were drawn by the hash of the request's id: an account that sent eight times its load displaced the others. The cohort of a request of an account is now drawn up to the account's load over its quota, so that each cohort holds the same part of each account's entitlement.

--- a/node/relay/authenticate.go
+++ b/node/relay/authenticate.go
@@ -93,10 +93,18 @@
 	return found.Class()
 }
 
+// accountQuotas are the quotas of client accounts as the entry uses them; quotaTask
+// implements them.
+type accountQuotas interface {
+	take(now time.Time, a *account.Account) *outcome.Error
+	refund(now time.Time, a *account.Account)
+	load(now time.Time, a *account.Account) (float64, bool)
+}
+
 // A quotaUse is the use of a client account's quota by one root request. The zero value
 // uses none. It is not safe for concurrent use.
 type quotaUse struct {
-	quotas  *quotaTask
+	quotas  accountQuotas
 	account *account.Account
 }
 
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/primrosemount/primrosemount/core/account"
 	"github.com/primrosemount/primrosemount/core/callgraph"
+	"github.com/primrosemount/primrosemount/core/fairshare"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/memory"
@@ -44,8 +45,10 @@
 	// shares tracks the least share of each route for the requests of clients. The
 	// least share is the minimum share of an operation's requests that is admitted
 	// before the order of classes counts.
-	shares        *leastshare.Tracker
-	quotas        *quotaTask
+	shares *leastshare.Tracker
+	quotas accountQuotas
+	// fair keeps accounts from displacing each other under overload.
+	fair          *fairshare.Tracker
 	originService func() string
 	metrics       *telemetry.Metrics
 	events        *eventLog
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -41,6 +41,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosemount/primrosemount/core/callgraph"
+	"github.com/primrosemount/primrosemount/core/fairshare"
 	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/leastshare"
@@ -264,6 +265,7 @@
 		graph:         graph,
 		shares:        leastshare.New(),
 		quotas:        quotas,
+		fair:          fairshare.New(),
 		originService: func() string { return r.target.Load().service },
 		metrics:       o.Metrics,
 		events:        events,
