--- a/node/relay/authenticate_test.go
+++ b/node/relay/authenticate_test.go
@@ -77,7 +77,7 @@
 	core, lines := observer.New(zap.InfoLevel)
 	config := newConfiguration(nil, now, zap.NewNop())
 	config.table.Store(table)
-	config.recordResponse(now, now)
+	config.recordResponse(time.Now(), time.Now())
 	metrics, err := telemetry.NewMetrics()
 	require.NoError(t, err)
 	graph, downstream, quotas := callgraph.New(), threshold.NewDownstream(now), &countedQuotas{}
