--- a/node/relay/authenticate.go
+++ b/node/relay/authenticate.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/primrosemount/primrosemount/core/account"
@@ -74,14 +75,17 @@
 	return ""
 }
 
-// nameOfAccount returns the name of the client account of a request that was not
-// accepted, as far as it is known.
-func (e *entry) nameOfAccount(envelope Envelope) string {
+// recordRejected logs a request that was not accepted, and counts it if it is one of a
+// client with a known account.
+func (e *entry) recordRejected(r *http.Request, envelope Envelope, refused *outcome.Error) {
 	s := e.senderOf(envelope)
 	if table := e.config.table.Load(); s.parent == nil && envelope.Key != "" && table != nil && table.Accounts != nil {
 		s.account = table.Accounts.Find(envelope.Key)
 	}
-	return s.accountName()
+	if s.account != nil {
+		e.use.add(s.account.Name, refused.Outcome, refused.Reason)
+	}
+	e.events.rejected(r, envelope.AttemptID, s.accountName(), refused, e.config)
 }
 
 // classOf returns the class of a request without its least share. The priority of its
--- a/node/relay/authenticate_test.go
+++ b/node/relay/authenticate_test.go
@@ -84,7 +84,7 @@
 	graph.Start("parent", callgraph.Parent{Route: "r", Account: "free", Run: threshold.NewOperations(downstream).Start("r", 130)})
 	events := newEventLog(zap.New(core))
 	return &entry{
-		wire: keyCodec{}, config: config, graph: graph, shares: leastshare.New(), quotas: quotas, fair: fairshare.New(),
+		wire: keyCodec{}, config: config, graph: graph, shares: leastshare.New(), quotas: quotas, fair: fairshare.New(), use: newAccountUse(),
 		originService: func() string { return "s" }, metrics: metrics, events: events,
 		budget: memory.NewBudget(1 << 20), sizes: newResponseSizes(), maxBodyBytes: testMaxBody,
 		dispatcher: &dispatcher{
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -49,6 +49,7 @@
 	quotas accountQuotas
 	// fair keeps accounts from displacing each other under overload.
 	fair          *fairshare.Tracker
+	use           *accountUse
 	originService func() string
 	metrics       *telemetry.Metrics
 	events        *eventLog
@@ -176,7 +177,7 @@
 	// The envelope is parsed again for the attempt ID. A parse error is already the
 	// reason of the refusal.
 	envelope, _ := e.wire.ReadRequest(r.Header)
-	e.events.rejected(r, envelope.AttemptID, e.nameOfAccount(envelope), refused, e.config)
+	e.recordRejected(r, envelope, refused)
 	e.metrics.Request(unrouted, outcome.Normal, refused.Outcome, refused.Reason, time.Since(started))
 	return &rejectedRequest{entry: e, refused: refused}
 }
@@ -387,6 +388,9 @@
 func (e *entry) recordMetrics(o *outgoing, response *pb.ForwardResponse) {
 	e.metrics.Request(o.message.GetService(), classOf(o.route, o.account), outcome.Outcome(response.GetOutcome()),
 		outcome.Reason(response.GetReason()), time.Since(o.started))
+	if o.account != nil {
+		e.use.add(o.account.Name, outcome.Outcome(response.GetOutcome()), outcome.Reason(response.GetReason()))
+	}
 }
 
 // statusOf returns the HTTP status of a failure. Statuses 503 and 429 state that the
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -266,6 +266,7 @@
 		shares:        leastshare.New(),
 		quotas:        quotas,
 		fair:          fairshare.New(),
+		use:           newAccountUse(),
 		originService: func() string { return r.target.Load().service },
 		metrics:       o.Metrics,
 		events:        events,
@@ -323,17 +324,19 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.options.Metrics.Handler())
+	mux.HandleFunc("/accounts", r.entry.serveAccounts)
 	r.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
 
-// registerMetrics registers the metrics of the gate, the configuration and the memory. If that
-// fails, the node runs without them.
+// registerMetrics registers the metrics of the gate, the configuration, the memory and the
+// client accounts. If that fails, the node runs without them.
 func (r *Relay) registerMetrics() {
 	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateCounters(r.gate.flow),
-		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage))
+		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage),
+		r.options.Metrics.ObserveAccounts(r.entry.use.sample))
 	if err != nil {
-		r.logger.Error("The gate, the configuration and the memory have no metrics; report this to the developers.", telemetry.ErrorField(err))
+		r.logger.Error("The gate, the configuration, the memory and the client accounts have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
 }
 
