--- a/node/relay/authenticate.go
+++ b/node/relay/authenticate.go
@@ -26,7 +26,9 @@
 func (e *entry) senderOf(envelope Envelope) sender {
 	s := sender{Envelope: envelope}
 	if parent, ok := e.graph.Find(envelope.AttemptID); ok {
-		s.parent = &parent
+		// Only the copy is allocated, and only for calls.
+		found := parent
+		s.parent = &found
 	}
 	return s
 }
@@ -114,7 +116,7 @@
 
 // takeQuota takes the quota of a root request of a limited account, or returns the
 // refusal.
-func (e *entry) takeQuota(from sender, now time.Time) (quotaUse, *outcome.Error) {
+func (e *entry) takeQuota(from *sender, now time.Time) (quotaUse, *outcome.Error) {
 	if from.account == nil || !from.account.Limited() {
 		return quotaUse{}, nil
 	}
--- a/node/relay/cohort.go
+++ b/node/relay/cohort.go
@@ -12,7 +12,7 @@
 // cohort returns the cohort of a root request within its class. Without a client account,
 // it depends on the ID of the attempt only. A cohort for an account is drawn at random,
 // so that clients cannot choose IDs with a low one.
-func (e *entry) cohort(from sender, now time.Time) uint32 {
+func (e *entry) cohort(from *sender, now time.Time) uint32 {
 	if from.account == nil {
 		return uint32(xxhash.Sum64String(from.AttemptID))
 	}
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -209,7 +209,7 @@
 	if refused := from.authenticate(table, found); refused != nil {
 		return nil, refused
 	}
-	quota, refused := e.takeQuota(from, started)
+	quota, refused := e.takeQuota(&from, started)
 	if refused != nil {
 		return nil, refused
 	}
@@ -255,7 +255,7 @@
 	if parent := from.parent; parent != nil {
 		o.parent, o.level, o.trial, o.isRetry = parent, parent.Level, parent.Trial, parent.Repeat
 	} else {
-		o.level = outcome.LevelOf(e.effectiveClass(found, from.account, started), e.cohort(from, started))
+		o.level = outcome.LevelOf(e.effectiveClass(found, from.account, started), e.cohort(&from, started))
 		o.trial = threshold.IsTrial([]byte(from.AttemptID))
 	}
 	var completed uint32
