Void tokens of requests that are not sent within a second

A request takes its token before its body is read. With slow uploads or responses, tokens of many earlier seconds would be used, or returned and used, within one window, which breaks the bound of the quota. TestExpiredTokensAreNeitherUsedNorReturned covers both.

--- a/node/relay/authenticate.go
+++ b/node/relay/authenticate.go
@@ -107,11 +107,18 @@
 	load(now time.Time, a *account.Account) (float64, bool)
 }
 
+// tokenLifetime is how long a token of a quota is valid. A request that has not been sent
+// by then, for example because its body arrived slowly, needs a new one, and a token that
+// is returned later is void. Otherwise, requests of many earlier seconds could run within
+// one window of the quota.
+const tokenLifetime = time.Second
+
 // A quotaUse is the use of a client account's quota by one root request. The zero value
 // uses none. It is not safe for concurrent use.
 type quotaUse struct {
 	quotas  accountQuotas
 	account *account.Account
+	taken   time.Time
 }
 
 // takeQuota takes the quota of a root request of a limited account, or returns the
@@ -123,17 +130,32 @@
 	if refused := e.quotas.take(now, from.account); refused != nil {
 		return quotaUse{}, refused
 	}
-	return quotaUse{quotas: e.quotas, account: from.account}, nil
+	return quotaUse{quotas: e.quotas, account: from.account, taken: now}, nil
 }
 
 // refund returns the use of a request that has not run and will not run. It has no
 // effect after the first call.
 func (u *quotaUse) refund() {
-	if u.account == nil {
-		return
+	if now := time.Now(); u.account != nil && !u.expired(now) {
+		u.quotas.refund(now, u.account)
+	}
+	u.account = nil
+}
+
+func (u *quotaUse) expired(now time.Time) bool { return now.Sub(u.taken) > tokenLifetime }
+
+// renew takes the quota again if the token has expired, or returns the refusal.
+func (u *quotaUse) renew(now time.Time) *outcome.Error {
+	if u.account == nil || !u.expired(now) {
+		return nil
 	}
-	u.quotas.refund(time.Now(), u.account)
+	client := u.account
 	u.account = nil
+	if refused := u.quotas.take(now, client); refused != nil {
+		return refused
+	}
+	u.account, u.taken = client, now
+	return nil
 }
 
 // dispatched moves the use out of a request that is about to be sent. From then on, only
--- a/node/relay/authenticate_test.go
+++ b/node/relay/authenticate_test.go
@@ -232,6 +232,42 @@
 	}
 }
 
+// Guards against more requests in one window than the quota allows, because those of
+// earlier seconds, whose bodies arrived slowly, run at the same time, or because their
+// tokens are returned and used then.
+func TestExpiredTokensAreNeitherUsedNorReturned(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		refused         *outcome.Error
+		taken, refunded int
+		line            string
+	}{
+		{"another token", nil, 2, 1, "The request failed."},
+		{"no token", &outcome.Error{Outcome: outcome.NotRun, Reason: outcome.QuotaExceeded}, 1, 0, "The request was refused because its quota was used up before it was complete."},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e, quotas, lines := accountEntry(t)
+			o, refused := e.accept(keyRequest("/r/", "a", "key-l", strings.NewReader("x")), time.Now())
+			require.Nil(t, refused)
+			o.quota.taken = o.quota.taken.Add(-2 * tokenLifetime)
+			quotas.refused = c.refused
+			a := &acceptedRequest{entry: e, outgoing: o}
+			a.Respond(t.Context(), &httpserver.Response{})
+			a.Release(nil)
+			require.Equal(t, c.taken, quotas.taken)
+			require.Equal(t, c.refunded, quotas.refunded, "the second token only")
+			require.Equal(t, 1, lines.FilterMessage(c.line).Len())
+		})
+	}
+	e, quotas, _ := accountEntry(t)
+	o, refused := e.accept(keyRequest("/r/", "a", "key-l", strings.NewReader("x")), time.Now())
+	require.Nil(t, refused)
+	use := o.quota.dispatched()
+	use.taken = use.taken.Add(-2 * tokenLifetime)
+	use.settle(notRun(outcome.Overloaded, 0))
+	require.Zero(t, quotas.refunded)
+}
+
 // brokenReader is a reader that fails.
 type brokenReader struct{}
 
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -98,6 +98,11 @@
 		e.refuse(w, o, errNoResponseMemory)
 		return
 	}
+	if refused := o.quota.renew(time.Now()); refused != nil {
+		e.events.quotaRefused(o, refused, e.config)
+		e.refuse(w, o, refused)
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
 	quota := o.quota.dispatched()
@@ -116,7 +121,7 @@
 	response := notRun(refused.Reason, 0)
 	e.recordShare(o, response)
 	e.recordMetrics(o, response)
-	e.writeFailure(w, refused, 0)
+	e.writeFailure(w, refused, refused.RetryAfter)
 }
 
 // refuseWhileStopping returns the refusal of a request that is not to be started
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -71,6 +71,14 @@
 		zap.Int64("expected", expected))...)...)
 }
 
+// quotaRefused logs a request that was not started because the token of its account had
+// expired before the request was complete, and the account has no other one.
+func (l *eventLog) quotaRefused(o *outgoing, refused *outcome.Error, config *configuration) {
+	fields := append(requestFields(o.message), zap.String("reason", refused.Reason.String()), zap.String("detail", refused.Detail),
+		zap.Duration("waited", time.Since(o.started)))
+	l.entry.Info("The request was refused because its quota was used up before it was complete.", append(fields, config.ageFields()...)...)
+}
+
 // memoryFields returns the bytes that are held, by kind.
 func memoryFields(usage memory.Usage) []zap.Field {
 	fields := []zap.Field{zap.Int64("memory_limit", usage.Limit)}
--- a/node/relay/events_test.go
+++ b/node/relay/events_test.go
@@ -37,6 +37,9 @@
 		}, []string{"account", "reason", "detail", "config", "config_age", "store_age"}},
 		{"not started", func(l *eventLog) { l.stopRefused(o, errStoppingSoon) }, []string{"reason", "detail", "call", "remaining"}},
 		{"refused for memory", func(l *eventLog) { l.memoryRefused(o, memory.Usage{Limit: 7}, 5) }, []string{"expected", "memory_limit", "held_requests", "held_responses", "held_frames"}},
+		{"refused for its quota", func(l *eventLog) {
+			l.quotaRefused(o, outcome.New(outcome.NotRun, outcome.QuotaExceeded, "detail"), config)
+		}, []string{"reason", "detail", "waited", "config_age"}},
 		{"refused at the entry", func(l *eventLog) { l.entryRefused(o, outcome.DoomedDownstream, 150) }, []string{"reason", "threshold", "level", "config"}},
 		{"no target", func(l *eventLog) { l.noTarget(o, outcome.NoTarget, 2) }, []string{"reason", "tried"}},
 		{"repeated", func(l *eventLog) { l.retried(o, notRun(outcome.TargetRefused, 0), "vm") }, []string{"vm", "outcome", "reason"}},
