--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -125,6 +125,13 @@
 	// may send in addition, regardless of the number of requests.
 	RetryRatio float64
 	RetrySlack float64
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the root requests of a client
+	// account that all nodes together run: in any window of QuotaWindow, at most
+	// (rate x QuotaWindow + burst) x (1 + QuotaOverage) + QuotaSlack. A QuotaWindow of
+	// 0 means 5 s.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 
 	// StoreRates are the limits of the store on the calls of all nodes together.
 	StoreRates StoreRates
@@ -133,7 +140,10 @@
 	Config      Topic
 	Members     Topic
 	// Decode decodes a configuration document.
-	Decode  func(document []byte) (*ingress.Table, error)
+	Decode func(document []byte) (*ingress.Table, error)
+	// Redact returns a configuration document with digests in place of the keys of client
+	// accounts, which Decode also decodes.
+	Redact  func(document []byte) ([]byte, error)
 	Logger  *zap.Logger
 	Metrics *telemetry.Metrics
 }
@@ -210,6 +220,7 @@
 	r.budget = o.budget()
 	r.pool = transport.NewPool(transport.ClientConfig{MaxBodyBytes: r.maxBodyBytes(), IdleTimeout: peerIdleTimeout, Memory: r.budget})
 	r.config = newConfiguration(o.Decode, start, telemetry.Named(o.Logger, telemetry.PartControl))
+	r.config.redact = o.Redact
 	r.members = newMembersTask(self, o.Members, router, r.pool.Sync, r.config,
 		freshness.Rules{PropagationBound: cmp.Or(o.ConfigBound, defaultConfigBound)}, telemetry.Named(o.Logger, telemetry.PartControl))
 	r.gate = newGateTask(o.TargetAddress, o.Service, r.config.maxConnections, events.gate, r.members.targetChanged)
