--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -127,9 +127,9 @@
 	RetryRatio float64
 	RetrySlack float64
 	// QuotaWindow, QuotaOverage and QuotaSlack bound the root requests of a client
-	// account that all nodes together run: in any window of QuotaWindow, at most
-	// (rate x QuotaWindow + burst) x (1 + QuotaOverage) + QuotaSlack. A QuotaWindow of
-	// 0 means 5 s.
+	// account with a quota: in any window, all nodes together run at most
+	// (rate x QuotaWindow + burst) x (1 + QuotaOverage) + QuotaSlack of them. 0 means
+	// 5 s, 0.1 and 20.
 	QuotaWindow  time.Duration
 	QuotaOverage float64
 	QuotaSlack   float64
@@ -169,6 +169,7 @@
 	config   *configuration
 	gate     *gateTask
 	members  *membersTask
+	quotas   *quotaTask
 	targets  *targetClient
 	receiver *receiver
 	entry    *entry
@@ -229,10 +230,12 @@
 	r.members.restore = r.gate.restore
 	r.members.recordDraining = r.gate.recordDraining
 	r.targets = newTargetClient(o.HeaderCodec, r.budget)
-	quotas := newQuotaTask()
+	r.quotas = newQuotaTask()
+	r.quotas.configure(o, incarnation, start, r.pool.ExchangeQuota, r.config.table.Load)
+	r.members.membersChanged = r.quotas.setMembers
 	r.receiver = &receiver{
 		gate:            r.gate,
-		quotas:          quotas,
+		quotas:          r.quotas,
 		targets:         r.targets,
 		operations:      threshold.NewOperations(downstream),
 		numbering:       newOperationNumbers(),
@@ -264,7 +267,7 @@
 		dispatcher:    dispatch,
 		graph:         graph,
 		shares:        leastshare.New(),
-		quotas:        quotas,
+		quotas:        r.quotas,
 		fair:          fairshare.New(),
 		use:           newAccountUse(),
 		originService: func() string { return r.target.Load().service },
@@ -329,14 +332,14 @@
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
 
-// registerMetrics registers the metrics of the gate, the configuration, the memory and the
-// client accounts. If that fails, the node runs without them.
+// registerMetrics registers the metrics of the gate, the configuration, the memory, the
+// client accounts and their quotas. If that fails, the node runs without them.
 func (r *Relay) registerMetrics() {
 	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateCounters(r.gate.flow),
 		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage),
-		r.options.Metrics.ObserveAccounts(r.entry.use.sample))
+		r.options.Metrics.ObserveAccounts(r.entry.use.sample), r.options.Metrics.ObserveQuotas(r.quotas.counts.sample))
 	if err != nil {
-		r.logger.Error("The gate, the configuration, the memory and the client accounts have no metrics; report this to the developers.", telemetry.ErrorField(err))
+		r.logger.Error("The gate, the configuration, the memory, the client accounts and their quotas have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
 }
 
@@ -356,6 +359,7 @@
 	r.tasks.Go(func() { r.members.run(ctx) })
 	r.tasks.Go(func() { config.run(ctx) })
 	r.tasks.Go(func() { members.run(ctx) })
+	r.tasks.Go(func() { r.quotas.run(ctx) })
 	r.tasks.Go(func() { r.closeIdlePeers(ctx) })
 }
 
