--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -44,9 +44,9 @@
 	// entitlement of an account are spread. In a single cohort, they would be admitted
 	// or shed together.
 	excessCohorts = 8
-	// knownAge is how long a known load is used. An older one says little about the
-	// present, because the load of an account may change within a second.
-	knownAge = 2 * time.Second
+	// knownPeriod is how long after a request with a known load others are taken to have
+	// known loads, too.
+	knownPeriod = 2 * time.Second
 	// countWindow is the length of the counting window. Counts cover the present window
 	// and a part of the one before. It is long enough for an account with one request a
 	// second, and lets eight times the load of an account show within one second.
@@ -59,7 +59,8 @@
 // A Load is the load of an account on all entry nodes together, divided by its rate.
 type Load struct {
 	Relative float64
-	// Known is false if the account has no rate or its load has not been reported.
+	// Known is false if the account has no rate, or if its load has not been reported or
+	// the report is too old.
 	Known bool
 }
 
@@ -84,12 +85,7 @@
 }
 
 // counts holds the counts of one account in the present window, and in the one before.
-type counts struct {
-	present, before float64
-	// known is the last known load, which is used until the given time.
-	known float64
-	until time.Time
-}
+type counts struct{ present, before float64 }
 
 // New returns an empty Tracker.
 func New() *Tracker {
@@ -126,11 +122,8 @@
 	}
 	c.present++
 	if load.Known {
-		c.known, c.until = load.Relative, now.Add(knownAge)
-		t.knownUntil = c.until
-	}
-	if now.Before(c.until) {
-		return max(c.known, minKnown)
+		t.knownUntil = now.Add(knownPeriod)
+		return max(load.Relative, minKnown)
 	}
 	return min(t.counted(now, c), t.maxPosition(now))
 }
@@ -179,7 +172,7 @@
 	}
 	c := &counts{}
 	if earlier := t.before.accounts[account]; earlier != nil {
-		c.before, c.known, c.until = earlier.present, earlier.known, earlier.until
+		c.before = earlier.present
 		t.inBoth++
 	}
 	t.present.accounts[account] = c
