--- a/node/relay/authenticate.go
+++ b/node/relay/authenticate.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/primrosemount/primrosemount/core/account"
@@ -25,7 +26,9 @@
 func (e *entry) senderOf(envelope Envelope) sender {
 	s := sender{Envelope: envelope}
 	if parent, ok := e.graph.Find(envelope.AttemptID); ok {
-		s.parent = &parent
+		// Only the copy is allocated, and only for calls.
+		found := parent
+		s.parent = &found
 	}
 	return s
 }
@@ -74,14 +77,17 @@
 	return ""
 }
 
-// nameOfAccount returns the name of the client account of a request that was not
-// accepted, as far as it is known.
-func (e *entry) nameOfAccount(envelope Envelope) string {
+// recordRejected logs a request that was not accepted, and counts it if it is one of a
+// client with a known account.
+func (e *entry) recordRejected(r *http.Request, envelope Envelope, refused *outcome.Error) {
 	s := e.senderOf(envelope)
 	if table := e.config.table.Load(); s.parent == nil && envelope.Key != "" && table != nil && table.Accounts != nil {
 		s.account = table.Accounts.Find(envelope.Key)
 	}
-	return s.accountName()
+	if s.account != nil {
+		e.use.add(s.account.Name, refused.Outcome, refused.Reason)
+	}
+	e.events.rejected(r, envelope.AttemptID, s.accountName(), refused, e.config)
 }
 
 // classOf returns the class of a request without its least share. The priority of its
@@ -93,35 +99,65 @@
 	return found.Class()
 }
 
+// accountQuotas are the quotas of client accounts as the entry uses them; quotaTask
+// implements them.
+type accountQuotas interface {
+	take(now time.Time, a *account.Account) *outcome.Error
+	refund(now time.Time, a *account.Account)
+	load(now time.Time, a *account.Account) (float64, bool)
+}
+
+// tokenLifetime is how long a token of a quota is valid. A request that has not been sent
+// by then, for example because its body arrived slowly, needs a new one, and a token that
+// is returned later is void. Otherwise, requests of many earlier seconds could run within
+// one window of the quota.
+const tokenLifetime = time.Second
+
 // A quotaUse is the use of a client account's quota by one root request. The zero value
 // uses none. It is not safe for concurrent use.
 type quotaUse struct {
-	quotas  *quotaTask
+	quotas  accountQuotas
 	account *account.Account
+	taken   time.Time
 }
 
 // takeQuota takes the quota of a root request of a limited account, or returns the
 // refusal.
-func (e *entry) takeQuota(from sender, now time.Time) (quotaUse, *outcome.Error) {
+func (e *entry) takeQuota(from *sender, now time.Time) (quotaUse, *outcome.Error) {
 	if from.account == nil || !from.account.Limited() {
 		return quotaUse{}, nil
 	}
 	if refused := e.quotas.take(now, from.account); refused != nil {
 		return quotaUse{}, refused
 	}
-	return quotaUse{quotas: e.quotas, account: from.account}, nil
+	return quotaUse{quotas: e.quotas, account: from.account, taken: now}, nil
 }
 
 // refund returns the use of a request that has not run and will not run. It has no
 // effect after the first call.
 func (u *quotaUse) refund() {
-	if u.account == nil {
-		return
+	if now := time.Now(); u.account != nil && !u.expired(now) {
+		u.quotas.refund(now, u.account)
 	}
-	u.quotas.refund(time.Now(), u.account)
 	u.account = nil
 }
 
+func (u *quotaUse) expired(now time.Time) bool { return now.Sub(u.taken) > tokenLifetime }
+
+// renew takes the quota again if the token has expired, or returns the refusal.
+func (u *quotaUse) renew(now time.Time) *outcome.Error {
+	if u.account == nil || !u.expired(now) {
+		return nil
+	}
+	client := u.account
+	u.account = nil
+	if refused := u.quotas.take(now, client); refused != nil {
+		return refused
+	}
+	u.account, u.taken = client, now
+	return nil
+}
+
 // dispatched moves the use out of a request that is about to be sent. From then on, only
 // the response can show that the request has not run.
 func (u *quotaUse) dispatched() quotaUse {
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/primrosemount/primrosemount/core/account"
 	"github.com/primrosemount/primrosemount/core/callgraph"
+	"github.com/primrosemount/primrosemount/core/fairshare"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/memory"
@@ -44,8 +45,11 @@
 	// shares tracks the least share of each route for the requests of clients. The
 	// least share is the minimum share of an operation's requests that is admitted
 	// before the order of classes counts.
-	shares        *leastshare.Tracker
-	quotas        *quotaTask
+	shares *leastshare.Tracker
+	quotas accountQuotas
+	// fair keeps accounts from displacing each other under overload.
+	fair          *fairshare.Tracker
+	use           *accountUse
 	originService func() string
 	metrics       *telemetry.Metrics
 	events        *eventLog
@@ -94,6 +98,11 @@
 		e.refuse(w, o, errNoResponseMemory)
 		return
 	}
+	if refused := o.quota.renew(time.Now()); refused != nil {
+		e.events.quotaRefused(o, refused, e.config)
+		e.refuse(w, o, refused)
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
 	quota := o.quota.dispatched()
@@ -112,7 +121,7 @@
 	response := notRun(refused.Reason, 0)
 	e.recordShare(o, response)
 	e.recordMetrics(o, response)
-	e.writeFailure(w, refused, 0)
+	e.writeFailure(w, refused, refused.RetryAfter)
 }
 
 // refuseWhileStopping returns the refusal of a request that is not to be started
@@ -173,7 +182,7 @@
 	// The envelope is parsed again for the attempt ID. A parse error is already the
 	// reason of the refusal.
 	envelope, _ := e.wire.ReadRequest(r.Header)
-	e.events.rejected(r, envelope.AttemptID, e.nameOfAccount(envelope), refused, e.config)
+	e.recordRejected(r, envelope, refused)
 	e.metrics.Request(unrouted, outcome.Normal, refused.Outcome, refused.Reason, time.Since(started))
 	return &rejectedRequest{entry: e, refused: refused}
 }
@@ -205,7 +214,7 @@
 	if refused := from.authenticate(table, found); refused != nil {
 		return nil, refused
 	}
-	quota, refused := e.takeQuota(from, started)
+	quota, refused := e.takeQuota(&from, started)
 	if refused != nil {
 		return nil, refused
 	}
@@ -251,7 +260,7 @@
 	if parent := from.parent; parent != nil {
 		o.parent, o.level, o.trial, o.isRetry = parent, parent.Level, parent.Trial, parent.Repeat
 	} else {
-		o.level = outcome.LevelOf(e.effectiveClass(found, from.account, started), e.cohort(from, started))
+		o.level = outcome.LevelOf(e.effectiveClass(found, from.account, started), e.cohort(&from, started))
 		o.trial = threshold.IsTrial([]byte(from.AttemptID))
 	}
 	var completed uint32
@@ -384,6 +393,9 @@
 func (e *entry) recordMetrics(o *outgoing, response *pb.ForwardResponse) {
 	e.metrics.Request(o.message.GetService(), classOf(o.route, o.account), outcome.Outcome(response.GetOutcome()),
 		outcome.Reason(response.GetReason()), time.Since(o.started))
+	if o.account != nil {
+		e.use.add(o.account.Name, outcome.Outcome(response.GetOutcome()), outcome.Reason(response.GetReason()))
+	}
 }
 
 // statusOf returns the HTTP status of a failure. Statuses 503 and 429 state that the
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -41,6 +41,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosemount/primrosemount/core/callgraph"
+	"github.com/primrosemount/primrosemount/core/fairshare"
 	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/leastshare"
@@ -267,6 +268,8 @@
 		graph:         graph,
 		shares:        leastshare.New(),
 		quotas:        r.quotas,
+		fair:          fairshare.New(),
+		use:           newAccountUse(),
 		originService: func() string { return r.target.Load().service },
 		metrics:       o.Metrics,
 		events:        events,
@@ -324,18 +327,19 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.options.Metrics.Handler())
+	mux.HandleFunc("/accounts", r.entry.serveAccounts)
 	r.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
 
-// registerMetrics registers the metrics of the gate, the configuration, the memory and the quotas. If that
-// fails, the node runs without them.
+// registerMetrics registers the metrics of the gate, the configuration, the memory, the
+// client accounts and their quotas. If that fails, the node runs without them.
 func (r *Relay) registerMetrics() {
 	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateCounters(r.gate.flow),
 		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage),
-		r.options.Metrics.ObserveQuotas(r.quotas.counts.sample))
+		r.options.Metrics.ObserveAccounts(r.entry.use.sample), r.options.Metrics.ObserveQuotas(r.quotas.counts.sample))
 	if err != nil {
-		r.logger.Error("The gate, the configuration, the memory and the quotas have no metrics; report this to the developers.", telemetry.ErrorField(err))
+		r.logger.Error("The gate, the configuration, the memory, the client accounts and their quotas have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
 }
 
