--- a/core/quota/entry.go
+++ b/core/quota/entry.go
@@ -60,6 +60,9 @@
 	mu       sync.RWMutex
 	view     *View
 	accounts map[string]*entryAccount
+	// list holds the accounts in the order in which they were added, and perhaps some
+	// that have been removed.
+	list     []*entryAccount
 	contacts map[string]*contact
 	// relied holds the owners on which this entry relies for credit, and asked is when
 	// each was asked last.
@@ -79,6 +82,8 @@
 	// credit for any.
 	exhausted map[uint32]bool
 	all       bool
+	// view identifies the owners of quotas in the view of the owner.
+	view uint64
 }
 
 // entryAccount is what an entry knows of one account.
@@ -220,6 +225,7 @@
 	a := &entryAccount{name: name, hash: nameHash(name)}
 	a.follow(e.view)
 	e.accounts[name] = a
+	e.list = append(e.list, a)
 	return a
 }
 
@@ -306,7 +312,7 @@
 
 func (e *Entry) allowsCredit(now time.Time, a *entryAccount, owner int) bool {
 	c := e.contacts[a.owners[owner]]
-	return c != nil && now.Sub(c.at) < contactPeriod && !c.all && !c.exhausted[a.hash]
+	return c != nil && now.Sub(c.at) < contactPeriod && c.view == e.view.hash && !c.all && !c.exhausted[a.hash]
 }
 
 // ask makes an owner the one to ask next.
--- a/core/quota/exchange.go
+++ b/core/quota/exchange.go
@@ -32,15 +32,16 @@
 func (e *Entry) activeAccounts(now time.Time) []*entryAccount {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	accounts := make([]*entryAccount, 0, len(e.accounts))
-	for name, a := range e.accounts {
-		if a.isIdle(now) {
-			delete(e.accounts, name)
-			continue
+	e.list = slices.DeleteFunc(e.list, func(a *entryAccount) bool {
+		if e.accounts[a.name] == a && !a.isIdle(now) {
+			return false
 		}
-		accounts = append(accounts, a)
-	}
-	return accounts
+		if e.accounts[a.name] == a {
+			delete(e.accounts, a.name)
+		}
+		return true
+	})
+	return slices.Clone(e.list)
 }
 
 // Urgent returns the exchanges that should not wait for the next round: those for requests
@@ -169,7 +170,7 @@
 func (e *Entry) Apply(now time.Time, x *Exchange, response *pb.QuotaResponse) bool {
 	e.mu.Lock()
 	previous := e.contacts[x.Owner]
-	c := &contact{at: x.sent, exhausted: make(map[uint32]bool, len(response.GetExhausted())), all: response.GetExhaustedIncomplete()}
+	c := &contact{at: x.sent, exhausted: make(map[uint32]bool, len(response.GetExhausted())), all: response.GetExhaustedIncomplete(), view: response.GetView()}
 	for _, hash := range response.GetExhausted() {
 		c.exhausted[hash] = true
 	}
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -171,6 +171,9 @@
 // list adds the accounts without credit to a response.
 func (o *Owner) list(now time.Time, response *pb.QuotaResponse) {
 	response.ExhaustedIncomplete = now.Before(o.uncertainUntil)
+	if last := len(o.epochs) - 1; last >= 0 && o.epochs[last].view != nil {
+		response.View = o.epochs[last].view.hash
+	}
 	for name, p := range o.low {
 		o.advance(now, name, p)
 		if p.tokens >= creditMinimum {
@@ -192,7 +195,10 @@
 		if !o.owns(name) {
 			return nil
 		}
-		p = &part{hash: nameHash(name), updated: o.start, generation: o.generation - 1}
+		p = &part{hash: nameHash(name), updated: o.start, generation: o.generation}
+		p.share, p.limits = o.share(name)
+		// Credit that an earlier owner or incarnation had to account for may be lost.
+		p.tokens = -p.limits.Credit * p.share
 		o.parts[name] = p
 	}
 	o.advance(now, name, p)
--- a/core/quota/view.go
+++ b/core/quota/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,6 +32,8 @@
 	// members is the number of members.
 	members int
 	limits  map[string]Limits
+	// hash identifies the owners of all quotas.
+	hash uint64
 }
 
 // NewView returns the view of the node on a VM. The members are the VMs of all members
@@ -59,9 +62,24 @@
 			v.limits[a.Name] = LimitsOf(rules, a, len(members))
 		}
 	}
+	v.hash = v.ownersHash()
 	return v
 }
 
+// ownersHash returns a hash of what determines the owners of all quotas.
+func (v *View) ownersHash() uint64 {
+	digest := xxhash.New()
+	for _, vm := range v.candidates {
+		// Writing to a digest does not fail.
+		_, _ = digest.WriteString(vm + "\x00")
+	}
+	sum := digest.Sum64()
+	for name, limits := range v.limits {
+		sum += xxhash.Sum64String(name + "\x00" + strconv.Itoa(limits.Owners))
+	}
+	return sum
+}
+
 // Limited returns the number of accounts with a quota.
 func (v *View) Limited() int { return len(v.limits) }
 
