--- a/core/quota/entry.go
+++ b/core/quota/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,11 @@
 	loadExpiry = 2 * time.Second
 	// minReturn is the minimum wait that a refused client is told: one exchange.
 	minReturn = Period / 2
+	// returnShare is the part of the tokens that clients that come back may expect; the
+	// others go to new requests.
+	returnShare = 0.3
+	// returnWindows limits the wait that a refused client is told, in windows.
+	returnWindows = 2
 )
 
 // A Verdict is the decision about one root request.
@@ -69,6 +75,7 @@
 	relied []string
 	asked  map[string]time.Time
 	window time.Duration
+	seed   uint64
 
 	urgentMu sync.Mutex
 	// urgent holds the accounts that may need an exchange before the next round.
@@ -94,6 +101,7 @@
 	// view is the view from which owners were derived. home is the index of the
 	// preferred owner and current that of the one to ask next.
 	view          *View
+	random        *rand.Rand
 	owners        []string
 	home, current int
 	// tries is the number of owners that have failed in a row.
@@ -138,12 +146,13 @@
 	spent uint32
 }
 
-// NewEntry returns the entry's side. It needs a view before it admits requests.
-func NewEntry(rules Rules) *Entry {
+// NewEntry returns the entry's side. It needs a view before it admits requests. The seed
+// should differ between nodes, so that they tell refused clients different times.
+func NewEntry(rules Rules, seed uint64) *Entry {
 	return &Entry{
 		accounts: make(map[string]*entryAccount), contacts: make(map[string]*contact),
 		asked:  make(map[string]time.Time),
-		window: rules.Window,
+		window: rules.Window, seed: seed,
 	}
 }
 
@@ -222,7 +231,8 @@
 	if _, limited := e.view.limits[name]; !limited {
 		return nil
 	}
-	a := &entryAccount{name: name, hash: nameHash(name)}
+	hash := nameHash(name)
+	a := &entryAccount{name: name, hash: hash, random: rand.New(rand.NewPCG(e.seed, uint64(hash)))}
 	a.follow(e.view)
 	e.accounts[name] = a
 	e.list = append(e.list, a)
@@ -323,24 +333,44 @@
 	}
 }
 
-// refuse returns the refusal of a request. Requests that are refused later are told a later
-// time, at the rate at which this entry receives tokens.
+// refuse returns the refusal of a request.
 func (e *Entry) refuse(now time.Time, a *entryAccount) Decision {
 	d := Decision{Verdict: Exceeded, Urgent: !a.refused && !now.Before(a.waitUntil), Exhausted: !a.refusing, Age: a.age(now)}
 	if now.Sub(a.answered) >= contactPeriod && !e.inContact(now, a) {
 		d.Verdict = Unknown
 	}
 	a.refused, a.refusing = true, true
-	rate := max(a.supply.rate(now), e.view.limits[a.name].Rate/float64(max(e.view.members, 1)))
-	gap := time.Duration(float64(time.Second) / rate)
+	d.RetryAfter = e.returnTime(now, a).Sub(now)
+	return d
+}
+
+// returnTime returns the time at which a refused client should come back. If the owners have
+// no tokens, clients that are refused later are told a later time, at the rate at which this
+// entry receives tokens, and those of other entries other times.
+func (e *Entry) returnTime(now time.Time, a *entryAccount) time.Time {
 	earliest := later(now.Add(minReturn), a.waitUntil)
-	a.nextReturn = later(earliest, a.nextReturn.Add(gap))
-	if latest := now.Add(e.window); a.nextReturn.After(latest) {
-		// After a window, the tokens of a whole window are there.
-		a.nextReturn = later(earliest, now.Add(e.window/2))
+	if !a.short && e.anyCredit(now, a) {
+		// Only this entry lacks a token, and an exchange brings one.
+		return earliest
 	}
-	d.RetryAfter = a.nextReturn.Sub(now)
-	return d
+	rate := max(a.supply.rate(now), e.view.limits[a.name].Rate/float64(max(e.view.members, 1))) * returnShare
+	gap := time.Duration(float64(time.Second) / rate)
+	first := earliest.Add(min(time.Duration(a.random.Float64()*float64(gap)), e.window))
+	a.nextReturn = later(first, a.nextReturn.Add(gap))
+	if a.nextReturn.After(now.Add(returnWindows * e.window)) {
+		a.nextReturn = later(first, now.Add(e.window))
+	}
+	return a.nextReturn
+}
+
+// anyCredit reports whether an owner gives credit.
+func (e *Entry) anyCredit(now time.Time, a *entryAccount) bool {
+	for i := range a.owners {
+		if e.allowsCredit(now, a, i) {
+			return true
+		}
+	}
+	return false
 }
 
 func (e *Entry) inContact(now time.Time, a *entryAccount) bool {
--- a/core/quota/load_test.go
+++ b/core/quota/load_test.go
@@ -113,3 +113,39 @@
 		require.GreaterOrEqual(t, w.report(t, from), 0.9)
 	}
 }
+
+// Guards against clients that return at the told time and are refused again: an account
+// asks three times its quota for 2 s, and its usual load afterwards.
+func TestRetryAfterComesTrue(t *testing.T) {
+	const nodes = 65
+	for _, rate := range []float64{723, 60} {
+		w := newWorld(3, nodes, accountOf("a", rate, rate))
+		w.play(2*time.Second, func(*account.Account) float64 { return 0 }, nil)
+		returned, ran, longest := 0, 0, time.Duration(0)
+		ask := func(entry int) {
+			d := w.request(w.nodes[entry], "a")
+			longest = max(longest, d.RetryAfter)
+			if d.Verdict == Admitted {
+				return
+			}
+			w.after(d.RetryAfter, func() {
+				returned++
+				if w.request(w.nodes[entry], "a").Verdict == Admitted {
+					ran++
+				}
+			})
+		}
+		for start := w.now; w.now.Sub(start) < 12*time.Second; {
+			w.step()
+			load := usual(w.accounts[0])
+			if w.now.Sub(start) < 2*time.Second {
+				load = 3 * rate
+			}
+			for range w.arrivals(load) {
+				ask(w.rng.IntN(nodes))
+			}
+		}
+		t.Logf("rate %.0f: %d of %d returned requests ran; longest wait %v", rate, ran, returned, longest)
+		require.GreaterOrEqual(t, float64(ran)/float64(returned), 0.8)
+	}
+}
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -100,7 +100,7 @@
 
 // start starts the process of a node with empty state.
 func (w *world) start(n *fakeNode, rejoining bool) {
-	n.entry, n.owner = NewEntry(testRules), NewOwner(n.vm, uint64(w.now.UnixNano()), w.now, rejoining)
+	n.entry, n.owner = NewEntry(testRules, uint64(n.index)), NewOwner(n.vm, uint64(w.now.UnixNano()), w.now, rejoining)
 	if n.breakOwner != nil {
 		n.breakOwner(n.owner)
 	}
--- a/node/relay/quota.go
+++ b/node/relay/quota.go
@@ -14,6 +14,7 @@
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/quota"
+	"github.com/primrosemount/primrosemount/core/roster"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 	"github.com/primrosemount/primrosemount/telemetry"
 )
@@ -71,7 +72,7 @@
 func newQuotaTask() *quotaTask {
 	return &quotaTask{
 		rules: quota.Rules{Window: quota.DefaultWindow, Overage: quota.DefaultOverage, Slack: quota.DefaultSlack},
-		entry: quota.NewEntry(quota.Rules{Window: quota.DefaultWindow}), urgent: make(chan struct{}, 1), logger: zap.NewNop(),
+		entry: quota.NewEntry(quota.Rules{Window: quota.DefaultWindow}, 0), urgent: make(chan struct{}, 1), logger: zap.NewNop(),
 	}
 }
 
@@ -83,7 +84,7 @@
 		Overage: cmp.Or(o.QuotaOverage, quota.DefaultOverage),
 		Slack:   cmp.Or(o.QuotaSlack, quota.DefaultSlack),
 	}
-	q.entry = quota.NewEntry(q.rules)
+	q.entry = quota.NewEntry(q.rules, roster.Identity(o.VM, incarnation))
 	q.exchange, q.table = exchange, table
 	q.logger = telemetry.Named(o.Logger, telemetry.PartEntry)
 }
