Learn the own work of operations and report the work left of a gate

A sender that places requests by cost needs the work that a target has left and how fast the target is. Package core/cost learns the own work of each operation, apart from the waits for calls, which do not depend on the speed of the target. The gate sums expected work less work done, with requests that overran, and the node reports it if the configuration in force calls for placement by cost.

The tests of core/gate, core/threshold and node/relay pass.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -57,6 +57,7 @@
 	// index maps the ID of each present request to its item in the queue's slab.
 	index     map[uint64]int32
 	estimates serviceTimes
+	work      workLeft
 	// serviceTime is the estimate over all operations.
 	serviceTime estimate
 	inFlight    int
@@ -103,6 +104,7 @@
 	g.index = make(map[uint64]int32, config.Slots+config.Queue)
 	g.queue.init()
 	g.estimates = newServiceTimes()
+	g.work = newWorkLeft()
 	g.threshold.level = outcome.MaxLevel
 	g.resetWindow(0)
 	return g
@@ -275,6 +277,8 @@
 		deadline:       deadline,
 		prev:           noItem,
 		next:           noItem,
+		present:        true,
+		expectedWork:   g.work.learned.Expected(at, r.Operation),
 	}
 	g.index[r.ID] = index
 	return index
@@ -300,6 +304,7 @@
 	it := &g.queue.slab[index]
 	g.totals.Started.add(it.level)
 	it.started = true
+	it.startedAt = g.latest
 	it.inFlight = g.inFlight
 }
 
@@ -317,6 +322,7 @@
 	s.Operation = it.operation
 	s.InFlight = it.inFlight
 	g.updateEstimates(at, s)
+	g.work.observe(at, s)
 	g.limiter.Observe(now, s)
 }
 
@@ -335,6 +341,7 @@
 // discard removes an item that is not in the queue.
 func (g *Gate) discard(index int32) {
 	delete(g.index, g.queue.slab[index].id)
+	g.queue.slab[index].present = false
 	g.queue.release(index)
 }
 
--- a/core/gate/queue.go
+++ b/core/gate/queue.go
@@ -29,6 +29,12 @@
 	// inFlight is the number of started requests when this one started, including
 	// itself.
 	inFlight int
+	// expectedWork is the time in nanoseconds for which the request was expected, on its
+	// arrival, to occupy a slot.
+	expectedWork float64
+	startedAt    time.Duration
+	// present is set while the item holds a request.
+	present  bool
 	arrived  time.Duration
 	deadline time.Duration
 	prev     int32
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -169,6 +169,9 @@
 	// Failed is set if no complete response was received because it was lost, timed out
 	// or was canceled.
 	Failed bool
+	// Unrepresentative is set if the response is an error or a call of the request
+	// failed, so that Latency says nothing about the cost of the operation.
+	Unrepresentative bool
 }
 
 // expectedTime is the mean self time of one operation at a target that is not loaded.
--- a/core/threshold/operations.go
+++ b/core/threshold/operations.go
@@ -119,6 +119,7 @@
 	// completed counts the calls that were completed for the request, including the
 	// calls made further downstream.
 	completed uint32
+	waits     waits
 }
 
 // Start begins a request of a level. A request that is never finished leaves no state.
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -90,6 +90,8 @@
 func (d *dispatcher) dispatch(ctx context.Context, o *outgoing) *pb.ForwardResponse {
 	if o.parent != nil {
 		o.parent.Run.CallStarted(o.dependency())
+		o.parent.Run.WaitStarted(time.Now())
+		defer func() { o.parent.Run.WaitEnded(time.Now()) }()
 	}
 	if refused := d.downstream.Admit(o.started, o.dependency(), o.effectiveLevel(), o.trial); refused != nil {
 		d.events.entryRefused(o, refused.Reason, d.downstream.Threshold(o.started, o.dependency()))
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -121,9 +121,11 @@
 	run.Finish(time.Now(), result.outcome != outcome.Completed || result.status >= 500)
 	callFailed, completed := run.HadFailedCall(), run.CompletedCalls()
 	r.gate.done(admitted.id, gate.Sample{
-		Latency: time.Since(started),
-		Refused: result.reason == outcome.TargetRefused,
-		Failed:  result.outcome != outcome.Completed,
+		Latency:          time.Since(started),
+		Downstream:       run.Waited(time.Now()),
+		Refused:          result.reason == outcome.TargetRefused,
+		Failed:           result.outcome != outcome.Completed,
+		Unrepresentative: result.status >= http.StatusBadRequest || callFailed,
 	}, runSummary{result: resultOf(result, callFailed), completedCalls: completed, targetTime: result.took})
 	if result.unreachable || result.misdirected {
 		r.gate.unreachable(admitted.targetID)
@@ -154,7 +156,7 @@
 // gateReport returns the state of the gate as seen by one route.
 func (r *receiver) gateReport(route string) *pb.GateReport {
 	view := r.gate.view.Load()
-	return &pb.GateReport{
+	report := &pb.GateReport{
 		Threshold:          uint32(view.threshold),
 		OperationThreshold: uint32(r.operations.Threshold(time.Now(), route, view.threshold)),
 		Draining:           view.draining,
@@ -162,4 +164,6 @@
 		InFlight:           uint32(view.inFlight + view.queued),
 		Limit:              uint32(view.limit),
 	}
+	r.reportWork(report, route, view)
+	return report
 }
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -43,6 +43,8 @@
 	inFlight  int
 	queued    int
 	limit     int
+	// work is the work that the target has left.
+	work gate.Work
 }
 
 // admission is the decision of the gate about one request.
@@ -199,6 +201,7 @@
 		inFlight:       t.gate.InFlight(),
 		queued:         t.gate.Queued(),
 		limit:          t.gate.Limit(),
+		work:           t.gate.Work(),
 	})
 }
 
--- a/node/relay/operations.go
+++ b/node/relay/operations.go
@@ -43,3 +43,11 @@
 	n.byRoute[route] = number
 	return number
 }
+
+// known returns the number of a route and whether it has one.
+func (n *operationNumbers) known(route string) (uint32, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	number, known := n.byRoute[route]
+	return number, known
+}
