Add the policy LeastWork and loads that compare ways of placement

A sender scores targets by the expected completion of a request, by what its time in the slot costs others, and by a surcharge of other zones. The loads extend the queueing model of the routing tests by operations of different cost, target speeds, reported work and retries. The weights are not tuned yet; the policy is not used by a node yet.

--- a/core/cost/operations.go
+++ b/core/cost/operations.go
@@ -98,16 +98,19 @@
 // Learn includes the own work that the gate of a target reports for an operation, in
 // nanoseconds. It corrects the cost of the operation by the speed that the target is
 // known for, and the speed by the cost that the operation is known for.
-func Learn(at int64, o *Operation, s *Speed, reported float64) {
+func (s *Operations) Learn(at int64, o *Operation, speed *Speed, reported float64) {
 	if reported <= 0 {
 		return
 	}
-	known := o.own.Value()
-	o.own.AddClipped(at, reported*s.Value(), operationWeight, maxSampleMultiple)
+	known, atMeanSpeed := o.own.Value(), reported*speed.Value()
+	o.own.AddClipped(at, atMeanSpeed, operationWeight, maxSampleMultiple)
+	if o != &s.all {
+		s.all.own.AddClipped(at, atMeanSpeed, operationWeight, maxSampleMultiple)
+	}
 	if known <= 0 {
 		return
 	}
-	s.slowness.Add(at, 1/Bounded(known/reported), speedWeight)
+	speed.slowness.Add(at, 1/Bounded(known/reported), speedWeight)
 }
 
 // Operations holds the operations of one service. It is safe for concurrent use, and
--- a/core/route/counters.go
+++ b/core/route/counters.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math"
 	"sync/atomic"
 	"time"
@@ -93,6 +94,7 @@
 	draining      atomic.Bool
 	down          atomic.Bool
 	downAt        atomic.Int64
+	load          load // used by LeastWork, see load.go
 	// State of ejection, see eject.go.
 	phase         atomic.Uint32
 	cause         atomic.Uint32
@@ -107,7 +109,7 @@
 	e.decayToMedian(at)
 	if sample, ok := latencySample(result, verdict, e.latency.load()); ok {
 		e.sampleLatency(sample)
-		e.sampleMean(sample)
+		e.sampleMean(sample * cmp.Or(result.scale, 1))
 		e.service.seedMedian(sample)
 	}
 	e.recordShares(at, verdict)
--- a/core/route/evaluate.go
+++ b/core/route/evaluate.go
@@ -19,6 +19,7 @@
 		s.meanLatency.store(peers.meanLatency)
 	}
 	s.refused.store(peers.refused)
+	s.updateLoad(v, at)
 	s.updatePanic(at)
 	for _, e := range v.close {
 		s.compare(peers, e, at)
--- /dev/null
+++ b/core/route/leastwork.go
@@ -0,0 +1,198 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/cost"
+)
+
+const (
+	// workSamples is the number of targets of the node's own zone, and of the other
+	// zones, that are compared. Comparing all makes callers with the same view choose
+	// the same target.
+	workSamples = 6
+	// serviceWeight is the weight of the own work at a target in its score. Below 1,
+	// slow targets get a part of the load before the fast ones are nearly full.
+	serviceWeight = 0.1
+	// pressureWeight and pressureExponent set the price of a slot, which is what a
+	// request costs others: its time in the slot times pressureWeight times the
+	// occupancy to the power of pressureExponent.
+	pressureWeight   = 3
+	pressureExponent = 4
+	// kneeOccupancy is the occupancy above which targets slow down, and kneeWeight the
+	// additional price of a slot per occupancy above it.
+	kneeOccupancy = 0.92
+	kneeWeight    = 20
+	// workNoise is the maximum random surcharge on a score, as a share of it. It
+	// separates callers that have the same view.
+	workNoise = 0.15
+	// zoneRoundTrip is the time by which a round trip to another zone is longer.
+	zoneRoundTrip = 2800 * time.Microsecond
+	// zoneBase and zonePerByte are the surcharge of another zone for the traffic. At 60
+	// KB, the mean of large bodies, it is 7 ms; at 1 KB 1.1 ms.
+	zoneBase    = time.Millisecond
+	zonePerByte = 100 * time.Nanosecond
+	// The surcharge falls from its full value at an occupancy of shortageFrom of the
+	// best target in the node's own zone to none at shortageTo.
+	shortageFrom = 0.8
+	shortageTo   = 1.2
+	// lateWeight and overdueWeight are the weights of the time after the target latency
+	// and after the deadline in a score.
+	lateWeight    = 3
+	overdueWeight = 10
+)
+
+// A Request describes a request for which a target is chosen.
+type Request struct {
+	// Operation is the operation that is called.
+	Operation string
+	// Bytes is the size of the body.
+	Bytes int
+	// TargetLatency is the time within which the response has its full value, and
+	// Remaining the time until the deadline; zero if there is none.
+	TargetLatency time.Duration
+	Remaining     time.Duration
+}
+
+// need is what a request needs, as learned for its operation.
+type need struct {
+	operation *cost.Operation
+	// own is the own work at a target of mean speed, calls the expected wait for calls,
+	// and mean the cost of a mean request of the service, in nanoseconds.
+	own, calls, mean float64
+	// bytes is the expected size of request and response.
+	bytes                 float64
+	targetLatency, remain float64
+}
+
+// needOf returns the need of a request. Without samples of its operation, it is that of
+// a mean request of the service.
+func (s *service) needOf(r Request) need {
+	operation, all := s.operations.Find(r.Operation), s.operations.All()
+	n := need{operation: operation, own: operation.Own(), calls: operation.Calls()}
+	n.mean = all.Own() + all.Calls()
+	if n.mean <= 0 {
+		n.mean = math.Max(all.Latency(), 1)
+	}
+	if n.own <= 0 {
+		n.own = math.Max(all.Own(), operation.Latency())
+	}
+	if n.own <= 0 {
+		n.own = n.mean
+	}
+	n.bytes = math.Max(operation.Bytes(), float64(r.Bytes))
+	n.targetLatency, n.remain = float64(r.TargetLatency), float64(r.Remaining)
+	return n
+}
+
+// An estimate is what the sender expects of a request at one target. Times are in
+// nanoseconds.
+type estimate struct {
+	backlog
+	speed float64
+	// wait is the expected time until a slot is free, slot the time in the slot, and
+	// explained the expected latency without waits for calls.
+	wait, slot, explained float64
+	score                 float64
+}
+
+// leastWork chooses the target with the lowest score among some targets of the node's
+// own zone and some of the other zones.
+func (s *service) leastWork(v *view, q query, n need) Placement {
+	p := Placement{need: n}
+	shortage := 1.0
+	if v.preferOwnZone {
+		if trial := q.place(&p, v.ownZone, 0); trial != nil {
+			return p.only(trial, q.at)
+		}
+		if p.Endpoint != nil {
+			shortage = shortageAt(p.lowestOccupancy)
+		}
+	}
+	surcharge := (1 - shortage) * (float64(zoneBase) + n.bytes*float64(zonePerByte))
+	others := v.otherZones
+	if !v.preferOwnZone {
+		others = v.close
+	}
+	if trial := q.place(&p, others, surcharge); trial != nil {
+		return p.only(trial, q.at)
+	}
+	if p.Endpoint != nil {
+		return p
+	}
+	return p.only(s.scan(v, q), q.at)
+}
+
+// shortageAt returns the shortage of a zone, between 0 and 1, given the lowest occupancy
+// of its targets.
+func shortageAt(occupancy float64) float64 {
+	return math.Min(math.Max((occupancy-shortageFrom)/(shortageTo-shortageFrom), 0), 1)
+}
+
+// place offers up to workSamples usable targets of the pool to the placement. If it
+// claims the trial call of a target, it returns that target immediately.
+func (q *query) place(p *Placement, pool []*Endpoint, surcharge float64) *Endpoint {
+	if len(pool) == 0 {
+		return nil
+	}
+	i, left := q.draw.intN(len(pool)), workSamples
+	for range len(pool) {
+		e := pool[i]
+		if i++; i == len(pool) {
+			i = 0
+		}
+		switch q.fit(e) {
+		case fitTrial:
+			return e
+		case fitYes:
+			x := e.estimate(q.at, &p.need)
+			x.score = (x.score + surcharge) * (1 + workNoise*q.draw.fraction())
+			p.offer(e, &x)
+			if left--; left == 0 {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+// estimate returns what is expected of a request at the target. Failures and refusals
+// raise the score.
+func (e *Endpoint) estimate(at int64, n *need) estimate {
+	x := estimate{speed: e.load.presentSpeed(at)}
+	x.backlog = e.backlog(at, n.mean/x.speed)
+	x.wait = x.backlog.wait()
+	own := n.own / x.speed
+	x.slot = own + n.calls
+	x.explained = x.wait + own
+	if e.tier != tierOwnZone {
+		x.explained += float64(zoneRoundTrip)
+	}
+	bias := e.load.usualBias(at, biasTolerance*n.mean)
+	x.score = x.explained - (1-serviceWeight)*own + bias + x.slot*price(x.occupancy()) + n.lateness(x.explained+n.calls+bias)
+	outcomes := e.freshness(at, costHalfAge)
+	good := math.Max((1-outcomes*e.failed.load())*(1-outcomes*e.refused.load()), minGoodShare)
+	x.score /= good * good
+	return x
+}
+
+// price returns what the time of a request in a slot costs others, relative to that
+// time.
+func price(occupancy float64) float64 {
+	squared := occupancy * occupancy
+	return pressureWeight*squared*squared + kneeWeight*math.Max(occupancy-kneeOccupancy, 0)
+}
+
+// lateness returns the surcharge for a response after the target latency or after the
+// deadline.
+func (n *need) lateness(completion float64) float64 {
+	late := 0.0
+	if n.targetLatency > 0 {
+		late += lateWeight * math.Max(completion-n.targetLatency, 0)
+	}
+	if n.remain > 0 {
+		late += overdueWeight * math.Max(completion-n.remain, 0)
+	}
+	return late
+}
--- /dev/null
+++ b/core/route/load.go
@@ -0,0 +1,194 @@
+package route
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/primrosemount/primrosemount/core/cost"
+)
+
+const (
+	// biasWeight is the weight of a response in the bias of a target. About the latest
+	// 16 responses count.
+	biasWeight = 1.0 / 16
+	// biasHalfAge is the age of the latest response at which the bias has half its
+	// weight.
+	biasHalfAge = time.Second
+	// biasTolerance is the bias, as a share of the mean cost, that is ignored, because
+	// costs vary from request to request.
+	biasTolerance = 0.25
+	// presentHalfAge is the age of a report at which the reported present speed has
+	// moved halfway to 1. Slow spells of targets last about 600 ms.
+	presentHalfAge = 300 * time.Millisecond
+	// residualShare is the expected work that is left of a request of which nothing else
+	// is known, as a share of its cost.
+	residualShare = 0.5
+	// normalizeMargin is the deviation of the mean speed from 1 from which the speeds
+	// are normalized.
+	normalizeMargin = 0.01
+)
+
+// load holds the work that a target has left, as reported by its gate and as sent by this
+// node, and how fast the target is. All fields are atomic.
+type load struct {
+	// reportedAt is when the gate last reported its work, or zero if it never did.
+	reportedAt atomic.Int64
+	// work is the reported work in nanoseconds, requests the reported number of requests
+	// in flight and queued, and slots the number of slots.
+	work, requests, slots atomicFloat
+	// present is the reported speed of the target relative to its own mean.
+	present atomicFloat
+	// sentWork and sentRequests is what this node has sent since the report.
+	sentWork, sentRequests atomic.Int64
+	// inFlightWork is the expected work of the calls in flight from this node.
+	inFlightWork atomic.Int64
+	// speed is the mean speed relative to the other targets.
+	speed cost.Speed
+	// bias is the mean difference between measured and expected latency, in
+	// nanoseconds. It corrects reports that are not true and work of which the gate does
+	// not know.
+	bias cost.Average
+}
+
+// report records the work that the gate reported. The report includes what this node had
+// sent before.
+func (l *load) report(at int64, report Report) {
+	if report.WorkLeft <= 0 || report.Slots <= 0 {
+		return
+	}
+	l.work.store(float64(report.WorkLeft))
+	l.requests.store(float64(report.InFlight))
+	l.slots.store(float64(report.Slots))
+	l.present.store(report.Speed)
+	l.sentWork.Store(0)
+	l.sentRequests.Store(0)
+	l.reportedAt.Store(at)
+}
+
+// presentSpeed returns the speed of the target now, relative to the mean of its service.
+func (l *load) presentSpeed(at int64) float64 {
+	speed := l.speed.Value()
+	reported := l.reportedAt.Load()
+	if reported == 0 {
+		return speed
+	}
+	if now := l.present.load(); now > 0 {
+		fresh := freshnessOf(at, reported, presentHalfAge)
+		speed *= 1 + fresh*(cost.Bounded(now)-1)
+	}
+	return cost.Bounded(speed)
+}
+
+// freshnessOf returns a weight that falls from 1 toward 0 with the age of a time and is
+// one half at halfAge.
+func freshnessOf(at, from int64, halfAge time.Duration) float64 {
+	return float64(halfAge) / float64(int64(halfAge)+max(at-from, 0))
+}
+
+// meanLoad is the mean load of the targets of a service whose reports are fresh. The
+// estimate of a target moves toward it as the report of the target ages.
+type meanLoad struct{ occupancy, workPerSlot atomicFloat }
+
+// backlog is the estimated load of one target.
+type backlog struct {
+	// requests is the number of requests at the target and in its queue, work the time
+	// for which they will continue to occupy a slot, in nanoseconds.
+	requests, work float64
+	slots          float64
+}
+
+// backlog estimates the load of the target. requestCost is the cost of a mean request at
+// this target. What this node has in flight is a lower bound.
+func (e *Endpoint) backlog(at int64, requestCost float64) backlog {
+	l := &e.load
+	reported := l.reportedAt.Load()
+	if reported == 0 {
+		return e.backlogWithoutWork(at, requestCost)
+	}
+	fresh := freshnessOf(at, reported, reportHalfAge)
+	slots := math.Max(l.slots.load(), 1)
+	mean := &e.service.mean
+	b := backlog{
+		requests: fresh*l.requests.load() + (1-fresh)*mean.occupancy.load()*slots + float64(l.sentRequests.Load()),
+		work:     fresh*l.work.load() + (1-fresh)*mean.workPerSlot.load()*slots + float64(l.sentWork.Load()),
+		slots:    slots,
+	}
+	b.requests = math.Max(b.requests, float64(e.inFlight.Load()))
+	b.work = math.Max(b.work, residualShare*float64(l.inFlightWork.Load()))
+	return b
+}
+
+// backlogWithoutWork estimates the load of a target whose gate has not reported any work:
+// a new target, or one with an earlier version of the node. It uses the reported
+// occupancy, as NearestCapacity does.
+func (e *Endpoint) backlogWithoutWork(at int64, requestCost float64) backlog {
+	reported, share := e.hint.load()
+	occupied := float64(share) / permille
+	fresh := freshnessOf(at, reported, reportHalfAge)
+	if reported == 0 {
+		fresh = 0
+	}
+	occupied = fresh*occupied + (1-fresh)*e.service.mean.occupancy.load()
+	requests := math.Max(occupied*e.slots, float64(e.inFlight.Load()))
+	return backlog{requests: requests, work: requests * residualShare * requestCost, slots: e.slots}
+}
+
+// wait returns the expected time until a further request gets a slot, in nanoseconds.
+func (b backlog) wait() float64 {
+	ahead := b.requests + 1 - b.slots
+	if ahead <= 0 || b.requests <= 0 {
+		return 0
+	}
+	return ahead * b.work / b.requests / b.slots
+}
+
+// occupancy returns the requests per slot, including one more.
+func (b backlog) occupancy() float64 { return (b.requests + 1) / b.slots }
+
+// usualBias returns by how much the target usually exceeds the expected latency, in
+// nanoseconds. Deviations within the tolerance are ignored.
+func (l *load) usualBias(at int64, tolerance float64) float64 {
+	if l.bias.Samples() == 0 {
+		return 0
+	}
+	bias := l.bias.Value() - tolerance
+	if bias <= 0 {
+		return 0
+	}
+	return bias * float64(biasHalfAge) / float64(biasHalfAge+l.bias.Age(at))
+}
+
+// updateLoad updates the mean load of the targets and keeps their mean speed at 1.
+func (s *service) updateLoad(v *view, at int64) {
+	var occupancy, work, speed, n, learned float64
+	for _, e := range v.close {
+		reported := e.load.reportedAt.Load()
+		if reported == 0 || e.state(at) != stateOpen {
+			continue
+		}
+		weight := freshnessOf(at, reported, reportHalfAge)
+		slots := math.Max(e.load.slots.load(), 1)
+		occupancy += weight * e.load.requests.load() / slots
+		work += weight * e.load.work.load() / slots
+		n += weight
+		if e.load.speed.Samples() > 0 {
+			speed += e.load.speed.Value()
+			learned++
+		}
+	}
+	if n > 0 {
+		s.mean.occupancy.store(occupancy / n)
+		s.mean.workPerSlot.store(work / n)
+	}
+	if learned > 1 && math.Abs(speed/learned-1) > normalizeMargin {
+		s.operations.Normalize(speed/learned, v.eachSpeed)
+	}
+}
+
+// eachSpeed calls f for the speed of each target of the service.
+func (v *view) eachSpeed(f func(*cost.Speed)) {
+	for _, e := range v.byIncarnation {
+		f(&e.load.speed)
+	}
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -61,6 +61,8 @@
 		return v.result(q, s.twoChoices(v, q))
 	case NearestCapacity:
 		return v.result(q, s.nearestCapacity(v, q))
+	case LeastWork:
+		return v.result(q, s.leastWork(v, q, s.needOf(Request{})).Endpoint)
 	default:
 		return v.result(q, s.baseline(r.config.Policy, v, q))
 	}
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -5,7 +5,8 @@
 
 // Policies. TwoChoices compares latency and load of a few targets.
 // NearestCapacity keeps calls in the node's own zone while a target there
-// has free capacity. The others are baselines for comparison: they avoid
+// has free capacity. LeastWork chooses by the expected cost of the request and the
+// work that targets have left. The others are baselines for comparison: they avoid
 // draining and down targets, but ignore ejections, thresholds and zones.
 const (
 	TwoChoices Policy = iota
@@ -13,12 +14,13 @@
 	Random
 	LeastConnections
 	NearestCapacity
+	LeastWork
 )
 
 // String returns the name of the policy in reports of experiments, such as
 // "two_choices".
 func (p Policy) String() string {
-	return [...]string{"two_choices", "round_robin", "random", "least_connections", "nearest_room"}[p]
+	return [...]string{"two_choices", "round_robin", "random", "least_connections", "nearest_room", "least_work"}[p]
 }
 
 // baseline returns the target that a baseline policy chooses, or nil if no
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/primrosemount/primrosemount/core/cost"
 )
 
 // A Config configures a Router.
@@ -66,6 +68,10 @@
 	evaluating      atomic.Bool
 	evaluatedAt     atomic.Int64
 	lastDoomedTrial atomic.Int64
+	// operations holds the learned costs, and mean the mean load of the targets; both
+	// are used by LeastWork.
+	operations cost.Operations
+	mean       meanLoad
 }
 
 // A view is an immutable snapshot of the subset of one service.
@@ -98,7 +104,7 @@
 }
 
 // Update replaces the targets of a service. Targets that were present before
-// keep their counters. Under policies other than NearestCapacity, targets that
+// keep their counters. Under policies other than NearestCapacity and LeastWork, targets that
 // are added to a service that already has targets start with a reduced share of
 // calls that ramps up. A service without targets is removed. Update must not be
 // called concurrently with itself.
@@ -157,7 +163,7 @@
 		return e
 	}
 	e.counters = &counters{}
-	if len(old.byIncarnation) > 0 && r.config.Policy != NearestCapacity {
+	if len(old.byIncarnation) > 0 && r.config.Policy != NearestCapacity && r.config.Policy != LeastWork {
 		e.rampStartedAt.Store(at)
 	}
 	return e
--- a/core/route/sim_test.go
+++ b/core/route/sim_test.go
@@ -39,6 +39,8 @@
 	busy      int
 	queue     []func()
 	calls     int
+	// played is used by the loads of loads_test.go.
+	played playedTarget
 }
 
 type event struct {
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -38,6 +38,9 @@
 	// ErrorResponse is true if the target completed the call with an error
 	// status, such as HTTP 500.
 	ErrorResponse bool
+	// scale is the factor from the latency to that of a mean operation of the service,
+	// by which targets are compared; 0 means 1. Placement.End sets it.
+	scale float64
 }
 
 // A Report is the state that a gate reports with a response or a probe.
@@ -50,6 +53,18 @@
 	InFlight   int
 	// Limit is the concurrency limit of the gate, or zero if it is unknown.
 	Limit int
+	// WorkLeft is the expected time for which the requests in flight and in the queue
+	// will continue to occupy a slot of the target, or zero if it is unknown.
+	WorkLeft time.Duration
+	// Slots is the number of requests that the target processes at the same time. It is
+	// used only if WorkLeft is known.
+	Slots int
+	// OwnWork is the mean time for which a request of the called operation occupies a
+	// slot of the target, without its waits for calls, or zero if it is unknown.
+	OwnWork time.Duration
+	// Speed is the speed of the target now, relative to its own mean, or zero if it is
+	// unknown.
+	Speed float64
 }
 
 // ReportFromProto converts a GateReport of the schema to a Report.
@@ -60,9 +75,20 @@
 		TargetDown: g.GetTargetDown(),
 		InFlight:   int(g.GetInFlight()),
 		Limit:      int(g.GetLimit()),
+		WorkLeft:   time.Duration(min(g.GetWorkLeftMicros(), maxReportedMicros)) * time.Microsecond,
+		Slots:      int(g.GetSlots()),
+		OwnWork:    time.Duration(min(g.GetServiceTimeMicros(), maxReportedMicros)) * time.Microsecond,
+		Speed:      float64(g.GetSpeedPermille()) / permille,
 	}
 }
 
+const (
+	// maxReportedMicros bounds a reported work to a day, so that it cannot overflow.
+	maxReportedMicros = uint64(24 * time.Hour / time.Microsecond)
+	// permille is the number of thousandths in 1.
+	permille = 1000
+)
+
 // A tier is a distance class of targets; smaller is nearer.
 type tier uint8
 
@@ -113,6 +139,7 @@
 	e.down.Store(report.TargetDown)
 	e.threshold.Store(at, report.Threshold)
 	e.setHint(at, report.InFlight, report.Limit)
+	e.load.report(at, report)
 }
 
 // A Status describes the state of an endpoint for operators.
