Tune the weights of LeastWork and bound its cost

The weights come from the loads of loads_test.go. What a node has sent counts only until it ends or the target reports. Latencies by which targets are compared are scaled to a mean operation and clipped, so that few very long requests do not eject a target.

--- a/core/cost/operations.go
+++ b/core/cost/operations.go
@@ -77,16 +77,24 @@
 type Speed struct {
 	// slowness is the reciprocal of the speed, because times are averaged.
 	slowness Average
+	// value caches the speed, because it is read for each target that a request could go
+	// to. Zero means that there are no samples.
+	value atomic.Uint64
 }
 
 // Value returns the speed, which is 1 without samples.
 func (s *Speed) Value() float64 {
-	n := float64(s.slowness.Samples())
-	if n == 0 {
-		return 1
+	if bits := s.value.Load(); bits != 0 {
+		return math.Float64frombits(bits)
 	}
+	return 1
+}
+
+// refresh updates the cached speed.
+func (s *Speed) refresh() {
+	n := float64(s.slowness.Samples())
 	slowness := (n*s.slowness.Value() + speedPrior) / (n + speedPrior)
-	return Bounded(1 / slowness)
+	s.value.Store(math.Float64bits(Bounded(1 / slowness)))
 }
 
 // Samples returns the number of samples.
@@ -111,6 +119,7 @@
 		return
 	}
 	speed.slowness.Add(at, 1/Bounded(known/reported), speedWeight)
+	speed.refresh()
 }
 
 // Operations holds the operations of one service. It is safe for concurrent use, and
@@ -193,7 +202,12 @@
 	if meanSpeed <= 0 {
 		return
 	}
-	speeds(func(speed *Speed) { speed.slowness.scale(meanSpeed) })
+	speeds(func(speed *Speed) {
+		if speed.Samples() > 0 {
+			speed.slowness.scale(meanSpeed)
+			speed.refresh()
+		}
+	})
 	if named := s.named.Load(); named != nil {
 		for _, o := range *named {
 			o.own.scale(1 / meanSpeed)
--- a/core/route/counters.go
+++ b/core/route/counters.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"cmp"
 	"math"
 	"sync/atomic"
 	"time"
@@ -109,7 +108,7 @@
 	e.decayToMedian(at)
 	if sample, ok := latencySample(result, verdict, e.latency.load()); ok {
 		e.sampleLatency(sample)
-		e.sampleMean(sample * cmp.Or(result.scale, 1))
+		e.sampleMean(result.comparable(sample))
 		e.service.seedMedian(sample)
 	}
 	e.recordShares(at, verdict)
--- a/core/route/leastwork.go
+++ b/core/route/leastwork.go
@@ -1,42 +1,42 @@
 package route
 
 import (
-	"math"
 	"time"
 
 	"github.com/primrosemount/primrosemount/core/cost"
 )
 
+// The weights were chosen by the loads of loads_test.go; docs/design/placement.md holds the
+// results.
 const (
-	// workSamples is the number of targets of the node's own zone, and of the other
-	// zones, that are compared. Comparing all makes callers with the same view choose
-	// the same target.
-	workSamples = 6
+	// ownSamples and otherSamples are the numbers of targets of the node's own zone and
+	// of the other zones that are compared. With six targets of other zones, a fifth
+	// more of the requests leave their zone without being faster.
+	ownSamples   = 6
+	otherSamples = 3
 	// serviceWeight is the weight of the own work at a target in its score. Below 1,
 	// slow targets get a part of the load before the fast ones are nearly full.
 	serviceWeight = 0.1
-	// pressureWeight and pressureExponent set the price of a slot, which is what a
-	// request costs others: its time in the slot times pressureWeight times the
-	// occupancy to the power of pressureExponent.
-	pressureWeight   = 3
-	pressureExponent = 4
+	// pressureWeight sets the price of a slot, which is what a request costs others: its
+	// time in the slot times pressureWeight times the fourth power of the occupancy.
+	pressureWeight = 1.5
 	// kneeOccupancy is the occupancy above which targets slow down, and kneeWeight the
 	// additional price of a slot per occupancy above it.
 	kneeOccupancy = 0.92
-	kneeWeight    = 20
+	kneeWeight    = 10
 	// workNoise is the maximum random surcharge on a score, as a share of it. It
 	// separates callers that have the same view.
 	workNoise = 0.15
 	// zoneRoundTrip is the time by which a round trip to another zone is longer.
 	zoneRoundTrip = 2800 * time.Microsecond
-	// zoneBase and zonePerByte are the surcharge of another zone for the traffic. At 60
-	// KB, the mean of large bodies, it is 7 ms; at 1 KB 1.1 ms.
-	zoneBase    = time.Millisecond
+	// zoneBase and zonePerByte are the surcharge of another zone for the traffic. At
+	// 60,000 bytes, the mean of large bodies, it is 12 ms; at 1,000 bytes 6.1 ms.
+	zoneBase    = 6 * time.Millisecond
 	zonePerByte = 100 * time.Nanosecond
 	// The surcharge falls from its full value at an occupancy of shortageFrom of the
-	// best target in the node's own zone to none at shortageTo.
-	shortageFrom = 0.8
-	shortageTo   = 1.2
+	// best target in the node's own zone, where requests queue, to none at shortageTo.
+	shortageFrom = 1.1
+	shortageTo   = 1.6
 	// lateWeight and overdueWeight are the weights of the time after the target latency
 	// and after the deadline in a score.
 	lateWeight    = 3
@@ -73,15 +73,15 @@
 	n := need{operation: operation, own: operation.Own(), calls: operation.Calls()}
 	n.mean = all.Own() + all.Calls()
 	if n.mean <= 0 {
-		n.mean = math.Max(all.Latency(), 1)
+		n.mean = max(all.Latency(), 1)
 	}
 	if n.own <= 0 {
-		n.own = math.Max(all.Own(), operation.Latency())
+		n.own = max(all.Own(), operation.Latency())
 	}
 	if n.own <= 0 {
 		n.own = n.mean
 	}
-	n.bytes = math.Max(operation.Bytes(), float64(r.Bytes))
+	n.bytes = max(operation.Bytes(), float64(r.Bytes))
 	n.targetLatency, n.remain = float64(r.TargetLatency), float64(r.Remaining)
 	return n
 }
@@ -103,7 +103,7 @@
 	p := Placement{need: n}
 	shortage := 1.0
 	if v.preferOwnZone {
-		if trial := q.place(&p, v.ownZone, 0); trial != nil {
+		if trial := q.place(&p, v.ownZone, 0, ownSamples); trial != nil {
 			return p.only(trial, q.at)
 		}
 		if p.Endpoint != nil {
@@ -115,7 +115,7 @@
 	if !v.preferOwnZone {
 		others = v.close
 	}
-	if trial := q.place(&p, others, surcharge); trial != nil {
+	if trial := q.place(&p, others, surcharge, otherSamples); trial != nil {
 		return p.only(trial, q.at)
 	}
 	if p.Endpoint != nil {
@@ -127,16 +127,16 @@
 // shortageAt returns the shortage of a zone, between 0 and 1, given the lowest occupancy
 // of its targets.
 func shortageAt(occupancy float64) float64 {
-	return math.Min(math.Max((occupancy-shortageFrom)/(shortageTo-shortageFrom), 0), 1)
+	return min(max((occupancy-shortageFrom)/(shortageTo-shortageFrom), 0), 1)
 }
 
-// place offers up to workSamples usable targets of the pool to the placement. If it
+// place offers up to the given number of usable targets of the pool to the placement. If it
 // claims the trial call of a target, it returns that target immediately.
-func (q *query) place(p *Placement, pool []*Endpoint, surcharge float64) *Endpoint {
+func (q *query) place(p *Placement, pool []*Endpoint, surcharge float64, samples int) *Endpoint {
 	if len(pool) == 0 {
 		return nil
 	}
-	i, left := q.draw.intN(len(pool)), workSamples
+	i, left := q.draw.intN(len(pool)), samples
 	for range len(pool) {
 		e := pool[i]
 		if i++; i == len(pool) {
@@ -146,7 +146,8 @@
 		case fitTrial:
 			return e
 		case fitYes:
-			x := e.estimate(q.at, &p.need)
+			var x estimate
+			e.estimate(&x, q.at, &p.need)
 			x.score = (x.score + surcharge) * (1 + workNoise*q.draw.fraction())
 			p.offer(e, &x)
 			if left--; left == 0 {
@@ -157,31 +158,40 @@
 	return nil
 }
 
-// estimate returns what is expected of a request at the target. Failures and refusals
+// estimate sets x to what is expected of a request at the target. Failures and refusals
 // raise the score.
-func (e *Endpoint) estimate(at int64, n *need) estimate {
-	x := estimate{speed: e.load.presentSpeed(at)}
-	x.backlog = e.backlog(at, n.mean/x.speed)
+func (e *Endpoint) estimate(x *estimate, at int64, n *need) {
+	fresh := e.load.freshness(at)
+	x.speed = e.load.presentSpeed(fresh)
+	slowness := 1 / x.speed
+	x.backlog = e.backlog(at, n.mean*slowness, fresh)
 	x.wait = x.backlog.wait()
-	own := n.own / x.speed
+	own := n.own * slowness
 	x.slot = own + n.calls
 	x.explained = x.wait + own
 	if e.tier != tierOwnZone {
 		x.explained += float64(zoneRoundTrip)
 	}
 	bias := e.load.usualBias(at, biasTolerance*n.mean)
-	x.score = x.explained - (1-serviceWeight)*own + bias + x.slot*price(x.occupancy()) + n.lateness(x.explained+n.calls+bias)
-	outcomes := e.freshness(at, costHalfAge)
-	good := math.Max((1-outcomes*e.failed.load())*(1-outcomes*e.refused.load()), minGoodShare)
-	x.score /= good * good
-	return x
+	occupancy := x.occupancy()
+	if bias > 0 {
+		// A longer latency than expected means more requests than reported.
+		occupancy += bias / x.slot
+	}
+	x.score = x.explained - (1-serviceWeight)*own + bias + x.slot*price(occupancy) + n.lateness(x.explained+n.calls+bias)
+	failed, refused := e.failed.load(), e.refused.load()
+	if failed > 0 || refused > 0 {
+		outcomes := e.freshness(at, costHalfAge)
+		good := max((1-outcomes*failed)*(1-outcomes*refused), minGoodShare)
+		x.score /= good * good
+	}
 }
 
 // price returns what the time of a request in a slot costs others, relative to that
 // time.
 func price(occupancy float64) float64 {
 	squared := occupancy * occupancy
-	return pressureWeight*squared*squared + kneeWeight*math.Max(occupancy-kneeOccupancy, 0)
+	return pressureWeight*squared*squared + kneeWeight*max(occupancy-kneeOccupancy, 0)
 }
 
 // lateness returns the surcharge for a response after the target latency or after the
@@ -189,10 +199,10 @@
 func (n *need) lateness(completion float64) float64 {
 	late := 0.0
 	if n.targetLatency > 0 {
-		late += lateWeight * math.Max(completion-n.targetLatency, 0)
+		late += lateWeight * max(completion-n.targetLatency, 0)
 	}
 	if n.remain > 0 {
-		late += overdueWeight * math.Max(completion-n.remain, 0)
+		late += overdueWeight * max(completion-n.remain, 0)
 	}
 	return late
 }
--- a/core/route/load.go
+++ b/core/route/load.go
@@ -18,9 +18,6 @@
 	// biasTolerance is the bias, as a share of the mean cost, that is ignored, because
 	// costs vary from request to request.
 	biasTolerance = 0.25
-	// presentHalfAge is the age of a report at which the reported present speed has
-	// moved halfway to 1. Slow spells of targets last about 600 ms.
-	presentHalfAge = 300 * time.Millisecond
 	// residualShare is the expected work that is left of a request of which nothing else
 	// is known, as a share of its cost.
 	residualShare = 0.5
@@ -67,17 +64,23 @@
 }
 
 // presentSpeed returns the speed of the target now, relative to the mean of its service.
-func (l *load) presentSpeed(at int64) float64 {
+// fresh is the weight of the report.
+func (l *load) presentSpeed(fresh float64) float64 {
 	speed := l.speed.Value()
+	if now := l.present.load(); now > 0 && now != 1 && fresh > 0 {
+		speed = cost.Bounded(speed * (1 + fresh*(cost.Bounded(now)-1)))
+	}
+	return speed
+}
+
+// freshness returns the weight of the latest report about the work, which falls from 1
+// toward 0 with its age. It is 0 if there is none.
+func (l *load) freshness(at int64) float64 {
 	reported := l.reportedAt.Load()
 	if reported == 0 {
-		return speed
-	}
-	if now := l.present.load(); now > 0 {
-		fresh := freshnessOf(at, reported, presentHalfAge)
-		speed *= 1 + fresh*(cost.Bounded(now)-1)
+		return 0
 	}
-	return cost.Bounded(speed)
+	return freshnessOf(at, reported, reportHalfAge)
 }
 
 // freshnessOf returns a weight that falls from 1 toward 0 with the age of a time and is
@@ -99,23 +102,22 @@
 }
 
 // backlog estimates the load of the target. requestCost is the cost of a mean request at
-// this target. What this node has in flight is a lower bound.
-func (e *Endpoint) backlog(at int64, requestCost float64) backlog {
-	l := &e.load
-	reported := l.reportedAt.Load()
-	if reported == 0 {
+// this target, and fresh the weight of its report. What this node has in flight is a lower
+// bound.
+func (e *Endpoint) backlog(at int64, requestCost, fresh float64) backlog {
+	if fresh == 0 {
 		return e.backlogWithoutWork(at, requestCost)
 	}
-	fresh := freshnessOf(at, reported, reportHalfAge)
-	slots := math.Max(l.slots.load(), 1)
+	l := &e.load
+	slots := max(l.slots.load(), 1)
 	mean := &e.service.mean
 	b := backlog{
 		requests: fresh*l.requests.load() + (1-fresh)*mean.occupancy.load()*slots + float64(l.sentRequests.Load()),
 		work:     fresh*l.work.load() + (1-fresh)*mean.workPerSlot.load()*slots + float64(l.sentWork.Load()),
 		slots:    slots,
 	}
-	b.requests = math.Max(b.requests, float64(e.inFlight.Load()))
-	b.work = math.Max(b.work, residualShare*float64(l.inFlightWork.Load()))
+	b.requests = max(b.requests, float64(e.inFlight.Load()))
+	b.work = max(b.work, residualShare*float64(l.inFlightWork.Load()))
 	return b
 }
 
@@ -130,7 +132,7 @@
 		fresh = 0
 	}
 	occupied = fresh*occupied + (1-fresh)*e.service.mean.occupancy.load()
-	requests := math.Max(occupied*e.slots, float64(e.inFlight.Load()))
+	requests := max(occupied*e.slots, float64(e.inFlight.Load()))
 	return backlog{requests: requests, work: requests * residualShare * requestCost, slots: e.slots}
 }
 
@@ -149,9 +151,6 @@
 // usualBias returns by how much the target usually exceeds the expected latency, in
 // nanoseconds. Deviations within the tolerance are ignored.
 func (l *load) usualBias(at int64, tolerance float64) float64 {
-	if l.bias.Samples() == 0 {
-		return 0
-	}
 	bias := l.bias.Value() - tolerance
 	if bias <= 0 {
 		return 0
@@ -168,7 +167,7 @@
 			continue
 		}
 		weight := freshnessOf(at, reported, reportHalfAge)
-		slots := math.Max(e.load.slots.load(), 1)
+		slots := max(e.load.slots.load(), 1)
 		occupancy += weight * e.load.requests.load() / slots
 		work += weight * e.load.work.load() / slots
 		n += weight
--- a/core/route/placement.go
+++ b/core/route/placement.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"time"
 
 	"github.com/primrosemount/primrosemount/core/outcome"
@@ -20,6 +19,8 @@
 	byWork       bool
 	explained    time.Duration
 	expectedWork int64
+	// reportedAt is when the target had last reported as of Begin.
+	reportedAt int64
 	// lowestOccupancy is the lowest occupancy of the targets that were compared so far.
 	lowestOccupancy float64
 }
@@ -70,7 +71,7 @@
 func (p Placement) only(e *Endpoint, at int64) Placement {
 	p.Endpoint, p.Second = e, nil
 	if e != nil {
-		p.best = e.estimate(at, &p.need)
+		e.estimate(&p.best, at, &p.need)
 	}
 	return p
 }
@@ -81,6 +82,7 @@
 	p.Endpoint.Begin()
 	if p.byWork {
 		l := &p.Endpoint.load
+		p.reportedAt = l.reportedAt.Load()
 		l.inFlightWork.Add(p.expectedWork)
 		l.sentWork.Add(p.expectedWork)
 		l.sentRequests.Add(1)
@@ -100,25 +102,41 @@
 // End records the result of the request. bytes is the size of request and response.
 func (p *Placement) End(now time.Time, result Result, bytes int) {
 	if p.byWork {
-		p.Endpoint.load.inFlightWork.Add(-p.expectedWork)
-		result.scale = p.learn(p.Endpoint.service.clock.nanos(now), result, bytes)
+		p.endWork()
+		p.learn(p.Endpoint.service.clock.nanos(now), &result, bytes)
 	}
 	p.Endpoint.End(now, result)
 }
 
-// learn compares the result with what was expected. It returns the factor from the latency
-// of the operation to that of a mean operation, or 0 if it is unknown.
-func (p *Placement) learn(at int64, result Result, bytes int) float64 {
-	verdict := classify(result)
+// endWork removes the request from what the node has in flight. Without a report since
+// Begin, it also removes it from what was sent since the report.
+func (p *Placement) endWork() {
+	l := &p.Endpoint.load
+	l.inFlightWork.Add(-p.expectedWork)
+	if l.reportedAt.Load() == p.reportedAt {
+		l.sentWork.Add(-p.expectedWork)
+		l.sentRequests.Add(-1)
+	}
+}
+
+// maxComparedMultiple clips the latency by which targets are compared, as a multiple of
+// the mean latency of the service. It exceeds slowFactor, so that slow targets are
+// ejected, but not targets with few very long requests.
+const maxComparedMultiple = 4
+
+// learn compares the result with what was expected. It also sets how the latency is
+// compared with that of requests of other operations.
+func (p *Placement) learn(at int64, result *Result, bytes int) {
+	verdict := classify(*result)
 	latency := float64(result.Latency)
 	expected := float64(p.explained) + p.need.operation.Calls()
 	late := result.Reason == outcome.DeadlineExceeded && latency > expected
 	if verdict != verdictGood && !late {
-		return 0
+		return
 	}
 	p.Endpoint.load.addBias(at, latency-expected, p.need.mean)
 	if late {
-		return 0
+		return
 	}
 	all := p.Endpoint.service.operations.All()
 	unexplained := latency - float64(p.explained)
@@ -127,9 +145,8 @@
 		all.Finished(at, latency, unexplained, float64(bytes))
 	}
 	if mean := p.need.operation.Latency(); mean > 0 {
-		return all.Latency() / mean
+		result.scale, result.limit = all.Latency()/mean, maxComparedMultiple*all.Latency()
 	}
-	return 0
 }
 
 // maxBiasMultiple clips the deviation of one latency from the expected one, as a multiple
@@ -139,5 +156,5 @@
 // addBias includes a deviation of a latency from the expected one.
 func (l *load) addBias(at int64, deviation, mean float64) {
 	limit := maxBiasMultiple * mean
-	l.bias.Add(at, math.Min(math.Max(deviation, -limit), limit), biasWeight)
+	l.bias.Add(at, min(max(deviation, -limit), limit), biasWeight)
 }
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -39,8 +39,17 @@
 	// status, such as HTTP 500.
 	ErrorResponse bool
 	// scale is the factor from the latency to that of a mean operation of the service,
-	// by which targets are compared; 0 means 1. Placement.End sets it.
-	scale float64
+	// and limit the maximum of the scaled latency, by which targets are compared; 0
+	// means that the latency is used as it is. Placement.End sets both.
+	scale, limit float64
+}
+
+// comparable returns the latency by which targets are compared.
+func (r *Result) comparable(latency float64) float64 {
+	if r.scale == 0 {
+		return latency
+	}
+	return min(r.scale*latency, r.limit)
 }
 
 // A Report is the state that a gate reports with a response or a probe.
