Place requests by cost in the relay where the configuration asks for it

With Features.PlaceByCost, the dispatcher chooses targets by LeastWork; without it, it calls Pick as before. One placement per second is logged with what it was based on, and metrics sum expected and measured latencies and their absolute differences.

--- a/core/route/placement.go
+++ b/core/route/placement.go
@@ -138,6 +138,7 @@
 	if late {
 		return
 	}
+	p.Endpoint.service.totals.add(expected, latency)
 	all := p.Endpoint.service.operations.All()
 	unexplained := latency - float64(p.explained)
 	p.need.operation.Finished(at, latency, unexplained, float64(bytes))
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -47,6 +47,7 @@
 	config   Config
 	clock    clock
 	services atomic.Pointer[map[string]*service]
+	totals   placementTotals
 	index    [indexShards]atomic.Pointer[map[uint64]*Endpoint]
 }
 
@@ -72,6 +73,7 @@
 	// are used by LeastWork.
 	operations cost.Operations
 	mean       meanLoad
+	totals     *placementTotals // of the router
 }
 
 // A view is an immutable snapshot of the subset of one service.
@@ -125,7 +127,7 @@
 	if s, ok := services[name]; ok {
 		return s
 	}
-	s := &service{name: name, clock: r.clock, observer: r.config.Observer}
+	s := &service{name: name, clock: r.clock, observer: r.config.Observer, totals: &r.totals}
 	s.random.seed(r.config.Seed, name)
 	s.view.Store(&view{})
 	services = maps.Clone(services)
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -53,6 +53,8 @@
 	// parent is the request on whose behalf the target makes this call. It is nil
 	// for a request of a client.
 	parent *callgraph.Parent
+	// placement is the choice of the target of the current attempt.
+	placement route.Placement
 	// requestMemory and responseMemory hold the bodies until the client has received
 	// the response.
 	requestMemory, responseMemory *memory.Account
@@ -83,6 +85,7 @@
 	// versionReported is called with the configuration version that a node reports
 	// in a response.
 	versionReported func(address string, version uint64)
+	placing         placing
 }
 
 // dispatch tries one target after another until one responds or no further attempt
@@ -177,11 +180,11 @@
 // attempt reached its target, a target may be tried again, because its response was
 // lost or corrupted in transit.
 func (d *dispatcher) pick(o *outgoing, last *pb.ForwardResponse, tried []uint64) (*route.Endpoint, *outcome.Error) {
-	endpoint, pickErr := d.router.Pick(time.Now(), o.message.GetService(), 0, tried...)
+	endpoint, pickErr := d.choose(o, tried)
 	if pickErr == nil || !last.GetReachedTarget() {
 		return endpoint, pickErr
 	}
-	return d.router.Pick(time.Now(), o.message.GetService(), 0)
+	return d.choose(o, nil)
 }
 
 // shouldRetry reports whether the request is sent to another target.
@@ -222,7 +225,7 @@
 	started := time.Now()
 	request := d.newAttempt(o, started)
 	request.SameTarget = sameTarget
-	endpoint.Begin()
+	o.placement.Begin()
 	if !endpoint.Target().ReadsHeaderLines {
 		request.Headers, request.HeaderLines = headersOf(request.GetHeaderLines()), nil
 	}
@@ -231,16 +234,16 @@
 	// Apply the gate report first, because it affects how the router judges the
 	// result.
 	if response.GetGate() != nil {
-		endpoint.Report(now, route.ReportFromProto(response.GetGate()))
+		o.placement.Report(now, route.ReportFromProto(response.GetGate()))
 		d.versionReported(endpoint.Target().Address, response.GetConfigVersion())
 	}
-	endpoint.End(now, route.Result{
+	o.placement.End(now, route.Result{
 		Latency:       now.Sub(started),
 		Outcome:       outcome.Outcome(response.GetOutcome()),
 		Reason:        outcome.Reason(response.GetReason()),
 		NodeResponded: response.GetGate() != nil,
 		ErrorResponse: response.GetTargetFailed(),
-	})
+	}, len(request.GetBody())+len(response.GetBody()))
 	return response
 }
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -245,6 +245,7 @@
 		sender:          identity,
 		events:          events,
 		versionReported: func(address string, version uint64) { r.members.observeVersion(ctx, address, version) },
+		placing:         placing{config: r.config, logger: telemetry.Named(o.Logger, telemetry.PartRouter)},
 	}
 	r.entry = &entry{
 		wire:          o.HeaderCodec,
@@ -318,7 +319,7 @@
 // fails, the node runs without them.
 func (r *Relay) registerMetrics() {
 	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateCounters(r.gate.flow),
-		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage))
+		r.options.Metrics.ObservePlacements(r.entry.dispatcher.placements), r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage))
 	if err != nil {
 		r.logger.Error("The gate, the configuration and the memory have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
