Explain where a node would send a request

An operator could not see why a target gets requests or none. The page /placement of the metrics listener and 'primrosemount explain placement' tell the candidates with score, cost, speed, work left and ages, and why a target cannot be chosen, without sending a request. Until a response of a service is known, a request is assumed to cost 10 ms; before, the price of a slot was too small to count.

--- a/core/route/leastwork.go
+++ b/core/route/leastwork.go
@@ -37,6 +37,9 @@
 	// best target in the node's own zone, where requests queue, to none at shortageTo.
 	shortageFrom = 1.1
 	shortageTo   = 1.6
+	// initialCost is the cost of a mean request until a response of the service is
+	// known. It keeps the price of a slot comparable with the network time.
+	initialCost = 10 * time.Millisecond
 	// lateWeight and overdueWeight are the weights of the time after the target latency
 	// and after the deadline in a score.
 	lateWeight    = 3
@@ -73,7 +76,10 @@
 	n := need{operation: operation, own: operation.Own(), calls: operation.Calls()}
 	n.mean = all.Own() + all.Calls()
 	if n.mean <= 0 {
-		n.mean = max(all.Latency(), 1)
+		n.mean = all.Latency()
+	}
+	if n.mean <= 0 {
+		n.mean = float64(initialCost)
 	}
 	if n.own <= 0 {
 		// Nodes of earlier versions do not report the own work.
@@ -111,7 +117,7 @@
 			shortage = shortageAt(p.lowestOccupancy)
 		}
 	}
-	surcharge := (1 - shortage) * (float64(zoneBase) + n.bytes*float64(zonePerByte))
+	surcharge := n.zoneSurcharge(shortage)
 	others := v.otherZones
 	if !v.preferOwnZone {
 		others = v.close
@@ -125,6 +131,11 @@
 	return p.only(s.scan(v, q), q.at)
 }
 
+// zoneSurcharge returns the surcharge of another zone, given the shortage of the own zone.
+func (n *need) zoneSurcharge(shortage float64) float64 {
+	return (1 - shortage) * (float64(zoneBase) + n.bytes*float64(zonePerByte))
+}
+
 // shortageAt returns the shortage of a zone, between 0 and 1, given the lowest occupancy
 // of its targets.
 func shortageAt(occupancy float64) float64 {
--- a/node/relay/placement_test.go
+++ b/node/relay/placement_test.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"github.com/primrosemount/primrosemount/core/route"
 	"github.com/primrosemount/primrosemount/core/threshold"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 // placingConfiguration returns a configuration in force, with or without placement by cost.
@@ -110,3 +114,27 @@
 		require.Equal(t, "vm-2", endpoint.Target().VM, "the reported occupancy decides")
 	}
 }
+
+// Guards against a page that fails for proper parameters, that accepts wrong ones, or that
+// does not tell whether placement by cost is in force.
+func TestPlacementPage(t *testing.T) {
+	config := placingConfiguration(true)
+	d, _ := placingDispatcher(config)
+	page := &placementPage{router: d.router, config: config, logger: zap.NewNop()}
+	get := func(query string) *httptest.ResponseRecorder {
+		response := httptest.NewRecorder()
+		page.ServeHTTP(response, httptest.NewRequest(http.MethodGet, telemetry.PathPlacement+query, nil))
+		return response
+	}
+	response := get("?service=s&operation=get&bytes=100&target_latency=10ms&remaining=1s&format=json")
+	require.Equal(t, http.StatusOK, response.Code)
+	var candidates route.Candidates
+	require.NoError(t, json.Unmarshal(response.Body.Bytes(), &candidates))
+	require.True(t, candidates.InForce)
+	require.Len(t, candidates.Targets, 2)
+	require.Contains(t, get("?service=s").Body.String(), "vm-1")
+	require.Equal(t, http.StatusNotFound, get("?service=other").Code)
+	for _, query := range []string{"", "?service=s&bytes=x", "?service=s&remaining=1", "?service=s&target_latency=x"} {
+		require.Equal(t, http.StatusBadRequest, get(query).Code, query)
+	}
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -311,6 +311,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.options.Metrics.Handler())
+	mux.Handle(telemetry.PathPlacement, &placementPage{router: r.entry.dispatcher.router, config: r.config, logger: r.logger})
 	r.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
--- a/operator/command.go
+++ b/operator/command.go
@@ -86,7 +86,7 @@
 func (c *Commands) selected() subcommand {
 	switch {
 	case c.Explain != nil:
-		return c.Explain
+		return c.Explain.selected()
 	case c.Version != nil:
 		return c.Version
 	case c.Report != nil && c.Report.Burn != nil:
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -17,6 +17,7 @@
 // An ExplainCommand prints the journal entries about a request or a target, or the
 // lines of log files about a request.
 type ExplainCommand struct {
+	Placement *ExplainPlacementCommand `arg:"subcommand:placement" help:"explain where a node would send a request now"`
 	NodeFlags
 	OutputFlags
 	Request string   `arg:"--request" placeholder:"ID" help:"root request id, 32 hexadecimal digits; with --logs any id of an attempt or call"`
@@ -25,6 +26,15 @@
 	Logs    []string `arg:"--logs,separate" placeholder:"FILE" help:"read the log of a node instead of asking nodes; may be repeated, - is standard input"`
 }
 
+// selected returns the subcommand that was given, or the command itself.
+func (c *ExplainCommand) selected() subcommand {
+	if c.Placement == nil {
+		return c
+	}
+	c.Placement.JSON, c.Placement.Timeout = c.JSON, c.NodeFlags.Timeout
+	return c.Placement
+}
+
 // request checks the arguments and returns the request to the node.
 func (c *ExplainCommand) request() (*pb.ExplainRequest, error) {
 	if (c.Request == "") == (c.Target == "") {
--- a/telemetry/placement.go
+++ b/telemetry/placement.go
@@ -8,6 +8,11 @@
 	"go.opentelemetry.io/otel/metric"
 )
 
+// PathPlacement is the path of the page of the metrics listener that tells where a request
+// would go now. Its parameters are service, operation, bytes, target_latency, remaining and
+// format, which is text or json.
+const PathPlacement = "/placement"
+
 // PlacementCounters compares the expected and the measured latencies of requests that were
 // placed by their cost.
 type PlacementCounters struct {
