--- a/core/route/counters.go
+++ b/core/route/counters.go
@@ -93,6 +93,7 @@
 	draining      atomic.Bool
 	down          atomic.Bool
 	downAt        atomic.Int64
+	load          load // used by LeastWork, see load.go
 	// State of ejection, see eject.go.
 	phase         atomic.Uint32
 	cause         atomic.Uint32
@@ -107,7 +108,7 @@
 	e.decayToMedian(at)
 	if sample, ok := latencySample(result, verdict, e.latency.load()); ok {
 		e.sampleLatency(sample)
-		e.sampleMean(sample)
+		e.sampleMean(result.comparable(sample))
 		e.service.seedMedian(sample)
 	}
 	e.recordShares(at, verdict)
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -260,6 +260,7 @@
 		sender:          identity,
 		events:          events,
 		versionReported: func(address string, version uint64) { r.members.observeVersion(ctx, address, version) },
+		placing:         placing{config: r.config, logger: telemetry.Named(o.Logger, telemetry.PartRouter)},
 	}
 	r.entry = &entry{
 		wire:          o.HeaderCodec,
@@ -328,6 +329,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.options.Metrics.Handler())
 	mux.HandleFunc("/accounts", r.entry.serveAccounts)
+	mux.Handle(telemetry.PathPlacement, &placementPage{router: r.entry.dispatcher.router, config: r.config, logger: r.logger})
 	r.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
@@ -337,7 +339,8 @@
 func (r *Relay) registerMetrics() {
 	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateCounters(r.gate.flow),
 		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage),
-		r.options.Metrics.ObserveAccounts(r.entry.use.sample), r.options.Metrics.ObserveQuotas(r.quotas.counts.sample))
+		r.options.Metrics.ObserveAccounts(r.entry.use.sample), r.options.Metrics.ObserveQuotas(r.quotas.counts.sample),
+		r.options.Metrics.ObservePlacements(r.entry.dispatcher.placements))
 	if err != nil {
 		r.logger.Error("The gate, the configuration, the memory, the client accounts and their quotas have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
