Show the state of quotas at the node on the page of accounts

The page now also tells the requests admitted here, the tokens held here and how old the owners' latest response is.

--- a/node/relay/accountspage.go
+++ b/node/relay/accountspage.go
@@ -8,6 +8,7 @@
 
 	"github.com/primrosemount/primrosemount/core/account"
 	"github.com/primrosemount/primrosemount/core/freshness"
+	"github.com/primrosemount/primrosemount/core/quota"
 )
 
 // accountsPage is the page /accounts: the client accounts in force, and the root requests
@@ -33,6 +34,9 @@
 	Burst         float64 `json:"burst,omitempty"`
 	// Load is the load at all nodes divided by the rate. It is missing if it is unknown.
 	Load *float64 `json:"load,omitempty"`
+	// Quota is the state of the quota at this node. It is missing if the account had no
+	// requests here lately.
+	Quota *quotaLine `json:"quota,omitempty"`
 	// The counts are those of this node.
 	Completed uint64 `json:"completed"`
 	OverQuota uint64 `json:"over_quota"`
@@ -40,6 +44,27 @@
 	Unknown   uint64 `json:"unknown"`
 }
 
+// quotaLine is the state of the quota of an account at this node.
+type quotaLine struct {
+	// AdmittedPerSecond is the rate of requests that this node has admitted lately.
+	AdmittedPerSecond float64 `json:"admitted_per_s"`
+	// Held is the number of tokens that this node holds.
+	Held uint32 `json:"held"`
+	// AgeMillis is the time since an owner of the quota has responded. It is missing if
+	// none has.
+	AgeMillis *int64 `json:"age_ms,omitempty"`
+}
+
+// quotaLineOf returns the line of a quota.
+func quotaLineOf(use quota.Use) *quotaLine {
+	line := &quotaLine{AdmittedPerSecond: use.Used, Held: use.Held}
+	if use.Age >= 0 {
+		millis := use.Age.Milliseconds()
+		line.AgeMillis = &millis
+	}
+	return line
+}
+
 // serveAccounts serves the page of the client accounts. The query parameter name limits it
 // to one account.
 func (e *entry) serveAccounts(w http.ResponseWriter, r *http.Request) {
@@ -61,10 +86,16 @@
 	if table := e.config.table.Load(); table != nil && table.Accounts != nil {
 		configured = table.Accounts.All()
 	}
+	quotas := make(map[string]*quotaLine)
+	for _, use := range e.quotas.snapshot(now) {
+		quotas[use.Account] = quotaLineOf(use)
+	}
 	listed := make(map[string]bool, len(configured))
 	for _, a := range configured {
 		listed[a.Name] = true
-		page.Accounts = append(page.Accounts, e.lineOf(now, a))
+		line := e.lineOf(now, a)
+		line.Quota = quotas[a.Name]
+		page.Accounts = append(page.Accounts, line)
 	}
 	for _, other := range slices.Sorted(slices.Values(e.use.names())) {
 		if !listed[other] {
--- a/node/relay/accountspage_test.go
+++ b/node/relay/accountspage_test.go
@@ -42,9 +42,9 @@
 	page, text := get("")
 	require.Equal(t, uint64(3), page.ConfigVersion)
 	require.NotNil(t, page.ConfigAgeMillis)
-	load, low := 0.75, 2
+	load, low, age := 0.75, 2, int64(20)
 	require.Equal(t, []accountLine{
-		{Name: "limited", Configured: true, Keys: 1, RatePerSecond: 10, Burst: 10, Load: &load, OverQuota: 2, Refused: 1},
+		{Name: "limited", Configured: true, Keys: 1, RatePerSecond: 10, Burst: 10, Load: &load, Quota: &quotaLine{AdmittedPerSecond: 1.5, Held: 3, AgeMillis: &age}, OverQuota: 2, Refused: 1},
 		{Name: "free", Configured: true, Keys: 1},
 		{Name: "low", Configured: true, Keys: 1, Priority: &low},
 		{Name: "former", Unknown: 1},
--- a/node/relay/authenticate.go
+++ b/node/relay/authenticate.go
@@ -8,6 +8,7 @@
 	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/core/quota"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
@@ -105,6 +106,7 @@
 	take(now time.Time, a *account.Account) *outcome.Error
 	refund(now time.Time, a *account.Account)
 	load(now time.Time, a *account.Account) (float64, bool)
+	snapshot(now time.Time) []quota.Use
 }
 
 // tokenLifetime is how long a token of a quota is valid. A request that has not been sent
--- a/node/relay/authenticate_test.go
+++ b/node/relay/authenticate_test.go
@@ -23,6 +23,7 @@
 	"github.com/primrosemount/primrosemount/core/leastshare"
 	"github.com/primrosemount/primrosemount/core/memory"
 	"github.com/primrosemount/primrosemount/core/outcome"
+	"github.com/primrosemount/primrosemount/core/quota"
 	"github.com/primrosemount/primrosemount/core/route"
 	"github.com/primrosemount/primrosemount/core/shutdown"
 	"github.com/primrosemount/primrosemount/core/threshold"
@@ -56,6 +57,10 @@
 	return q.relative, q.relative > 0
 }
 
+func (q *countedQuotas) snapshot(time.Time) []quota.Use {
+	return []quota.Use{{Account: "limited", Used: 1.5, Held: 3, Age: 20 * time.Millisecond}}
+}
+
 const testMaxBody = 100
 
 // accountEntry returns an entry with three accounts, of which the first has a quota, and
@@ -89,7 +94,8 @@
 		budget: memory.NewBudget(1 << 20), sizes: newResponseSizes(), maxBodyBytes: testMaxBody,
 		dispatcher: &dispatcher{
 			router: route.New(route.Config{Start: now}), downstream: downstream, budgets: newBudgets(1, 1), events: events,
-			self: func() string { return "self" },
+			self:    func() string { return "self" },
+			placing: placing{config: config, logger: zap.NewNop()},
 		},
 	}, quotas, lines
 }
