Limit root requests by what the retry budget can complete

While targets of a service refuse a part of their requests, a root request with several calls completes only if each call gets its retries. The budget was shared by all root requests, so nearly all failed after their work.

A limiter per called service measures the share of refusals, the first attempts by level and the budget left, and derives the highest level whose calls get all retries. The node reports it for the operations that need the calls. It is on only with Features.LimitByRetryBudget.

--- a/core/retry/windowbudget.go
+++ b/core/retry/windowbudget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -107,8 +108,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	earned := max(b.sum(&b.first, 0, windowSlots), b.sum(&b.first, windowSlots/2, windowSlots), b.sum(&b.first, windowSlots, windowSlots))
-	allowed := b.ratio*float64(earned) + b.slack
+	allowed := b.allowed()
 	rank := kind.rank()
 	b.requested[0][rank]++
 	if float64(b.sum(&b.retries, 0, retrySlots)+1) > b.available(now, allowed, rank) {
@@ -118,6 +118,44 @@
 	return true
 }
 
+// take takes one retry from the budget regardless of its rank.
+func (b *WindowBudget) take(now time.Time, kind Kind) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.requested[0][kind.rank()]++
+	if float64(b.sum(&b.retries, 0, retrySlots)+1) > b.allowed() {
+		return false
+	}
+	b.retries[b.index(0)]++
+	return true
+}
+
+// allowed returns the number of retries that one window permits.
+func (b *WindowBudget) allowed() float64 {
+	earned := max(b.sum(&b.first, 0, windowSlots), b.sum(&b.first, windowSlots/2, windowSlots), b.sum(&b.first, windowSlots, windowSlots))
+	return b.ratio*float64(earned) + b.slack
+}
+
+// permitted returns the number of retries that the budget permits until the given number
+// of slots has passed. Retries that leave the window until then are permitted again.
+func (b *WindowBudget) permitted(now time.Time, slots int) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return max(b.allowed()-float64(b.sum(&b.retries, 0, retrySlots-slots)), 0)
+}
+
+// sustainableRate returns the highest rate of retries per second that the budget permits
+// at every time until the forecast horizon.
+func (b *WindowBudget) sustainableRate(now time.Time) float64 {
+	lowest := math.Inf(1)
+	for slots := 1; slots <= int(forecastHorizon/slotDuration); slots++ {
+		lowest = min(lowest, b.permitted(now, slots)/(time.Duration(slots)*slotDuration).Seconds())
+	}
+	return lowest
+}
+
 // available returns the part of the budget that a rank may use. It reserves for
 // higher ranks the retries that they are expected to request at their current
 // rate.
--- a/core/threshold/operations.go
+++ b/core/threshold/operations.go
@@ -33,6 +33,7 @@
 // determines the operation thresholds to report.
 type Operations struct {
 	downstream *Downstream
+	callLimit  CallLimit
 	mu         sync.Mutex
 	operations map[string]map[Dependency]*evidence
 	// successRates tracks the failed requests of each operation.
@@ -61,7 +62,7 @@
 // Threshold returns the operation threshold to report. It is the minimum of
 // gateThreshold, which is the threshold of the node's own gate, of the threshold
 // derived from the share of failed requests of the operation, and of the learned
-// thresholds of the calls that are essential for the operation. A gateThreshold of zero
+// thresholds and the limits of the calls that are essential for the operation. A gateThreshold of zero
 // means that none is known.
 func (o *Operations) Threshold(now time.Time, operation string, gateThreshold outcome.Level) outcome.Level {
 	lowest := gateThreshold
@@ -75,7 +76,7 @@
 	}
 	for called, e := range o.operations[operation] {
 		if e.essential(now) {
-			lowest = min(lowest, o.downstream.Threshold(now, called))
+			lowest = min(lowest, o.callThreshold(now, called))
 		}
 	}
 	return lowest
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -77,6 +77,7 @@
 	self       func() string
 	downstream *threshold.Downstream
 	budgets    *budgets
+	limits     *retryLimits
 	sender     uint64
 	sequence   atomic.Uint64
 	events     *eventLog
@@ -97,6 +98,7 @@
 	}
 	budget := d.budgets.get(o.message.GetService())
 	budget.RecordFirstAttempt(o.started)
+	d.limits.firstAttempt(o)
 	if o.isRetry {
 		budget.Charge(o.started)
 	}
@@ -159,6 +161,7 @@
 		last = d.attempt(ctx, o, endpoint, sameTarget)
 		if last.GetReachedTarget() {
 			reached++
+			d.limits.result(o, last)
 		}
 		if last.GetOutcome() != pb.Outcome_OUTCOME_NOT_RUN {
 			mayHaveRun = last
@@ -201,7 +204,7 @@
 			return false
 		}
 	}
-	return d.mayTryAnotherTarget(o, last, reached) && budget.Spend(time.Now(), retry.Kind{Class: o.level.Class(), ChildCall: o.parent != nil})
+	return d.mayTryAnotherTarget(o, last, reached) && d.limits.spend(o, budget)
 }
 
 // mayTryAnotherTarget reports whether the request may reach one more target. The
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -158,6 +158,7 @@
 	config   *configuration
 	gate     *gateTask
 	members  *membersTask
+	limits   *retryLimits
 	targets  *targetClient
 	receiver *receiver
 	entry    *entry
@@ -218,11 +219,15 @@
 	r.members.recordDraining = r.gate.recordDraining
 	r.targets = newTargetClient(o.HeaderCodec, r.budget)
 	quotas := newQuotaTask()
+	budgets := newBudgets(o.RetryRatio, o.RetrySlack)
+	r.limits = newRetryLimits(budgets, r.config.limitByRetryBudget, events.entry)
+	operations := threshold.NewOperations(downstream)
+	operations.LimitCalls(r.limits.callLimit)
 	r.receiver = &receiver{
 		gate:            r.gate,
 		quotas:          quotas,
 		targets:         r.targets,
-		operations:      threshold.NewOperations(downstream),
+		operations:      operations,
 		numbering:       newOperationNumbers(),
 		graph:           graph,
 		address:         func() string { return r.target.Load().address },
@@ -241,7 +246,8 @@
 		local:           r.receiver,
 		self:            o.advertisedAddress,
 		downstream:      downstream,
-		budgets:         newBudgets(o.RetryRatio, o.RetrySlack),
+		budgets:         budgets,
+		limits:          r.limits,
 		sender:          identity,
 		events:          events,
 		versionReported: func(address string, version uint64) { r.members.observeVersion(ctx, address, version) },
