--- a/core/retry/limiter.go
+++ b/core/retry/limiter.go
@@ -15,19 +15,19 @@
 	// is computed. At 0.17 retries per first attempt, the budget covers a share of 0.145
 	// permanently. Below this bound, single refusals on a quiet node are noise.
 	minRefusalShare = 0.1
-	// bucketLevels is the number of levels whose demand is counted together. A node in a
-	// large fleet sends less than one call per second and level.
-	bucketLevels = 8
-	bucketCount  = (int(outcome.MaxLevel) + bucketLevels) / bucketLevels
-	// demandTime is the time constant of the demand of admitted levels.
-	demandTime = 2 * time.Second
-	// refusedDemandTime is the time constant of the demand of levels that entry nodes no
-	// longer send. Forgetting it sooner admits them again while the refusals last, and
-	// the limit oscillates.
-	refusedDemandTime = 15 * time.Second
 	// settleRate is how fast a raised limit is assumed to reach the entry nodes, in
 	// levels per second. Until then, missing demand does not prove that there is none.
 	settleRate = outcome.Cohorts
+	// grantFallRate is how fast the level up to which calls get repeats follows a falling
+	// limit, in levels per second. A root request makes its calls within some 100 ms, in
+	// which it falls by a quarter of a class.
+	grantFallRate = 5 * outcome.Cohorts / 2
+	// planHorizon is the time for which the calls of admitted levels must get their
+	// retries. Classes below leave what the calls of higher classes need until
+	// forecastHorizon, so that a fault that lasts for longer does not reverse the order
+	// of classes. A longer plan leaves more of the budget unused at the end of a fault.
+	planHorizon   = 4 * time.Second
+	reserveFactor = float64(forecastHorizon) / float64(planHorizon)
 	// maxRepeats is the number of repeats of one call. The expected number of repeats is
 	// the sum of the powers of the refusal share up to it.
 	maxRepeats = 7
@@ -40,11 +40,22 @@
 	// calls that were completed for it.
 	Level     outcome.Level
 	Effective outcome.Level
+	// CompletedCalls is the number of calls that were completed for the root request.
+	CompletedCalls uint32
+	// Operation is the operation whose target makes the call. It is empty for a request
+	// of a client.
+	Operation string
 	// ChildCall is true if a target makes the call for a request that it is processing.
 	ChildCall bool
 }
 
-func (s Send) kind() Kind { return Kind{Class: s.Level.Class(), ChildCall: s.ChildCall} }
+func (s Send) kind() Kind { return Kind{Class: s.class(), ChildCall: s.ChildCall} }
+
+func (s Send) class() outcome.Class { return classOf(s.Level) }
+
+// classOf returns the class of a level. Levels come from other processes and may exceed
+// MaxLevel.
+func classOf(level outcome.Level) outcome.Class { return min(level, outcome.MaxLevel).Class() }
 
 // A Limiter decides which levels get the retries to one service while its targets refuse
 // a part of what they receive.
@@ -69,15 +80,20 @@
 	mu       sync.Mutex
 	budget   *WindowBudget
 	refusals refusals
-	calls    demand
+	demand   demand
 	// requests is the demand of clients' requests by class.
 	requests [classCount]rate
 	// level is the limit. settled is the level up to which entry nodes are assumed to
 	// send everything.
 	level   outcome.Level
 	settled outcome.Level
-	engaged bool
-	updated time.Time
+	// granted is the highest level whose calls get repeats. It follows a falling limit
+	// with a delay, so that requests that the former limit admitted can end.
+	granted outcome.Level
+	// firstLevel is the highest level at which the first of many calls gets repeats.
+	firstLevel outcome.Level
+	engaged    bool
+	updated    time.Time
 	// requestShare is the share of the repeats of clients' requests that is permitted,
 	// and requestCredit is the permitted part not yet used.
 	requestShare  [classCount]float64
@@ -86,7 +102,8 @@
 
 // NewLimiter returns a Limiter without evidence that spends from the budget.
 func NewLimiter(now time.Time, budget *WindowBudget) *Limiter {
-	return &Limiter{budget: budget, level: outcome.MaxLevel, settled: outcome.MaxLevel, updated: now}
+	return &Limiter{budget: budget, level: outcome.MaxLevel, granted: outcome.MaxLevel, settled: outcome.MaxLevel, updated: now,
+		demand: demand{operations: make(map[string]*callCount)}}
 }
 
 // RecordFirstAttempt counts the first attempt of a request as demand. The budget counts
@@ -96,10 +113,10 @@
 	defer l.mu.Unlock()
 	l.update(now)
 	if s.ChildCall {
-		l.calls[bucketOf(s.Level)].count++
+		l.demand.record(s)
 		return
 	}
-	l.requests[s.Level.Class()].count++
+	l.requests[s.class()].count++
 }
 
 // RecordResult counts an attempt that reached a target, and whether the target refused
@@ -107,7 +124,7 @@
 func (l *Limiter) RecordResult(now time.Time, level outcome.Level, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refusals.record(now, level.Class(), refused)
+	l.refusals.record(now, classOf(level), refused)
 	l.update(now)
 }
 
@@ -120,12 +137,20 @@
 	if !l.engaged {
 		return l.budget.Spend(now, s.kind())
 	}
-	if s.ChildCall && s.Effective > l.level || !s.ChildCall && !l.grantRequest(s.Level.Class()) {
+	if s.ChildCall && !l.grantCall(s) || !s.ChildCall && !l.grantRequest(s.class()) {
 		return false
 	}
 	return l.budget.take(now, s.kind())
 }
 
+// grantCall reports whether a call gets a retry.
+func (l *Limiter) grantCall(s Send) bool {
+	if s.CompletedCalls == 0 && l.demand.operations[s.Operation].many() {
+		return s.Level <= l.firstLevel
+	}
+	return s.Effective <= l.granted
+}
+
 // grantRequest reports whether a client's request of a class gets a retry.
 func (l *Limiter) grantRequest(class outcome.Class) bool {
 	l.requestCredit[class] = math.Min(l.requestCredit[class]+l.requestShare[class], 1)
@@ -136,6 +161,14 @@
 	return true
 }
 
+// Level returns the limit: the highest level whose calls get retries.
+func (l *Limiter) Level(now time.Time) outcome.Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.update(now)
+	return l.level
+}
+
 // State is what a Limiter has measured and decided.
 type State struct {
 	// Level is the highest level whose calls get retries; MaxLevel means no limit.
@@ -167,37 +200,65 @@
 		return
 	}
 	l.updated = now
-	l.settled = min(l.level, l.settled+outcome.Level(min(settleRate*elapsed.Seconds(), float64(outcome.MaxLevel))))
-	l.calls.update(elapsed, l.settled)
+	l.settled = min(l.level, l.settled+levelsWithin(settleRate, elapsed))
+	l.demand.update(elapsed, l.settled, l.refusals.share(now) >= minRefusalShare)
 	for class := range l.requests {
 		l.requests[class].update(elapsed, demandTime)
 	}
 	l.engaged = l.refusals.significant(now)
-	l.level = outcome.MaxLevel
+	l.level, l.firstLevel = outcome.MaxLevel, outcome.MaxLevel
 	if l.engaged {
-		l.distribute(now, l.budget.sustainableRate(now))
+		l.distribute(now, l.budget.sustainableRate(now, planHorizon))
 	}
 	l.settled = min(l.settled, l.level)
+	l.granted = max(l.level, l.granted-min(l.granted, levelsWithin(grantFallRate, elapsed)))
+}
+
+// levelsWithin returns the levels that a rate covers within a time, at most MaxLevel.
+func levelsWithin(perSecond outcome.Level, elapsed time.Duration) outcome.Level {
+	return outcome.Level(math.Min(float64(perSecond)*elapsed.Seconds(), float64(outcome.MaxLevel)))
 }
 
 // distribute assigns a rate of retries to the classes in their order, and within a class
-// first to the requests of clients.
+// first to the requests of clients. It sets the limits within the first class whose calls
+// do not all get their repeats.
 func (l *Limiter) distribute(now time.Time, left float64) {
 	for class := range classCount {
-		repeats := l.refusals.repeats(now, outcome.Class(class))
-		need := l.requests[class].perSecond * repeats
-		l.requestShare[class] = share(left, need)
-		left = math.Max(left-need, 0)
+		repeats, passed := l.refusals.repeats(now, outcome.Class(class))
+		requests := l.requests[class].perSecond * repeats
+		l.requestShare[class] = share(left, requests)
+		left = math.Max(left-requests, 0)
+		var needs [bucketCount]need
+		var sum need
 		for bucket := firstBucket(class); bucket < firstBucket(class+1); bucket++ {
-			need := l.calls[bucket].perSecond * repeats
-			if need > left {
-				l.level = outcome.Level(max(bucket*bucketLevels-1+int(bucketLevels*share(left, need)), 1))
-				l.denyRequests(class + 1)
-				return
-			}
-			left -= need
+			needs[bucket] = l.demand.need(bucket, repeats, passed)
+			sum.full += needs[bucket].full
+			sum.filtered += needs[bucket].filtered
+		}
+		if sum.full > left {
+			l.level = levelWithin(class, left, needs, func(n need) float64 { return n.filtered })
+			l.firstLevel = levelWithin(class, left-sum.filtered, needs, need.extra)
+			l.denyRequests(class + 1)
+			return
+		}
+		left -= sum.full
+		if outcome.Class(class) != outcome.Assured {
+			left = math.Max(left-(reserveFactor-1)*(sum.full+requests), 0)
+		}
+	}
+}
+
+// levelWithin returns the highest level of a class up to which what the buckets need is
+// available. It is the last level before the class if nothing is.
+func levelWithin(class int, available float64, needs [bucketCount]need, needOf func(need) float64) outcome.Level {
+	for bucket := firstBucket(class); bucket < firstBucket(class+1); bucket++ {
+		needed := needOf(needs[bucket])
+		if needed > available {
+			return outcome.Level(max(bucket*bucketLevels-1+int(bucketLevels*share(available, needed)), 1))
 		}
+		available -= needed
 	}
+	return outcome.Level(firstBucket(class+1)*bucketLevels - 1)
 }
 
 // denyRequests permits no retries to clients' requests from a class on.
@@ -212,5 +273,5 @@
 	if need <= available {
 		return 1
 	}
-	return available / need
+	return math.Max(available, 0) / need
 }
--- a/core/retry/windowbudget.go
+++ b/core/retry/windowbudget.go
@@ -147,10 +147,10 @@
 }
 
 // sustainableRate returns the highest rate of retries per second that the budget permits
-// at every time until the forecast horizon.
-func (b *WindowBudget) sustainableRate(now time.Time) float64 {
+// at every time until the horizon.
+func (b *WindowBudget) sustainableRate(now time.Time, horizon time.Duration) float64 {
 	lowest := math.Inf(1)
-	for slots := 1; slots <= int(forecastHorizon/slotDuration); slots++ {
+	for slots := 1; slots <= int(horizon/slotDuration); slots++ {
 		lowest = min(lowest, b.permitted(now, slots)/(time.Duration(slots)*slotDuration).Seconds())
 	}
 	return lowest
--- a/core/threshold/downstream.go
+++ b/core/threshold/downstream.go
@@ -81,6 +81,11 @@
 	Threshold outcome.Level
 	// Success is true if the call was completed without an error status.
 	Success bool
+	// Prompt lets a successful response that reports no threshold end the learned one at
+	// once instead of step by step. It is for nodes that refuse doomed requests when they
+	// arrive (Operations.Doomed), so that a report of one node that is too high costs
+	// little.
+	Prompt bool
 }
 
 // Doomed reports whether the call failed because its level is above the reported
@@ -110,6 +115,8 @@
 		return max(r.Level, r.Threshold)
 	case r.Threshold == 0:
 		return 0
+	case r.Success && r.Prompt && r.Threshold >= outcome.MaxLevel:
+		return outcome.MaxLevel
 	case r.Success:
 		return max(moveToward(current, r.Threshold), r.Level)
 	default:
--- a/core/threshold/operations.go
+++ b/core/threshold/operations.go
@@ -33,7 +33,7 @@
 // determines the operation thresholds to report.
 type Operations struct {
 	downstream *Downstream
-	callLimit  CallLimit
+	callLimits CallLimits
 	mu         sync.Mutex
 	operations map[string]map[Dependency]*evidence
 	// successRates tracks the failed requests of each operation.
@@ -74,12 +74,7 @@
 	if s := o.successRates[operation]; s != nil {
 		lowest = min(lowest, s.at(now))
 	}
-	for called, e := range o.operations[operation] {
-		if e.essential(now) {
-			lowest = min(lowest, o.callThreshold(now, called))
-		}
-	}
-	return lowest
+	return min(lowest, o.callThreshold(now, operation))
 }
 
 // Essential reports whether the evidence shows that requests of the operation fail when
@@ -206,7 +201,7 @@
 
 // recordFinished counts a finished request of an operation that makes calls.
 func (o *Operations) recordFinished(now time.Time, r *Run, failed bool) {
-	if len(r.called) == 0 {
+	if len(r.called) == 0 || failed && o.limited(now, r.operation) {
 		return
 	}
 	s := o.successRates[r.operation]
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -93,7 +93,8 @@
 		o.parent.Run.CallStarted(o.dependency())
 	}
 	if refused := d.downstream.Admit(o.started, o.dependency(), o.effectiveLevel(), o.trial); refused != nil {
-		d.events.entryRefused(o, refused.Reason, d.downstream.Threshold(o.started, o.dependency()))
+		admits := d.downstream.Threshold(o.started, o.dependency())
+		d.events.entryRefused(o, refused.Reason, admits, d.limits.observeShortage(o, admits, 0))
 		return notRun(refused.Reason, 0)
 	}
 	budget := d.budgets.get(o.message.GetService())
@@ -114,7 +115,9 @@
 	observed := threshold.Response{
 		Threshold: outcome.Level(response.GetGate().GetOperationThreshold()),
 		Success:   succeeded(response),
+		Prompt:    d.limits.active(),
 	}
+	d.limits.observeShortage(o, observed.Threshold, response.GetGate().GetShortageMillis())
 	if !o.trial {
 		observed.Level = o.effectiveLevel()
 	}
@@ -197,7 +200,7 @@
 		}
 	case pb.Outcome_OUTCOME_NOT_RUN:
 		if !last.GetReachedTarget() {
-			return tries < maxNodeRefusals
+			return tries < maxNodeRefusals && !(o.parent == nil && outcome.Reason(last.GetReason()) == outcome.DoomedDownstream)
 		}
 	default:
 		if !o.route.Idempotent {
--- a/node/relay/entry.go
+++ b/node/relay/entry.go
@@ -345,7 +345,7 @@
 	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED {
 		failed := outcome.New(outcome.Outcome(response.GetOutcome()), outcome.Reason(response.GetReason()), "")
 		e.events.failed(o, response)
-		e.writeFailure(w, failed, time.Duration(response.GetRetryAfterNanos()))
+		e.writeFailure(w, failed, e.dispatcher.limits.retryAfter(o, failed.Reason, time.Duration(response.GetRetryAfterNanos())))
 		return
 	}
 	w.Status = int(response.GetStatus())
@@ -354,12 +354,14 @@
 	w.Body = response.GetBody()
 }
 
-// writeFailure fills in a failure as a problem document.
+// writeFailure fills in a failure as a problem document. A retryAfter of zero means that
+// of the failure, if it has one.
 func (e *entry) writeFailure(w *httpserver.Response, failed *outcome.Error, retryAfter time.Duration) {
 	w.Status = statusOf(failed)
 	// While the node stops, the client has to connect to another node, or to the
 	// next incarnation of this one.
 	w.Close = e.draining()
+	retryAfter = cmp.Or(retryAfter, failed.RetryAfter)
 	if w.Status == http.StatusServiceUnavailable {
 		if failed.Reason == outcome.Draining && w.Close {
 			retryAfter = restartRetryAfter
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -72,10 +72,14 @@
 }
 
 // entryRefused logs a doomed request: one that a service it would call is expected
-// to refuse.
-func (l *eventLog) entryRefused(o *outgoing, reason outcome.Reason, threshold outcome.Level) {
-	l.entry.Info("The request was refused before its first call.", append(requestFields(o.message),
-		zap.String("reason", reason.String()), zap.Uint16("threshold", uint16(threshold)))...)
+// to refuse, and for how long the called operation has been refused for some level, if
+// that is known.
+func (l *eventLog) entryRefused(o *outgoing, reason outcome.Reason, threshold outcome.Level, shortage time.Duration) {
+	fields := append(requestFields(o.message), zap.String("reason", reason.String()), zap.Uint16("threshold", uint16(threshold)))
+	if shortage > 0 {
+		fields = append(fields, zap.Duration("shortage", shortage))
+	}
+	l.entry.Info("The request was refused before its first call.", fields...)
 }
 
 // noTarget logs that no further target could be selected.
--- a/node/relay/events_test.go
+++ b/node/relay/events_test.go
@@ -37,7 +37,7 @@
 		}, []string{"reason", "detail", "config", "config_age", "store_age"}},
 		{"not started", func(l *eventLog) { l.stopRefused(o, errStoppingSoon) }, []string{"reason", "detail", "call", "remaining"}},
 		{"refused for memory", func(l *eventLog) { l.memoryRefused(o, memory.Usage{Limit: 7}, 5) }, []string{"expected", "memory_limit", "held_requests", "held_responses", "held_frames"}},
-		{"refused at the entry", func(l *eventLog) { l.entryRefused(o, outcome.DoomedDownstream, 150) }, []string{"reason", "threshold", "level", "config"}},
+		{"refused at the entry", func(l *eventLog) { l.entryRefused(o, outcome.DoomedDownstream, 150, time.Second) }, []string{"reason", "threshold", "shortage", "level", "config"}},
 		{"no target", func(l *eventLog) { l.noTarget(o, outcome.NoTarget, 2) }, []string{"reason", "tried"}},
 		{"repeated", func(l *eventLog) { l.retried(o, notRun(outcome.TargetRefused, 0), "vm") }, []string{"vm", "outcome", "reason"}},
 		{"failed", func(l *eventLog) { l.failed(o, unknown(outcome.AnswerLost)) }, []string{"outcome", "reason", "took", "allowed"}},
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -33,6 +33,7 @@
 	versionReceived func(address string, version uint64)
 	sync            func(request *pb.SyncRequest, response *pb.SyncResponse)
 	quotas          *quotaTask
+	limits          *retryLimits
 }
 
 var _ transport.RelayHandler = (*receiver)(nil)
@@ -81,6 +82,10 @@
 		r.refuse(request, response, outcome.NoTarget, 0)
 		return
 	}
+	if r.doomed(request) {
+		r.refuse(request, response, outcome.DoomedDownstream, 0)
+		return
+	}
 	admitted, ok := r.gate.offer(ctx, gate.Request{
 		Level:         outcome.Level(request.GetLevel()),
 		PriorityBoost: threshold.PriorityBoost(request.GetCompletedCalls()),
@@ -153,10 +158,12 @@
 
 // gateReport returns the state of the gate as seen by one route.
 func (r *receiver) gateReport(route string) *pb.GateReport {
-	view := r.gate.view.Load()
+	view, now := r.gate.view.Load(), time.Now()
+	admits := r.operations.Threshold(now, route, view.threshold)
 	return &pb.GateReport{
 		Threshold:          uint32(view.threshold),
-		OperationThreshold: uint32(r.operations.Threshold(time.Now(), route, view.threshold)),
+		OperationThreshold: uint32(admits),
+		ShortageMillis:     r.limits.ownShortage(now, route, admits),
 		Draining:           view.draining,
 		TargetDown:         !view.serving && !view.draining || view.down,
 		InFlight:           uint32(view.inFlight + view.queued),
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -222,10 +222,11 @@
 	budgets := newBudgets(o.RetryRatio, o.RetrySlack)
 	r.limits = newRetryLimits(budgets, r.config.limitByRetryBudget, events.entry)
 	operations := threshold.NewOperations(downstream)
-	operations.LimitCalls(r.limits.callLimit)
+	operations.LimitCalls(r.limits)
 	r.receiver = &receiver{
 		gate:            r.gate,
 		quotas:          quotas,
+		limits:          r.limits,
 		targets:         r.targets,
 		operations:      operations,
 		numbering:       newOperationNumbers(),
@@ -320,13 +321,14 @@
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
 
-// registerMetrics registers the metrics of the gate, the configuration and the memory. If that
+// registerMetrics registers the metrics of the gate, the configuration, the memory and the retry limits. If that
 // fails, the node runs without them.
 func (r *Relay) registerMetrics() {
 	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateCounters(r.gate.flow),
-		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage))
+		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage),
+		r.options.Metrics.ObserveRetryLimits(r.limits.sample))
 	if err != nil {
-		r.logger.Error("The gate, the configuration and the memory have no metrics; report this to the developers.", telemetry.ErrorField(err))
+		r.logger.Error("The gate, the configuration, the memory and the retry limits have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
 }
 
--- a/node/relay/retrylimit.go
+++ b/node/relay/retrylimit.go
@@ -10,6 +10,7 @@
 	"github.com/primrosemount/primrosemount/core/retry"
 	"github.com/primrosemount/primrosemount/core/threshold"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/telemetry"
 )
 
 // limitByRetryBudget reports whether the configuration in force limits root requests to
@@ -29,8 +30,14 @@
 	mu      sync.RWMutex
 	// byService holds as many elements as budgets.
 	byService map[string]*serviceLimit
+	// called holds the shortages of the operations that this node sends requests to, and
+	// own those of the operations of its target, without a service.
+	called *threshold.Shortages
+	own    *threshold.Shortages
 }
 
+var _ threshold.CallLimits = (*retryLimits)(nil)
+
 // serviceLimit is the limiter of one service and what was last logged about it.
 type serviceLimit struct {
 	*retry.Limiter
@@ -38,10 +45,11 @@
 }
 
 func newRetryLimits(budgets *budgets, enabled func() bool, logger *zap.Logger) *retryLimits {
-	return &retryLimits{budgets: budgets, enabled: enabled, logger: logger, byService: make(map[string]*serviceLimit)}
+	return &retryLimits{budgets: budgets, enabled: enabled, logger: logger, byService: make(map[string]*serviceLimit),
+		called: threshold.NewShortages(), own: threshold.NewShortages()}
 }
 
-func (l *retryLimits) active() bool { return l != nil && l.enabled() }
+func (l *retryLimits) active() bool { return l != nil && l.Enabled() }
 
 // find returns the limiter of a service, or nil if nothing was sent to it while limits
 // were enabled.
@@ -91,16 +99,33 @@
 	return budget.Spend(now, retry.Kind{Class: o.level.Class(), ChildCall: o.parent != nil})
 }
 
-// callLimit is the threshold.CallLimit of this node.
-func (l *retryLimits) callLimit(now time.Time, called threshold.Dependency) outcome.Level {
-	if l.active() {
-		if limit := l.find(called.Service); limit != nil {
-			return limit.State(now).Level
-		}
+// Enabled implements threshold.CallLimits.
+func (l *retryLimits) Enabled() bool { return l.enabled() }
+
+// Limit implements threshold.CallLimits.
+func (l *retryLimits) Limit(now time.Time, called threshold.Dependency) outcome.Level {
+	if limit := l.find(called.Service); limit != nil {
+		return limit.Level(now)
 	}
 	return outcome.MaxLevel
 }
 
+// sample returns the state of all limiters for metrics.
+func (l *retryLimits) sample() []telemetry.RetryLimitSample {
+	if !l.active() {
+		return nil
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	now := time.Now()
+	samples := make([]telemetry.RetryLimitSample, 0, len(l.byService))
+	for service, limit := range l.byService {
+		s := limit.State(now)
+		samples = append(samples, telemetry.RetryLimitSample{Service: service, Level: int64(s.Level), RefusalShare: s.RefusalShare, RetriesLeft: s.Left})
+	}
+	return samples
+}
+
 // refusedByTarget reports whether the target refused the request without running it.
 func refusedByTarget(response *pb.ForwardResponse) bool {
 	return response.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN && outcome.Reason(response.GetReason()) == outcome.TargetRefused
@@ -108,49 +133,16 @@
 
 // send describes the request to the limiter of its service.
 func (o *outgoing) send() retry.Send {
-	return retry.Send{Level: o.level, Effective: o.effectiveLevel(), ChildCall: o.parent != nil}
-}
-
-const (
-	// limitLogInterval is the minimum time between two log lines about one service.
-	limitLogInterval = time.Second
-	// limitLogStep is the smallest change of a limit that is logged, in levels.
-	limitLogStep = outcome.Cohorts / 4
-)
-
-// limitLog writes log lines when the limit of a service begins, changes and ends.
-type limitLog struct {
-	mu     sync.Mutex
-	logged outcome.Level
-	at     time.Time
-	began  time.Time
+	s := retry.Send{Level: o.level, Effective: o.effectiveLevel(), CompletedCalls: o.message.GetCompletedCalls(), ChildCall: o.parent != nil}
+	if o.parent != nil {
+		s.Operation = o.parent.Route
+	}
+	return s
 }
 
-// observe logs the state if it differs from the one that was logged last.
-func (g *limitLog) observe(logger *zap.Logger, now time.Time, service string, state func(time.Time) retry.State) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Sub(g.at) < limitLogInterval {
-		return
-	}
-	s := state(now)
-	limited, before := s.Level < outcome.MaxLevel, g.logged != 0
-	step := max(s.Level, g.logged) - min(s.Level, g.logged)
-	message := "The retry budget admits other levels of the calls to a service."
-	switch {
-	case limited && !before:
-		message = "The retry budget begins to limit the calls to a service."
-		g.began = now
-	case !limited && before:
-		message = "The retry budget no longer limits the calls to a service."
-	case !limited || step < limitLogStep:
-		return
-	}
-	g.logged, g.at = s.Level, now
-	if !limited {
-		g.logged = 0
-	}
-	logger.Info(message, zap.String("called", service), zap.Uint16("limit", uint16(s.Level)),
-		zap.Float64("refused_share", s.RefusalShare), zap.Duration("refused_for", s.RefusedFor),
-		zap.Float64("retries_left", s.Left), zap.Duration("limited_for", now.Sub(g.began)))
+// doomed reports whether a request that has arrived would fail because of a call of the
+// target. Trial requests pass.
+func (r *receiver) doomed(request *pb.ForwardRequest) bool {
+	level := outcome.Level(request.GetLevel()).Boosted(threshold.PriorityBoost(request.GetCompletedCalls()))
+	return !request.GetTrial() && r.operations.Doomed(time.Now(), request.GetRoute(), level)
 }
