--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -28,6 +28,10 @@
 // its parent or is a retry, so by induction from the root, a call is executed
 // at most once plus the number of retries on the path to it.
 //
+// Limiter. A Limiter decides which levels of the calls to one service use a WindowBudget
+// that does not cover all retries. See its comment and
+// docs/design/retry-limited-admission.md.
+//
 // Conditions. A failed attempt is retried only if the error permits it (the
 // request was not run, or it is idempotent), no service deeper in the chain has
 // already exhausted its attempts on the failure (Failure.FinalError marks such
@@ -37,6 +41,7 @@
 // attempts, which matters when many requests fail at once. WindowBudget limits
 // retries to one service in the same way over a sliding window, so that a limit
 // also holds for the sum over all nodes. Backoff adds jitter to the delays
-// between attempts, so that callers that failed at the same time do not retry
+// between attempts, and RetryAfter to the waits that refused callers are told, so that
+// callers that failed at the same time do not retry
 // at the same time.
 package retry
--- a/core/threshold/doc.go
+++ b/core/threshold/doc.go
@@ -22,6 +22,17 @@
 // called operation does not apply this threshold: the value that it reports is for its
 // callers.
 //
+// Limits of calls. A node may be unable to complete calls for a reason that no gate
+// reports, such as a retry budget that does not cover the refusals of a service. Where
+// CallLimits is set and enabled, the limit lowers the operation threshold in the same
+// way, and the gate of the operation refuses requests above it when they arrive
+// (Operations.Doomed): an entry node that sends few requests of an operation may not
+// have learned of the limit. Failures of an operation whose calls are limited do not
+// lower its threshold further.
+//
+// Shortages tracks how long operations have been refused for some level, from which the
+// expected length of a shortage follows.
+//
 // Recovery. A learned threshold is used unchanged for HoldTime after the latest
 // response and then rises by RiseRate levels per second, so that all levels are tried
 // again within 2 s. In addition, one root request in TrialDivisor is a trial, which is
