--- a/node/relay/authenticate_test.go
+++ b/node/relay/authenticate_test.go
@@ -88,7 +88,7 @@
 		originService: func() string { return "s" }, metrics: metrics, events: events,
 		budget: memory.NewBudget(1 << 20), sizes: newResponseSizes(), maxBodyBytes: testMaxBody,
 		dispatcher: &dispatcher{
-			router: route.New(route.Config{Start: now}), downstream: downstream, budgets: newBudgets(1, 1), events: events,
+			router: route.New(route.Config{Start: now}), downstream: downstream, budgets: newBudgets(1, 1), events: events, placing: placing{config: config},
 			self: func() string { return "self" },
 		},
 	}, quotas, lines
--- a/node/relay/events_test.go
+++ b/node/relay/events_test.go
@@ -40,7 +40,7 @@
 		{"refused for its quota", func(l *eventLog) {
 			l.quotaRefused(o, outcome.New(outcome.NotRun, outcome.QuotaExceeded, "detail"), config)
 		}, []string{"reason", "detail", "waited", "config_age"}},
-		{"refused at the entry", func(l *eventLog) { l.entryRefused(o, outcome.DoomedDownstream, 150) }, []string{"reason", "threshold", "level", "config"}},
+		{"refused at the entry", func(l *eventLog) { l.entryRefused(o, outcome.DoomedDownstream, 150, time.Second) }, []string{"reason", "threshold", "shortage", "level", "config"}},
 		{"no target", func(l *eventLog) { l.noTarget(o, outcome.NoTarget, 2) }, []string{"reason", "tried"}},
 		{"repeated", func(l *eventLog) { l.retried(o, notRun(outcome.TargetRefused, 0), "vm") }, []string{"vm", "outcome", "reason"}},
 		{"failed", func(l *eventLog) { l.failed(o, unknown(outcome.AnswerLost)) }, []string{"outcome", "reason", "took", "allowed"}},
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -170,6 +170,7 @@
 	gate     *gateTask
 	members  *membersTask
 	quotas   *quotaTask
+	limits   *retryLimits
 	targets  *targetClient
 	receiver *receiver
 	entry    *entry
@@ -233,11 +234,16 @@
 	r.quotas = newQuotaTask()
 	r.quotas.configure(o, incarnation, start, r.pool.ExchangeQuota, r.config.table.Load)
 	r.members.membersChanged = r.quotas.setMembers
+	budgets := newBudgets(o.RetryRatio, o.RetrySlack)
+	r.limits = newRetryLimits(budgets, r.config.limitByRetryBudget, events.entry)
+	operations := threshold.NewOperations(downstream)
+	operations.LimitCalls(r.limits)
 	r.receiver = &receiver{
 		gate:            r.gate,
 		quotas:          r.quotas,
+		limits:          r.limits,
 		targets:         r.targets,
-		operations:      threshold.NewOperations(downstream),
+		operations:      operations,
 		numbering:       newOperationNumbers(),
 		graph:           graph,
 		address:         func() string { return r.target.Load().address },
@@ -256,7 +262,8 @@
 		local:           r.receiver,
 		self:            o.advertisedAddress,
 		downstream:      downstream,
-		budgets:         newBudgets(o.RetryRatio, o.RetrySlack),
+		budgets:         budgets,
+		limits:          r.limits,
 		sender:          identity,
 		events:          events,
 		versionReported: func(address string, version uint64) { r.members.observeVersion(ctx, address, version) },
@@ -334,15 +341,15 @@
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
 
-// registerMetrics registers the metrics of the gate, the configuration, the memory, the
-// client accounts and their quotas. If that fails, the node runs without them.
+// registerMetrics registers the metrics of the parts of the node. If that fails, the node
+// runs without them.
 func (r *Relay) registerMetrics() {
-	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateCounters(r.gate.flow),
-		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage),
-		r.options.Metrics.ObserveAccounts(r.entry.use.sample), r.options.Metrics.ObserveQuotas(r.quotas.counts.sample),
-		r.options.Metrics.ObservePlacements(r.entry.dispatcher.placements))
+	m := r.options.Metrics
+	err := errors.Join(m.ObserveGate(r.gate.sample), m.ObserveGateCounters(r.gate.flow), m.ObserveConfiguration(r.config.sample),
+		m.ObserveMemory(r.budget.Usage), m.ObserveAccounts(r.entry.use.sample), m.ObserveQuotas(r.quotas.counts.sample),
+		m.ObservePlacements(r.entry.dispatcher.placements), m.ObserveRetryLimits(r.limits.sample))
 	if err != nil {
-		r.logger.Error("The gate, the configuration, the memory, the client accounts and their quotas have no metrics; report this to the developers.", telemetry.ErrorField(err))
+		r.logger.Error("Some parts of the node have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
 }
 
