Refuse statuses that HTTP does not define

Cause: http.ReadResponse accepts any three digits. The client of the target took every status below 200 for an interim response and read its body as the next response; 600 to 999 went to the caller, also from node to node and at the product's own interface.

Change: core/outcome states the valid statuses (200 to 599 final, 1xx other than 101 interim). Any other ends the connection and is a broken response: unknown, answer_truncated; an idempotent request may go to another target, others get 502. Entries and the product's dispatcher check what other nodes send. The log line of the gate states the error.

--- a/core/outcome/outcome_test.go
+++ b/core/outcome/outcome_test.go
@@ -43,3 +43,12 @@
 	require.True(t, New(NotRun, Overloaded, "").Retryable(false))
 	require.False(t, New(NotRun, NotAllowed, "").Retryable(true))
 }
+
+// Guards against accepting a status that HTTP does not define, or one that ends HTTP on
+// the connection.
+func TestStatusOfResponse(t *testing.T) {
+	for status := -1; status <= 1000; status++ {
+		require.Equal(t, status >= 200 && status <= 599, IsFinalStatus(status), status)
+		require.Equal(t, status >= 100 && status <= 199 && status != 101, IsInterimStatus(status), status)
+	}
+}
--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -68,6 +68,10 @@
 	ResponseTo func(run Run) string
 	// Header holds additional headers of responses.
 	Header http.Header
+	// Raw returns the bytes that are sent in place of the response to a request that has
+	// run, or "" for a regular response; nil means regular responses. The connection is
+	// closed after them.
+	Raw func(run Run) string
 	// Fault selects the fault for a request; nil means None.
 	Fault func(run Run) Fault
 	// CallDownstream is called while a request runs, to make the calls of the target.
@@ -197,6 +201,12 @@
 		w.Header().Set("X-Response-Seal", "seal."+run.AttemptID)
 	}
 	maps.Copy(w.Header(), t.config.Header)
+	if t.config.Raw != nil {
+		if raw := t.config.Raw(run); raw != "" {
+			writeBytes(w, raw)
+			return
+		}
+	}
 	switch fault {
 	case LoseResponse:
 		panic(http.ErrAbortHandler)
@@ -213,6 +223,17 @@
 	}
 }
 
+// writeBytes sends the bytes as they are and closes the connection.
+func writeBytes(w http.ResponseWriter, raw string) {
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = buffer.WriteString(raw)
+	_ = buffer.Flush()
+	_ = conn.Close()
+}
+
 // writeRaw writes responses that violate HTTP, which net/http would not send.
 func (t *Target) writeRaw(w http.ResponseWriter, run Run, fault Fault) {
 	conn, buffer, err := w.(http.Hijacker).Hijack()
--- a/node/dispatch/dispatch_test.go
+++ b/node/dispatch/dispatch_test.go
@@ -151,3 +151,36 @@
 	request.Context.CompletedCalls = 1 << 20
 	require.Equal(t, outcome.LevelOf(outcome.Normal, 0), request.effectiveLevel(), "the boost must not move a call into a higher class")
 }
+
+// Guards against a response of another node, which may run an earlier version, whose
+// status would reach the caller although HTTP does not define it.
+func TestInvalidStatusFromNodeIsBrokenResponse(t *testing.T) {
+	for _, status := range []uint32{0, 99, 100, 101, 600, 999} {
+		invalid := func(request *pb.CallRequest) (*pb.CallResponse, error) {
+			response, err := respond(outcome.Completed, 0)(request)
+			response.Status, response.Body = status, []byte("forged")
+			return response, err
+		}
+		result, remote := call([]reply{invalid, respond(outcome.Completed, 0)}, true, "")
+		require.Equal(t, uint32(200), result.Response.GetStatus(), "an idempotent call is sent again")
+		require.Len(t, remote.requests, 2)
+		result, _ = call([]reply{invalid}, false, "")
+		require.Equal(t, outcome.Unknown.Proto(), result.Response.GetOutcome(), status)
+		require.Equal(t, outcome.AnswerTruncated.Proto(), result.Response.GetReason())
+		require.Empty(t, result.Response.GetBody())
+	}
+}
+
+// Guards against taking the omitted response of a completed call, which has no status,
+// for a broken one.
+func TestOmittedResponseOfNodeIsComplete(t *testing.T) {
+	omitted := func(request *pb.CallRequest) (*pb.CallResponse, error) {
+		response, err := respond(outcome.Completed, 0)(request)
+		response.Status, response.BodyOmitted = 0, true
+		return response, err
+	}
+	result, remote := call([]reply{omitted}, true, "")
+	require.Equal(t, outcome.Completed.Proto(), result.Response.GetOutcome())
+	require.True(t, result.Response.GetBodyOmitted())
+	require.Len(t, remote.requests, 1)
+}
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -153,6 +154,7 @@
 	started := time.Now()
 	s.endpoint.Begin()
 	response := s.send(ctx, s.newCallRequest(allowance, started))
+	checkStatus(response)
 	s.correctOutcome(response)
 	now := time.Now()
 	// The gate report is applied first, because it affects how the endpoint
@@ -225,6 +227,20 @@
 	return lost
 }
 
+// checkStatus makes a completed response whose status no target may send a broken
+// response. A node that runs an earlier version passes such a status on, and may have
+// handed over one that it has stored. A response that is no longer stored need not have a
+// status.
+func checkStatus(response *pb.CallResponse) {
+	omitted := response.GetBodyOmitted() || response.GetReason() == pb.Reason_REASON_TOO_LARGE
+	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED || omitted || outcome.IsFinalStatus(int(response.GetStatus())) {
+		return
+	}
+	response.Detail = fmt.Sprintf("the target sent status %d, which no target may send", response.GetStatus())
+	response.Outcome, response.Reason = outcome.Unknown.Proto(), outcome.AnswerTruncated.Proto()
+	response.Status, response.Headers, response.Body, response.BodyLength = 0, nil, nil, 0
+}
+
 // correctOutcome corrects the outcome of an attempt with a key according to the
 // earlier attempts with the same key, and records whether an attempt may have
 // run.
--- a/node/executor/target.go
+++ b/node/executor/target.go
@@ -78,6 +78,10 @@
 		return sendFailure(ctx, sent, use.connected()), !sent && use.retired() && ctx.Err() == nil
 	}
 	defer response.Body.Close()
+	if !outcome.IsFinalStatus(response.StatusCode) {
+		use.retire()
+		return targetResponse{result: failure(outcome.Unknown, outcome.AnswerTruncated)}, false
+	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(wire.RefusedHeader) == "true" {
 		// A faulty target may write the same refusal twice. The connection is retired
 		// so that the duplicate is not taken for the response to the next call, which
--- a/node/executor/target_test.go
+++ b/node/executor/target_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -170,3 +171,44 @@
 	}
 	require.Zero(t, ran.Load(), "a call ran at the target although it was reported as not run")
 }
+
+// Guards against passing on a status that HTTP does not define, and against reusing the
+// connection of such a response.
+func TestInvalidStatusIsBrokenResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		for _, headers := range []string{"", "Primrosemount-Refused: true\r\n"} {
+			var connections atomic.Int64
+			address := countingTarget(t, &connections, "HTTP/1.1 "+status+" Status\r\n"+headers+"Content-Length: 0\r\n\r\n")
+			client := newTargetClient()
+			for i := int64(1); i <= 2; i++ {
+				running := runningCall(t, "x")
+				got := client.send(running.ctx, address, running)
+				require.Equal(t, outcome.Unknown, got.result.Outcome, status)
+				require.Equal(t, outcome.AnswerTruncated, got.result.Reason, status)
+				require.Zero(t, got.result.Status)
+				require.Equal(t, i, connections.Load(), "the connection of an invalid response was reused")
+			}
+			client.close()
+		}
+	}
+}
+
+// countingTarget starts a target that sends fixed bytes in response to each request and
+// counts its connections.
+func countingTarget(t *testing.T, connections *atomic.Int64, response string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	target := &rawTarget{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go target.serve(conn, response, math.MaxInt)
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -3,13 +3,14 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/memory"
@@ -284,6 +285,7 @@
 		if len(response.GetHeaders()) > 0 {
 			response.HeaderLines = linesOf(response.GetHeaders())
 		}
+		d.checkStatus(request, address, response)
 		return response
 	}
 	d.events.peerFailed(request, address, err)
@@ -293,6 +295,17 @@
 	return unknown(lostReason(ctx))
 }
 
+// checkStatus makes a completed response whose status no target may send a broken
+// response. A node that runs an earlier version passes such a status on.
+func (d *dispatcher) checkStatus(request *pb.ForwardRequest, address string, response *pb.ForwardResponse) {
+	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED || outcome.IsFinalStatus(int(response.GetStatus())) {
+		return
+	}
+	d.events.peerFailed(request, address, errors.Wrapf(errInvalidStatus, "status %d", response.GetStatus()))
+	response.Outcome, response.Reason = outcome.Unknown.Proto(), outcome.AnswerTruncated.Proto()
+	response.Status, response.HeaderLines, response.Body = 0, nil, nil
+}
+
 func notSentReason(ctx context.Context) outcome.Reason {
 	if ctx.Err() != nil {
 		return outcome.DeadlineExceeded
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -127,8 +127,17 @@
 
 // targetFailed logs a request to which the target did not send a complete response.
 func (l *eventLog) targetFailed(request *pb.ForwardRequest, admitted admission, result targetResult, took time.Duration) {
-	l.gate.Info("The target sent no complete response.", append(requestFields(request),
+	fields := append(requestFields(request),
 		zap.String("target", admitted.targetID), zap.Stringer("outcome", result.outcome),
 		zap.String("reason", result.reason.String()), zap.Bool("sent", result.sent),
-		zap.Duration("waited", admitted.waited), zap.Duration("took", took))...)
+		zap.Duration("waited", admitted.waited), zap.Duration("took", took))
+	if result.err != nil {
+		fields = append(fields, zap.String("error", truncate(result.err.Error())))
+	}
+	l.gate.Info("The target sent no complete response.", fields...)
 }
+
+// maxErrorBytes limits the text of an error that may quote what a target sent.
+const maxErrorBytes = 200
+
+func truncate(text string) string { return text[:min(len(text), maxErrorBytes)] }
--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/primrosemount/primrosemount/core/memory"
+	"github.com/primrosemount/primrosemount/core/outcome"
 )
 
 // A faulty target may send an unlimited number of bytes in each part of a response.
@@ -38,6 +39,7 @@
 var (
 	errHeadTooLarge   = errors.New("relay: the head of the response is too large")
 	errTooManyInterim = errors.New("relay: too many interim responses precede the final response")
+	errInvalidStatus  = errors.New("relay: a target may not send this status; check the target")
 )
 
 // boundedReader reads from a connection until a limit is exhausted.
@@ -109,9 +111,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case outcome.IsFinalStatus(response.StatusCode):
 			c.bound.endHead()
 			return response, nil
+		case !outcome.IsInterimStatus(response.StatusCode):
+			return nil, errors.Wrapf(errInvalidStatus, "status %03d", response.StatusCode)
 		}
 	}
 	return nil, errTooManyInterim
--- a/node/relay/response_test.go
+++ b/node/relay/response_test.go
@@ -46,6 +46,7 @@
 		{"header line", "HTTP/1.1 200 OK\r\nName: ", "x"},
 		{"header lines", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
 		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"interim response", "HTTP/1.1 102 Processing\r\n", "Name: value\r\n"},
 		{"responses to other requests", "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
 		{"body without length", "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\n", "x"},
 		{"body in chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + string(bytes.Repeat([]byte("x"), 0x400)) + "\r\n"},
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -57,6 +57,8 @@
 	unreachable bool
 	// misdirected is set if another target now uses the address.
 	misdirected bool
+	// err is the error of the connection or the response, if any.
+	err error
 }
 
 // targetClient sends requests to the target over a pool of idle connections. It is
@@ -312,7 +314,7 @@
 
 // notSent classifies a request for which no connection could be opened.
 func notSent(ctx context.Context, deadline time.Time, err error) targetResult {
-	result := targetResult{outcome: outcome.NotRun, reason: outcome.TargetDown}
+	result := targetResult{outcome: outcome.NotRun, reason: outcome.TargetDown, err: err}
 	if ctx.Err() != nil || !time.Now().Before(deadline) {
 		result.reason = outcome.DeadlineExceeded
 		return result
@@ -326,12 +328,14 @@
 // the given error of the connection or because the responses were to other requests.
 // The deadline of the request is that of the connection.
 func responseLost(ctx context.Context, err error) targetResult {
-	result := targetResult{outcome: outcome.Unknown, reason: outcome.AnswerLost, sent: true}
+	result := targetResult{outcome: outcome.Unknown, reason: outcome.AnswerLost, sent: true, err: err}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded):
 		result.reason = outcome.DeadlineExceeded
 	case ctx.Err() != nil:
 		result.reason = outcome.Cancelled
+	case errors.Is(err, errInvalidStatus):
+		result.reason = outcome.AnswerTruncated
 	}
 	return result
 }
