Bound the connections to the target by its slots

Targets reset connections beyond the cap of their service, and whether a request on such a connection has run is unknown. Tests against a stand-in that counts a connection until it notices its end show two ways beyond it.

Idle connections: a request that is not idempotent does not use a connection that was idle for longer than 250 ms, but the connection was kept for 8 s beside the new one. 8 bursts of 20 such requests opened 160 connections, of which a target with a cap of 60 reset 100.

Abandoned requests: when a deadline passes or the client leaves, the node closes the connection and gives the slot to the next request, which opens another. A target that does not notice still counts the first. With 20 requests at a time that end after 50 ms of 500 ms of work, 240 connections reached the cap and 10,403 were reset in 2 s.

Change: idle connections are closed, those unused for longest first, while more are open than there are usable slots. A connection of an abandoned request is half closed, which looks like a close to the target, and counts until the target closes its side, for 2 s at most. Above two for each usable slot or the announced cap none is opened; the request is refused as not run.

--- a/node/relay/bodywrite.go
+++ b/node/relay/bodywrite.go
@@ -41,8 +41,7 @@
 
 // end ends the writing and reports whether the connection may carry another request. It
 // returns once the body is not in use any more. A target that has responded
-// with success gets the rest of the body. Otherwise the connection is closed if the
-// request is incomplete.
+// with success gets the rest of the body. Otherwise writing ends.
 func (w bodyWrite) end(conn *targetConn, result targetResult) bool {
 	select {
 	case err := <-w.done:
@@ -60,7 +59,7 @@
 		case <-timeout.C:
 		}
 	}
-	_ = conn.Close()
+	_ = conn.SetWriteDeadline(time.Unix(1, 0))
 	<-w.done
 	return false
 }
--- /dev/null
+++ b/node/relay/connectionbounds.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"io"
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// openPerSlot is the number of connections for each usable slot that may be open,
+	// including those of abandoned requests. A target accepts about seven for each slot,
+	// and fewer while its queue is long.
+	openPerSlot = 2
+	// lingerTime is how long a connection counts whose request was abandoned, unless the
+	// target ends it before.
+	lingerTime = 2 * time.Second
+	// maxLingerBytes limits what is read from such a connection.
+	maxLingerBytes = 1 << 20
+)
+
+// errTooManyConnections is returned if the target may not accept another connection.
+var errTooManyConnections = errors.New("relay: the target still works at abandoned requests and may reset another connection; send the request to another target")
+
+// connectionBounds limits the connections to the target. Beyond its cap, a target resets
+// connections, and whether a request on such a connection has run is unknown.
+type connectionBounds struct {
+	// keep is the number of open connections above which idle ones are closed.
+	keep int
+	// open is the number of open connections above which none is opened.
+	open int
+}
+
+func unlimitedConnections() connectionBounds {
+	return connectionBounds{keep: math.MaxInt, open: math.MaxInt}
+}
+
+// connectionBoundsOf returns the bounds for a number of usable slots and the cap of the
+// service, which is 0 if it is unknown.
+func connectionBoundsOf(slots, maxConnections int) connectionBounds {
+	bounds := connectionBounds{keep: slots, open: slots * openPerSlot}
+	if maxConnections > 0 {
+		bounds.open = max(min(bounds.open, maxConnections), slots)
+	}
+	return bounds
+}
+
+// abandon ends a connection whose request may still be running at the target. The target
+// counts the connection until it notices the end, so it counts as open until the target
+// has closed its side, or for lingerTime.
+func (c *targetConn) abandon() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		_ = c.Close()
+		return
+	}
+	go func() {
+		// Any error ends the connection.
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+		_ = c.Close()
+	}()
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -217,6 +217,10 @@
 	r.members.restore = r.gate.restore
 	r.members.recordDraining = r.gate.recordDraining
 	r.targets = newTargetClient(o.HeaderCodec, r.budget)
+	r.targets.bounds = func() connectionBounds {
+		view := r.gate.view.Load()
+		return connectionBoundsOf(view.limit, r.config.maxConnections(view.target.Service))
+	}
 	quotas := newQuotaTask()
 	r.receiver = &receiver{
 		gate:            r.gate,
--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,11 +88,20 @@
 	head []byte
 	// used is set once a request has been sent on the connection.
 	used bool
+	// open is the count of open connections, which the first Close decrements.
+	open   *atomic.Int64
+	closed sync.Once
 }
 
-func newTargetConn(conn net.Conn, budget *memory.Budget) *targetConn {
+// Close implements net.Conn.
+func (c *targetConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+func newTargetConn(conn net.Conn, budget *memory.Budget, open *atomic.Int64) *targetConn {
 	bound := &boundedReader{conn: conn, head: budget.OpenHead(memory.Responses)}
-	return &targetConn{Conn: conn, bound: bound, reader: bufio.NewReaderSize(bound, targetReadBuffer)}
+	return &targetConn{Conn: conn, open: open, bound: bound, reader: bufio.NewReaderSize(bound, targetReadBuffer)}
 }
 
 var (
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,14 +67,18 @@
 type targetClient struct {
 	codec  HeaderCodec
 	budget *memory.Budget
-	mu     sync.Mutex
-	idle   []*targetConn
+	// bounds returns the bounds of the open connections.
+	bounds func() connectionBounds
+	// open counts the connections that are being opened, in use, idle or abandoned.
+	open atomic.Int64
+	mu   sync.Mutex
+	idle []*targetConn
 	// address is the address of the connections in idle.
 	address string
 }
 
 func newTargetClient(codec HeaderCodec, budget *memory.Budget) *targetClient {
-	return &targetClient{codec: codec, budget: budget}
+	return &targetClient{codec: codec, budget: budget, bounds: unlimitedConnections}
 }
 
 // send sends a request once and reads the complete response, whose body is held by the
@@ -90,14 +95,24 @@
 	sent := time.Now()
 	result, reusable := c.exchange(ctx, conn, targetID, request, deadline, account)
 	result.took = time.Since(sent)
-	if !stop() || !reusable {
+	stopped := stop()
+	switch {
+	case result.abandoned():
+		conn.abandon()
+	case !stopped || !reusable:
 		_ = conn.Close()
-		return result
+	default:
+		c.putIdle(address, conn)
 	}
-	c.putIdle(address, conn)
 	return result
 }
 
+// abandoned reports whether the request may still be running at the target although
+// nobody waits for its response.
+func (r targetResult) abandoned() bool {
+	return r.sent && r.outcome == outcome.Unknown && (r.reason == outcome.DeadlineExceeded || r.reason == outcome.Cancelled)
+}
+
 // exchange writes the request and reads its response. It also reports whether the
 // connection may carry another request.
 func (c *targetClient) exchange(ctx context.Context, conn *targetConn, targetID string, request *pb.ForwardRequest, deadline time.Time, account *memory.Account) (targetResult, bool) {
@@ -204,12 +219,12 @@
 // same attempt ID, be taken for the response to this attempt.
 func (c *targetClient) connection(ctx context.Context, address string, request *pb.ForwardRequest, deadline time.Time) (*targetConn, error) {
 	if request.GetSameTarget() {
-		return c.open(ctx, address, deadline)
+		return c.dial(ctx, address, deadline)
 	}
 	for {
 		conn := c.takeIdle(address, request.GetIdempotent())
 		if conn == nil {
-			return c.open(ctx, address, deadline)
+			return c.dial(ctx, address, deadline)
 		}
 		if conn.SetDeadline(deadline) == nil && conn.alive() {
 			return conn, nil
@@ -263,6 +278,19 @@
 		return
 	}
 	c.idle = append(c.idle, conn)
+	c.closeExcess()
+}
+
+// closeExcess closes the connections that were idle for longest while too many
+// are open. Without it, requests that may not use a connection that was idle for long
+// open new ones beside those kept: 160 requests to a target of 20 slots opened 160, and a
+// target resets connections beyond its cap. The caller holds the mutex.
+func (c *targetClient) closeExcess() {
+	excess := min(int(c.open.Load())-c.bounds().keep, len(c.idle))
+	for i := range max(excess, 0) {
+		_ = c.idle[i].Close()
+	}
+	c.idle = append(c.idle[:0], c.idle[max(excess, 0):]...)
 }
 
 // closeIdle closes all connections that no request is using.
@@ -272,19 +300,38 @@
 	c.closeExpired(time.Now(), "")
 }
 
-// open opens a connection whose reads and writes end at the deadline.
-func (c *targetClient) open(ctx context.Context, address string, deadline time.Time) (*targetConn, error) {
+// dial opens a connection whose reads and writes end at the deadline.
+func (c *targetClient) dial(ctx context.Context, address string, deadline time.Time) (*targetConn, error) {
+	if err := c.beginOpen(); err != nil {
+		return nil, err
+	}
 	dialer := socket.Dialer(targetDialTimeout)
 	dialer.Deadline = deadline
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	dialed, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		c.open.Add(-1)
 		return nil, err
 	}
+	conn := newTargetConn(dialed, c.budget, &c.open)
 	if err := conn.SetDeadline(deadline); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return newTargetConn(conn, c.budget), nil
+	return conn, nil
+}
+
+// beginOpen counts a connection that is about to be opened, and makes room for it. If it
+// returns an error, the connection must not be opened.
+func (c *targetClient) beginOpen() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open.Add(1)
+	c.closeExcess()
+	if int(c.open.Load()) > c.bounds().open {
+		c.open.Add(-1)
+		return errTooManyConnections
+	}
+	return nil
 }
 
 // alive reports, without blocking, whether the connection is open and has no unread
@@ -315,6 +362,10 @@
 		result.reason = outcome.DeadlineExceeded
 		return result
 	}
+	if errors.Is(err, errTooManyConnections) {
+		result.reason = outcome.Overloaded
+		return result
+	}
 	var timeout net.Error
 	result.unreachable = errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &timeout) && timeout.Timeout()
 	return result
