Leave time for the process to end at the end of a stop

Cause: after the last requests, 0.7 s before the end of the grace period, a stop waited for the store (0.3 s), its tasks (0.2 s) and the log output (0.2 s) one after the other. With a request that does not end and a store that does not answer, 3.61 s of 4 s were over before the log output, so a busy machine had no time left. A client that reads nothing while the node writes 100 Continue held the lock of its connection; Shutdown waited for it up to the write timeout of a minute, without regard to its context.

Change: the last announcement is written while requests finish, and its wait ends with theirs. The lock is not held while the interim response is written.

--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -407,20 +407,35 @@
 	// Refuse these with a retry delay: a request accepted now might not finish
 	// before the process is killed.
 	r.entry.stop.Store(&schedule)
-	for time.Now().Before(schedule.Cut()) && !r.idle() {
-		time.Sleep(stopPollInterval)
-	}
+	r.awaitIdle(schedule.Cut().Add(-stopPublishTimeout))
+	closeAnnouncements()
+	// The store may not answer. The wait for it does not add to that for requests.
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		r.members.announceStop(stopPublishTimeout)
+	}()
+	r.awaitIdle(schedule.Cut())
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.Cut())
 	defer cancel()
 	if err := r.server.Shutdown(ctx); err != nil {
 		r.logger.Warn("Requests were cut by the end of the grace period.", zap.Int64("running", r.entry.running.Load()))
 	}
-	closeAnnouncements()
-	r.members.announceStop(stopPublishTimeout)
+	select {
+	case <-announced:
+	case <-ctx.Done():
+	}
 	r.closeWithin(stopCloseTimeout)
 	r.logger.Info("The node has stopped.", zap.Duration("took", time.Since(started)))
 }
 
+// awaitIdle waits until no request is running, but not beyond the given time.
+func (r *Relay) awaitIdle(until time.Time) {
+	for time.Now().Before(until) && !r.idle() {
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // closeWithin closes the node, but waits for the tasks no longer than wait.
 func (r *Relay) closeWithin(wait time.Duration) {
 	done := make(chan struct{})
--- a/transport/httpserver/conn.go
+++ b/transport/httpserver/conn.go
@@ -515,8 +515,14 @@
 	if c.ended {
 		return net.ErrClosed
 	}
+	// The mutex is released while writing, because a client that does not read would
+	// otherwise delay the shutdown.
+	c.writing = true
+	c.mu.Unlock()
 	_ = c.SetWriteDeadline(time.Now().Add(c.server.config.WriteTimeout))
 	_, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	c.mu.Lock()
+	c.writing = false
 	return err
 }
 
