Count relayed requests from 16 KB on in the memory budget

Cause: the memory of a request between nodes was reserved from 64 KB on. Most uploads are smaller (60 KB mean), so their encoded form at the sender and the request at the receiver were not counted at all.

Change: requests are counted from 16 KB on, the size up to which an account always grows; responses as before from 64 KB on, because a response that is discarded for lack of memory is lost. A request for which no memory is left is refused as not run, as before.

TestUploadIsHeldOnce with bodies of 20, 60 and 360 KB: 0 of 20,480 bytes counted at the receiver before, all now. internal/processes and internal/faults pass.

--- a/transport/largeframe.go
+++ b/transport/largeframe.go
@@ -13,10 +13,18 @@
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
-// largeFrameBytes is the size of a relayed request or response from which its memory is
-// reserved before it is read. Other messages are small or bounded by controlMessageBytes,
-// and are always read, so that nodes go on exchanging their state when memory is short.
-const largeFrameBytes = 64 << 10
+const (
+	// largeRequestBytes is the size of a relayed request from which its memory is
+	// reserved before it is read. Smaller ones are bounded by the queue of the gate. Most
+	// uploads are below 64 KB, so that a higher limit would leave them uncounted.
+	largeRequestBytes = memory.SmallBytes
+	// largeResponseBytes is the same for a relayed response. It is higher, because a
+	// response that is discarded for lack of memory is lost, and its request may have run.
+	//
+	// Other messages are small or bounded by controlMessageBytes, and are always read, so
+	// that nodes go on exchanging their state when memory is short.
+	largeResponseBytes = 64 << 10
+)
 
 // errNoMemory is the response to a request that was discarded unread because it does not
 // fit into the memory that is left.
@@ -28,27 +36,31 @@
 	GetBody() []byte
 }
 
-// isRelayed reports whether a message may be large.
-func isRelayed(m proto.Message) bool {
+// reservedFrom returns the size from which the memory of a message is reserved, and false
+// if it never is.
+func reservedFrom(m proto.Message) (int64, bool) {
 	switch m.(type) {
-	case *pb.ForwardRequest, *pb.ForwardResponse:
-		return true
+	case *pb.ForwardRequest:
+		return largeRequestBytes, true
+	case *pb.ForwardResponse:
+		return largeResponseBytes, true
 	}
-	return false
+	return 0, false
 }
 
 // readRelayed reads a message whose memory is reserved first if it is large. If that
 // fails, it discards the message and returns errNoMemory. The account, if any, holds the
 // message.
 func (f *frames) readRelayed(m proto.Message, budget *memory.Budget, kind memory.Kind) (*memory.Account, error) {
-	if budget == nil || !isRelayed(m) {
+	large, ok := reservedFrom(m)
+	if budget == nil || !ok {
 		return nil, f.read(m)
 	}
 	size, err := f.peekSize()
 	if err != nil {
 		return nil, err
 	}
-	if size < largeFrameBytes || size > f.options.MaxSize {
+	if size < large || size > f.options.MaxSize {
 		// The read reports a message that is too large.
 		return nil, f.read(m)
 	}
@@ -112,7 +124,7 @@
 // encoded form while it waits to be written.
 func holdResponse(budget *memory.Budget, response any) (release func()) {
 	message, ok := response.(relayed)
-	if budget == nil || !ok || len(message.GetBody()) < largeFrameBytes {
+	if budget == nil || !ok || len(message.GetBody()) < largeResponseBytes {
 		return func() {}
 	}
 	account := budget.Open(memory.Frames)
@@ -124,7 +136,7 @@
 // whether the request may be encoded.
 func reserveRequest(budget *memory.Budget, request proto.Message) (*memory.Account, bool) {
 	message, ok := request.(relayed)
-	if budget == nil || !ok || len(message.GetBody()) < largeFrameBytes {
+	if budget == nil || !ok || len(message.GetBody()) < largeRequestBytes {
 		return nil, true
 	}
 	account := budget.Open(memory.Frames)
