Leave small targets spare connections

Two for each slot would let two abandoned requests keep a target of one slot from work for up to 2 s. At least eight beyond the slots may be open, within the cap of the service. Test: TestConnectionBounds.

--- a/node/relay/connectionbounds.go
+++ b/node/relay/connectionbounds.go
@@ -13,6 +13,9 @@
 	// including those of abandoned requests. A target accepts about seven for each slot,
 	// and fewer while its queue is long.
 	openPerSlot = 2
+	// minSpareConnections is the least number of connections beyond the slots, so that
+	// two abandoned requests do not keep a target of one slot from work.
+	minSpareConnections = 8
 	// lingerTime is how long a connection counts whose request was abandoned, unless the
 	// target ends it before.
 	lingerTime = 2 * time.Second
@@ -39,7 +42,7 @@
 // connectionBoundsOf returns the bounds for a number of usable slots and the cap of the
 // service, which is 0 if it is unknown.
 func connectionBoundsOf(slots, maxConnections int) connectionBounds {
-	bounds := connectionBounds{keep: slots, open: slots * openPerSlot}
+	bounds := connectionBounds{keep: slots, open: max(slots*openPerSlot, slots+minSpareConnections)}
 	if maxConnections > 0 {
 		bounds.open = max(min(bounds.open, maxConnections), slots)
 	}
--- a/node/relay/connectioncap_test.go
+++ b/node/relay/connectioncap_test.go
@@ -208,3 +208,18 @@
 	require.Zero(t, results["unknown answer_lost"])
 	require.GreaterOrEqual(t, opened, 2*slots, "the target gets new requests when it has ended abandoned ones")
 }
+
+// Guards against bounds above the cap of the target, below its slots, or that keep a
+// target of few slots from work after two abandoned requests.
+func TestConnectionBounds(t *testing.T) {
+	for _, c := range []struct{ slots, maxConnections, keep, open int }{
+		{68, 538, 68, 136},
+		{68, 0, 68, 136},
+		{68, 100, 68, 100},
+		{68, 50, 68, 68},
+		{1, 0, 1, 9},
+		{1, 4, 1, 4},
+	} {
+		require.Equal(t, connectionBounds{keep: c.keep, open: c.open}, connectionBoundsOf(c.slots, c.maxConnections), "%+v", c)
+	}
+}
