--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -7,11 +7,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/primrosemount/primrosemount/core/memory"
+	"github.com/primrosemount/primrosemount/core/outcome"
 )
 
 // A faulty target may send an unlimited number of bytes in each part of a response.
@@ -38,6 +41,7 @@
 var (
 	errHeadTooLarge   = errors.New("relay: the head of the response is too large")
 	errTooManyInterim = errors.New("relay: too many interim responses precede the final response")
+	errInvalidStatus  = errors.New("relay: a target may not send this status; check the target")
 )
 
 // boundedReader reads from a connection until a limit is exhausted.
@@ -84,11 +88,20 @@
 	head []byte
 	// used is set once a request has been sent on the connection.
 	used bool
+	// open is the count of open connections, which the first Close decrements.
+	open   *atomic.Int64
+	closed sync.Once
 }
 
-func newTargetConn(conn net.Conn, budget *memory.Budget) *targetConn {
+// Close implements net.Conn.
+func (c *targetConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+func newTargetConn(conn net.Conn, budget *memory.Budget, open *atomic.Int64) *targetConn {
 	bound := &boundedReader{conn: conn, head: budget.OpenHead(memory.Responses)}
-	return &targetConn{Conn: conn, bound: bound, reader: bufio.NewReaderSize(bound, targetReadBuffer)}
+	return &targetConn{Conn: conn, open: open, bound: bound, reader: bufio.NewReaderSize(bound, targetReadBuffer)}
 }
 
 var (
@@ -109,9 +122,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case outcome.IsFinalStatus(response.StatusCode):
 			c.bound.endHead()
 			return response, nil
+		case !outcome.IsInterimStatus(response.StatusCode):
+			return nil, errors.Wrapf(errInvalidStatus, "status %03d", response.StatusCode)
 		}
 	}
 	return nil, errTooManyInterim
