--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -3,13 +3,14 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/primrosemount/primrosemount/core/account"
 	"github.com/primrosemount/primrosemount/core/callgraph"
 	"github.com/primrosemount/primrosemount/core/ingress"
@@ -84,6 +85,7 @@
 	self       func() string
 	downstream *threshold.Downstream
 	budgets    *budgets
+	limits     *retryLimits
 	sender     uint64
 	sequence   atomic.Uint64
 	events     *eventLog
@@ -102,11 +104,13 @@
 		defer func() { o.parent.Run.WaitEnded(time.Now()) }()
 	}
 	if refused := d.downstream.Admit(o.started, o.dependency(), o.effectiveLevel(), o.trial); refused != nil {
-		d.events.entryRefused(o, refused.Reason, d.downstream.Threshold(o.started, o.dependency()))
+		admits := d.downstream.Threshold(o.started, o.dependency())
+		d.events.entryRefused(o, refused.Reason, admits, d.limits.observeShortage(o, admits, 0))
 		return notRun(refused.Reason, 0)
 	}
 	budget := d.budgets.get(o.message.GetService())
 	budget.RecordFirstAttempt(o.started)
+	d.limits.firstAttempt(o)
 	if o.isRetry {
 		budget.Charge(o.started)
 	}
@@ -122,7 +126,9 @@
 	observed := threshold.Response{
 		Threshold: outcome.Level(response.GetGate().GetOperationThreshold()),
 		Success:   succeeded(response),
+		Prompt:    d.limits.active(),
 	}
+	d.limits.observeShortage(o, observed.Threshold, response.GetGate().GetShortageMillis())
 	if !o.trial {
 		observed.Level = o.effectiveLevel()
 	}
@@ -169,6 +175,7 @@
 		last = d.attempt(ctx, o, endpoint, sameTarget)
 		if last.GetReachedTarget() {
 			reached++
+			d.limits.result(o, last)
 		}
 		if last.GetOutcome() != pb.Outcome_OUTCOME_NOT_RUN {
 			mayHaveRun = last
@@ -204,14 +211,14 @@
 		}
 	case pb.Outcome_OUTCOME_NOT_RUN:
 		if !last.GetReachedTarget() {
-			return tries < maxNodeRefusals
+			return tries < maxNodeRefusals && !(o.parent == nil && outcome.Reason(last.GetReason()) == outcome.DoomedDownstream)
 		}
 	default:
 		if !o.route.Idempotent {
 			return false
 		}
 	}
-	return d.mayTryAnotherTarget(o, last, reached) && budget.Spend(time.Now(), retry.Kind{Class: o.level.Class(), ChildCall: o.parent != nil})
+	return d.mayTryAnotherTarget(o, last, reached) && d.limits.spend(o, budget)
 }
 
 // mayTryAnotherTarget reports whether the request may reach one more target. The
@@ -295,6 +302,7 @@
 		if len(response.GetHeaders()) > 0 {
 			response.HeaderLines = linesOf(response.GetHeaders())
 		}
+		d.checkStatus(request, address, response)
 		return response
 	}
 	d.events.peerFailed(request, address, err)
@@ -304,6 +312,17 @@
 	return unknown(lostReason(ctx))
 }
 
+// checkStatus makes a completed response whose status no target may send a broken
+// response. A node that runs an earlier version passes such a status on.
+func (d *dispatcher) checkStatus(request *pb.ForwardRequest, address string, response *pb.ForwardResponse) {
+	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED || outcome.IsFinalStatus(int(response.GetStatus())) {
+		return
+	}
+	d.events.peerFailed(request, address, errors.Wrapf(errInvalidStatus, "status %d", response.GetStatus()))
+	response.Outcome, response.Reason = outcome.Unknown.Proto(), outcome.AnswerTruncated.Proto()
+	response.Status, response.HeaderLines, response.Body = 0, nil, nil
+}
+
 func notSentReason(ctx context.Context) outcome.Reason {
 	if ctx.Err() != nil {
 		return outcome.DeadlineExceeded
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -89,10 +89,14 @@
 }
 
 // entryRefused logs a doomed request: one that a service it would call is expected
-// to refuse.
-func (l *eventLog) entryRefused(o *outgoing, reason outcome.Reason, threshold outcome.Level) {
-	l.entry.Info("The request was refused before its first call.", append(requestFields(o.message),
-		zap.String("reason", reason.String()), zap.Uint16("threshold", uint16(threshold)))...)
+// to refuse, and for how long the called operation has been refused for some level, if
+// that is known.
+func (l *eventLog) entryRefused(o *outgoing, reason outcome.Reason, threshold outcome.Level, shortage time.Duration) {
+	fields := append(requestFields(o.message), zap.String("reason", reason.String()), zap.Uint16("threshold", uint16(threshold)))
+	if shortage > 0 {
+		fields = append(fields, zap.Duration("shortage", shortage))
+	}
+	l.entry.Info("The request was refused before its first call.", fields...)
 }
 
 // noTarget logs that no further target could be selected.
@@ -144,8 +148,17 @@
 
 // targetFailed logs a request to which the target did not send a complete response.
 func (l *eventLog) targetFailed(request *pb.ForwardRequest, admitted admission, result targetResult, took time.Duration) {
-	l.gate.Info("The target sent no complete response.", append(requestFields(request),
+	fields := append(requestFields(request),
 		zap.String("target", admitted.targetID), zap.Stringer("outcome", result.outcome),
 		zap.String("reason", result.reason.String()), zap.Bool("sent", result.sent),
-		zap.Duration("waited", admitted.waited), zap.Duration("took", took))...)
+		zap.Duration("waited", admitted.waited), zap.Duration("took", took))
+	if result.err != nil {
+		fields = append(fields, zap.String("error", truncate(result.err.Error())))
+	}
+	l.gate.Info("The target sent no complete response.", fields...)
 }
+
+// maxErrorBytes limits the text of an error that may quote what a target sent.
+const maxErrorBytes = 200
+
+func truncate(text string) string { return text[:min(len(text), maxErrorBytes)] }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -170,6 +170,7 @@
 	gate     *gateTask
 	members  *membersTask
 	quotas   *quotaTask
+	limits   *retryLimits
 	targets  *targetClient
 	receiver *receiver
 	entry    *entry
@@ -230,14 +231,23 @@
 	r.members.restore = r.gate.restore
 	r.members.recordDraining = r.gate.recordDraining
 	r.targets = newTargetClient(o.HeaderCodec, r.budget)
+	r.targets.bounds = func() connectionBounds {
+		view := r.gate.view.Load()
+		return connectionBoundsOf(view.limit, r.config.maxConnections(view.target.Service))
+	}
 	r.quotas = newQuotaTask()
 	r.quotas.configure(o, incarnation, start, r.pool.ExchangeQuota, r.config.table.Load)
 	r.members.membersChanged = r.quotas.setMembers
+	budgets := newBudgets(o.RetryRatio, o.RetrySlack)
+	r.limits = newRetryLimits(budgets, r.config.limitByRetryBudget, events.entry)
+	operations := threshold.NewOperations(downstream)
+	operations.LimitCalls(r.limits)
 	r.receiver = &receiver{
 		gate:            r.gate,
 		quotas:          r.quotas,
+		limits:          r.limits,
 		targets:         r.targets,
-		operations:      threshold.NewOperations(downstream),
+		operations:      operations,
 		numbering:       newOperationNumbers(),
 		graph:           graph,
 		address:         func() string { return r.target.Load().address },
@@ -256,7 +266,8 @@
 		local:           r.receiver,
 		self:            o.advertisedAddress,
 		downstream:      downstream,
-		budgets:         newBudgets(o.RetryRatio, o.RetrySlack),
+		budgets:         budgets,
+		limits:          r.limits,
 		sender:          identity,
 		events:          events,
 		versionReported: func(address string, version uint64) { r.members.observeVersion(ctx, address, version) },
@@ -334,15 +345,15 @@
 	r.serve("metrics", func() error { return r.metrics.Serve(listener) })
 }
 
-// registerMetrics registers the metrics of the gate, the configuration, the memory, the
-// client accounts and their quotas. If that fails, the node runs without them.
+// registerMetrics registers the metrics of the parts of the node. If that fails, the node
+// runs without them.
 func (r *Relay) registerMetrics() {
-	err := errors.Join(r.options.Metrics.ObserveGate(r.gate.sample), r.options.Metrics.ObserveGateCounters(r.gate.flow),
-		r.options.Metrics.ObserveConfiguration(r.config.sample), r.options.Metrics.ObserveMemory(r.budget.Usage),
-		r.options.Metrics.ObserveAccounts(r.entry.use.sample), r.options.Metrics.ObserveQuotas(r.quotas.counts.sample),
-		r.options.Metrics.ObservePlacements(r.entry.dispatcher.placements))
+	m := r.options.Metrics
+	err := errors.Join(m.ObserveGate(r.gate.sample), m.ObserveGateCounters(r.gate.flow), m.ObserveConfiguration(r.config.sample),
+		m.ObserveMemory(r.budget.Usage), m.ObserveAccounts(r.entry.use.sample), m.ObserveQuotas(r.quotas.counts.sample),
+		m.ObservePlacements(r.entry.dispatcher.placements), m.ObserveRetryLimits(r.limits.sample))
 	if err != nil {
-		r.logger.Error("The gate, the configuration, the memory, the client accounts and their quotas have no metrics; report this to the developers.", telemetry.ErrorField(err))
+		r.logger.Error("Some parts of the node have no metrics; report this to the developers.", telemetry.ErrorField(err))
 	}
 }
 
@@ -426,20 +437,35 @@
 	// Refuse these with a retry delay: a request accepted now might not finish
 	// before the process is killed.
 	r.entry.stop.Store(&schedule)
-	for time.Now().Before(schedule.Cut()) && !r.idle() {
-		time.Sleep(stopPollInterval)
-	}
+	r.awaitIdle(schedule.Cut().Add(-stopPublishTimeout))
+	closeAnnouncements()
+	// The store may not answer. The wait for it does not add to that for requests.
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		r.members.announceStop(stopPublishTimeout)
+	}()
+	r.awaitIdle(schedule.Cut())
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.Cut())
 	defer cancel()
 	if err := r.server.Shutdown(ctx); err != nil {
 		r.logger.Warn("Requests were cut by the end of the grace period.", zap.Int64("running", r.entry.running.Load()))
 	}
-	closeAnnouncements()
-	r.members.announceStop(stopPublishTimeout)
+	select {
+	case <-announced:
+	case <-ctx.Done():
+	}
 	r.closeWithin(stopCloseTimeout)
 	r.logger.Info("The node has stopped.", zap.Duration("took", time.Since(started)))
 }
 
+// awaitIdle waits until no request is running, but not beyond the given time.
+func (r *Relay) awaitIdle(until time.Time) {
+	for time.Now().Before(until) && !r.idle() {
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // closeWithin closes the node, but waits for the tasks no longer than wait.
 func (r *Relay) closeWithin(wait time.Duration) {
 	done := make(chan struct{})
