--- a/core/account/account.go
+++ b/core/account/account.go
@@ -25,7 +25,8 @@
 // An Account is one client account.
 type Account struct {
 	Name string
-	// Keys holds the digests of all keys that are valid at the same time.
+	// Keys holds the digests of all keys that are valid at the same time. It is empty if
+	// all keys have been taken away.
 	Keys []Digest
 	// Priority precedes the priority of the route if HasPriority is set; 0 is the
 	// highest.
@@ -46,8 +47,6 @@
 	ErrDuplicateKey = errors.New("two client accounts hold the same key; remove it from one of them")
 	// ErrDuplicateName marks a name that two accounts have.
 	ErrDuplicateName = errors.New("two client accounts have the same name; rename one of them")
-	// ErrNoKeys marks an account without keys.
-	ErrNoKeys = errors.New("the client account has no key; give it one")
 	// ErrInvalidName marks a name that cannot be the value of a header.
 	ErrInvalidName = errors.New("the name of the client account is empty or contains control characters; change it")
 	// ErrEmptyKey marks an empty key, which is the same as none in a request.
@@ -82,8 +81,6 @@
 		return ErrInvalidName
 	case d.byName[a.Name] != nil:
 		return ErrDuplicateName
-	case len(a.Keys) == 0:
-		return ErrNoKeys
 	case a.RatePerSecond < 0 || a.Burst < 0:
 		return ErrNegativeRate
 	}
