Compare the latency of a trial per operation, and test learned speeds

A trial call of a dear operation ejected its target again, because its latency was compared with the mean over all operations. Timeouts are compared per operation as well. Tests: speeds learned from requests that wait for calls for three quarters of their time are within 20 % of the truth; the trial test fails without the change; the names of the metrics.

--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -277,7 +277,7 @@
 // finishTrial readmits the target or ejects it again, according to the result
 // of the trial call.
 func (e *Endpoint) finishTrial(at int64, result Result, verdict verdict) {
-	latency := float64(result.Latency)
+	latency := result.scaled(float64(result.Latency))
 	switch {
 	case verdict == verdictGood && !isSlow(latency, e.service.meanLatency.load(), trialSlowFactor):
 		e.readmit(at, latency)
--- a/core/route/leastwork_test.go
+++ b/core/route/leastwork_test.go
@@ -148,6 +148,46 @@
 	}
 }
 
+// Guards against speeds that are learned from waits for calls, which do not depend on the
+// target: requests wait for calls for 60 ms and are worked for for 20 ms.
+func TestSpeedsAreLearnedApartFromCalls(t *testing.T) {
+	kinds := []operationKind{{name: "get", share: 0.9, mean: playMean, calls: 3 * playMean}, {name: "search", share: 0.1, mean: 3 * playMean}}
+	r := play(1, playedLoad{rate: 0.15, kinds: kinds, speedAt: unequalSpeed}, expectedCompletion)
+	t.Logf("%.2f; %v", r.speeds, r)
+	for i, speed := range r.speeds {
+		require.InEpsilon(t, unequalSpeed(i, 0), speed, 0.2, "target %d", i)
+	}
+}
+
+// Guards against a target that stays ejected because its trial call is of a dear operation.
+func TestTrialOfDearOperationReadmits(t *testing.T) {
+	r := New(Config{Self: 1, Zone: "a", Region: "r1", Start: start, Policy: NearestCapacity})
+	r.Update(start, "s", fleet(4, "a"))
+	now := start
+	call := func(id uint64, operation string, result Result) {
+		now = now.Add(time.Millisecond)
+		p, err := r.Place(now, "s", 0, Request{Operation: operation})
+		require.Nil(t, err)
+		p = Placement{Endpoint: r.Find(id), need: p.need, byWork: true}
+		p.Begin()
+		p.End(now, result, 0)
+	}
+	for n := range 2000 {
+		operation, latency := "get", 5*time.Millisecond
+		if n%40 < 4 {
+			operation, latency = "search", 100*time.Millisecond
+		}
+		call(uint64(n%4+1), operation, Result{Latency: latency, Outcome: outcome.Completed, NodeResponded: true})
+	}
+	call(1, "get", Result{Outcome: outcome.NotRun, Reason: outcome.ConnectFailed})
+	require.Equal(t, "connection lost", r.Find(1).Status(now).State)
+	now = now.Add(lostEjectionBase + 110*time.Millisecond)
+	require.True(t, r.Find(1).claimTrial(r.clock.nanos(now)))
+	now = now.Add(110 * time.Millisecond)
+	call(1, "search", Result{Latency: 105 * time.Millisecond, Outcome: outcome.Completed, NodeResponded: true})
+	require.Equal(t, "open", r.Find(1).Status(now).State)
+}
+
 // Guards against a target that is ejected because it receives the dear kind more often
 // than others: the latencies of different operations must not be compared.
 func TestDearOperationsDoNotEjectTheirTarget(t *testing.T) {
--- a/core/route/loads_test.go
+++ b/core/route/loads_test.go
@@ -105,6 +105,8 @@
 	busiest     float64
 	utilization []float64
 	ejections   int
+	// speeds holds the learned speed of each target, as the mean over all senders.
+	speeds []float64
 	// joinShare is the utilization of the target that joined relative to the mean, from
 	// 2 s after it joined.
 	joinShare float64
@@ -379,6 +381,13 @@
 		p.result.utilization = append(p.result.utilization, u)
 		sum += u
 	}
+	for id := range uint64(len(p.targets)) {
+		speed := 0.0
+		for _, r := range p.routers {
+			speed += r.Find(id+1).load.speed.Value() / float64(len(p.routers))
+		}
+		p.result.speeds = append(p.result.speeds, speed)
+	}
 	p.result.busiest = slices.Max(p.result.utilization) / sum * float64(len(p.targets))
 	if p.busyAtJoin != nil {
 		total := 0.0
--- a/core/route/placement.go
+++ b/core/route/placement.go
@@ -135,15 +135,14 @@
 		return
 	}
 	p.Endpoint.load.addBias(at, latency-expected, p.need.mean)
-	if late {
-		return
-	}
-	p.Endpoint.service.totals.add(expected, latency)
 	all := p.Endpoint.service.operations.All()
-	unexplained := latency - float64(p.explained)
-	p.need.operation.Finished(at, latency, unexplained, float64(bytes))
-	if p.need.operation != all {
-		all.Finished(at, latency, unexplained, float64(bytes))
+	if !late {
+		p.Endpoint.service.totals.add(expected, latency)
+		unexplained := latency - float64(p.explained)
+		p.need.operation.Finished(at, latency, unexplained, float64(bytes))
+		if p.need.operation != all {
+			all.Finished(at, latency, unexplained, float64(bytes))
+		}
 	}
 	if mean := p.need.operation.Latency(); mean > 0 {
 		result.scale, result.limit = all.Latency()/mean, maxComparedMultiple*all.Latency()
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -44,12 +44,20 @@
 	scale, limit float64
 }
 
+// scaled returns the latency of a request of a mean operation of the service.
+func (r *Result) scaled(latency float64) float64 {
+	if r.scale == 0 {
+		return latency
+	}
+	return r.scale * latency
+}
+
 // comparable returns the latency by which targets are compared.
 func (r *Result) comparable(latency float64) float64 {
 	if r.scale == 0 {
 		return latency
 	}
-	return min(r.scale*latency, r.limit)
+	return min(r.scaled(latency), r.limit)
 }
 
 // A Report is the state that a gate reports with a response or a probe.
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -115,3 +115,20 @@
 		m.Request("orders", outcome.Critical, outcome.Completed, 0, time.Millisecond)
 	}
 }
+
+// Guards against renamed metrics of placements, and against times in another unit.
+func TestPlacementMetricNames(t *testing.T) {
+	m := newMetrics(t)
+	require.NoError(t, m.ObservePlacements(func() PlacementCounters {
+		return PlacementCounters{Responses: 3, Expected: 2 * time.Second, Measured: 4 * time.Second, Deviation: 2500 * time.Millisecond}
+	}))
+	text := scrape(t, m)
+	for _, line := range []string{
+		"primrosemount_placement_responses_total 3",
+		"primrosemount_placement_expected_seconds_total 2",
+		"primrosemount_placement_measured_seconds_total 4",
+		"primrosemount_placement_deviation_seconds_total 2.5",
+	} {
+		require.Contains(t, text, line)
+	}
+}
