Learn no latencies from error responses

A response with a status of 400 or more ends early, so it lowered the expected latency of its operation and the bias of its target. TestFailuresDoNotTeachCosts covers it together with refusals, cancelled requests and lost responses.

--- a/core/route/leastwork_test.go
+++ b/core/route/leastwork_test.go
@@ -188,6 +188,34 @@
 	require.Equal(t, "open", r.Find(1).Status(now).State)
 }
 
+// Guards against costs that are learned from error responses, refusals, cancelled requests
+// and lost responses, which end early or late for other reasons than their cost.
+func TestFailuresDoNotTeachCosts(t *testing.T) {
+	r := New(Config{Self: 1, Zone: "a", Region: "r1", Start: start, Policy: NearestCapacity})
+	r.Update(start, "s", fleet(2, "a"))
+	now := start
+	call := func(result Result) {
+		now = now.Add(time.Millisecond)
+		p, err := r.Place(now, "s", 0, Request{Operation: "get"})
+		require.Nil(t, err)
+		p.Begin()
+		p.End(now, result, 100)
+	}
+	for range 100 {
+		call(Result{Latency: 20 * time.Millisecond, Outcome: outcome.Completed})
+	}
+	operations := &(*r.services.Load())["s"].operations
+	before, totals := operations.Find("get").Latency(), r.PlacementTotals()
+	for range 30 {
+		call(Result{Latency: time.Millisecond, Outcome: outcome.Completed, Unrepresentative: true})
+		call(Result{Latency: time.Millisecond, Outcome: outcome.NotRun, Reason: outcome.TargetRefused})
+		call(Result{Latency: time.Millisecond, Outcome: outcome.Unknown, Reason: outcome.Cancelled})
+		call(Result{Latency: time.Second, Outcome: outcome.Unknown, Reason: outcome.AnswerLost, NodeResponded: true})
+	}
+	require.InDelta(t, before, operations.Find("get").Latency(), 1)
+	require.Equal(t, totals, r.PlacementTotals())
+}
+
 // Guards against a target that is ejected because it receives the dear kind more often
 // than others: the latencies of different operations must not be compared.
 func TestDearOperationsDoNotEjectTheirTarget(t *testing.T) {
--- a/core/route/placement.go
+++ b/core/route/placement.go
@@ -134,9 +134,11 @@
 	if verdict != verdictGood && !late {
 		return
 	}
-	p.Endpoint.load.addBias(at, latency-expected, p.need.mean)
 	all := p.Endpoint.service.operations.All()
-	if !late {
+	if !result.Unrepresentative {
+		p.Endpoint.load.addBias(at, latency-expected, p.need.mean)
+	}
+	if !late && !result.Unrepresentative {
 		p.Endpoint.service.totals.add(expected, latency)
 		unexplained := latency - float64(p.explained)
 		p.need.operation.Finished(at, latency, unexplained, float64(bytes))
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -38,6 +38,9 @@
 	// ErrorResponse is true if the target completed the call with an error
 	// status, such as HTTP 500.
 	ErrorResponse bool
+	// Unrepresentative is true if the response is an error of any kind, so that its
+	// latency says nothing about the cost of the operation.
+	Unrepresentative bool
 	// scale is the factor from the latency to that of a mean operation of the service,
 	// and limit the maximum of the scaled latency, by which targets are compared; 0
 	// means that the latency is used as it is. Placement.End sets both.
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -243,6 +243,8 @@
 		Reason:        outcome.Reason(response.GetReason()),
 		NodeResponded: response.GetGate() != nil,
 		ErrorResponse: response.GetTargetFailed(),
+
+		Unrepresentative: response.GetStatus() >= http.StatusBadRequest,
 	}, len(request.GetBody())+len(response.GetBody()))
 	return response
 }
