Learn no speed from the mean of different operations

Operations beyond the limit share the mean of the service. Comparing a report of one of them with that mean changed the speed of the target by the mix that it received. A node without a preferred zone compares six targets, not three.

--- a/core/cost/operations.go
+++ b/core/cost/operations.go
@@ -115,9 +115,11 @@
 	}
 	known, atMeanSpeed := o.own.Value(), reported*speed.Value()
 	o.own.AddClipped(at, atMeanSpeed, operationWeight, maxSampleMultiple)
-	if o != &s.all {
-		s.all.own.AddClipped(at, atMeanSpeed, operationWeight, maxSampleMultiple)
+	if o == &s.all {
+		// The mean over different operations says nothing about the speed.
+		return
 	}
+	s.all.own.AddClipped(at, atMeanSpeed, operationWeight, maxSampleMultiple)
 	if known <= 0 {
 		return
 	}
--- a/core/cost/operations_test.go
+++ b/core/cost/operations_test.go
@@ -123,6 +123,18 @@
 	require.Same(t, s.All(), s.Find("route-1"))
 }
 
+// Guards against speeds that are learned from the mean of different operations, which is
+// used for operations beyond the limit.
+func TestMeanOfServiceTeachesNoSpeed(t *testing.T) {
+	var s Operations
+	var speed Speed
+	for n := range 100 {
+		s.Learn(int64(n), s.All(), &speed, float64(1+n%2*1000))
+	}
+	require.Zero(t, speed.Samples())
+	require.Positive(t, s.All().Own())
+}
+
 // Guards against an age or a number of samples that does not match the reports.
 func TestEstimatesCarryAgeAndSamples(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
--- a/core/route/leastwork.go
+++ b/core/route/leastwork.go
@@ -119,11 +119,11 @@
 		}
 	}
 	surcharge := n.zoneSurcharge(shortage)
-	others := v.otherZones
+	others, samples := v.otherZones, otherSamples
 	if !v.preferOwnZone {
-		others = v.close
+		others, samples = v.close, ownSamples
 	}
-	if trial := q.place(&p, others, surcharge, otherSamples); trial != nil {
+	if trial := q.place(&p, others, surcharge, samples); trial != nil {
 		return p.only(trial, q.at)
 	}
 	if p.Endpoint != nil {
