--- a/core/route/leastwork_test.go
+++ b/core/route/leastwork_test.go
@@ -80,6 +80,7 @@
 	{playedLoad{name: "burst of the dear kind", rate: 0.7, kinds: mixedKinds, shareAt: dearBurst}, 23.5, 185, 0.999},
 	{playedLoad{name: "refuses half", rate: 0.7, kinds: equalKind, refuseShare: 0.5}, 27, 145, 0.995},
 	{playedLoad{name: "knee", rate: 0.7, kinds: equalKind, kneeFactor: 1.3}, 28, 160, 0.999},
+	{playedLoad{name: "one target per zone", rate: 0.7, kinds: equalKind, perZone: 1, kneeFactor: 1.3, rateAt: waveRate}, 32, 172, 0.999},
 	{playedLoad{name: "earlier versions", rate: 0.75, kinds: mixedKinds, withoutWork: 6}, 24, 185, 0.999},
 }
 
--- a/core/route/loads_test.go
+++ b/core/route/loads_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -27,9 +28,9 @@
 	playTries     = 8
 	playOwnZone   = 200 * time.Microsecond  // one way
 	playOtherZone = 1400 * time.Microsecond // one way
-	// playCapacity is the number of requests of the mean cost that all targets can
-	// serve in a second.
-	playCapacity = 4 * playPerZone * playSlots * float64(time.Second) / float64(playMean)
+	// zoneCapacity is the number of requests of the mean cost that one target in each of
+	// the four zones can serve in a second.
+	zoneCapacity = 4 * playSlots * float64(time.Second) / float64(playMean)
 )
 
 // An operationKind is a share of the requests.
@@ -49,6 +50,8 @@
 	name  string
 	rate  float64 // in shares of the capacity
 	kinds []operationKind
+	// perZone is the number of targets in each zone; 0 means playPerZone.
+	perZone int
 	// rateAt is the factor on the rate of the callers of a zone at a time; nil means 1.
 	rateAt func(zone int, at time.Duration) float64
 	// speedAt is the speed of a target at a time; nil means 1.
@@ -125,7 +128,8 @@
 // play plays a load and returns what callers get.
 func play(seed uint64, load playedLoad, w way) played {
 	p := &player{sim: &sim{random: rand.New(rand.NewPCG(seed, 2)), targets: map[uint64]*simTarget{}}, load: load, way: w}
-	targets := fleet(playPerZone, "a", "b", "c", "d")
+	p.load.perZone = cmp.Or(load.perZone, playPerZone)
+	targets := fleet(p.load.perZone, "a", "b", "c", "d")
 	for i := range targets {
 		targets[i].Slots = playSlots
 		p.targets[targets[i].Incarnation] = &simTarget{Target: targets[i], played: playedTarget{index: i, work: cost.NewWork(), renewed: map[*Router]time.Duration{}}}
@@ -180,7 +184,7 @@
 // startCaller offers the calls of one caller as a Poisson process with a varying rate.
 func (p *player) startCaller(i int) {
 	zone := i / playCallers
-	rate := p.load.rate * playCapacity / float64(len(p.routers))
+	rate := p.load.rate * zoneCapacity * float64(p.load.perZone) / float64(len(p.routers))
 	const peak = 2.0
 	gap := time.Duration(float64(time.Second) / rate / peak)
 	var arrive func()
