--- a/core/quota/exchange.go
+++ b/core/quota/exchange.go
@@ -114,7 +114,7 @@
 // isUrgent reports whether the account should be reported at once. If the owners had too
 // few tokens, only requests on credit are urgent.
 func (a *entryAccount) isUrgent(now time.Time) bool {
-	if a.credit > 0 || a.tries > 0 && a.tries < len(a.owners) {
+	if a.credit > 0 || a.tries > 0 && a.mayTry() {
 		return true
 	}
 	return !a.short && !now.Before(a.waitUntil) && (a.refused || a.wanted(now) > 0 && a.tokens(now) == 0)
@@ -256,5 +256,8 @@
 	}
 	a.tries++
 	a.current = (a.current + 1) % len(a.owners)
-	return a.tries < len(a.owners)
+	return a.mayTry()
 }
+
+// mayTry reports whether another owner should be asked at once after failures.
+func (a *entryAccount) mayTry() bool { return a.tries < min(len(a.owners), maxOwners) }
--- a/core/quota/limits.go
+++ b/core/quota/limits.go
@@ -45,9 +45,13 @@
 }
 
 const (
-	// maxOwners is the maximum number of owners of an account. Each failed owner costs
-	// its part of the quota.
+	// maxOwners is the maximum number of owners of an account without extra owners. Each
+	// failed owner costs its part of the quota.
 	maxOwners = 4
+	// extraOwnerRate is the rate for each further owner, beyond what maxOwners cover.
+	// All entries exchange with the owners of a large account in each period, so their
+	// number limits the messages that one owner receives.
+	extraOwnerRate = 250
 	// minOwners is the number of owners of a small account: one of them may fail.
 	minOwners = 2
 	// minOwnerCapacity is the capacity in tokens that is worth an owner of its own.
@@ -96,6 +100,6 @@
 	capacity := total - rate*window
 	return Limits{
 		Rate: rate, Capacity: capacity, Credit: credit, Configured: a.RatePerSecond,
-		Owners: min(max(int(capacity/minOwnerCapacity), minOwners), maxOwners),
+		Owners: max(min(max(int(capacity/minOwnerCapacity), minOwners), maxOwners), int(rate/extraOwnerRate)),
 	}
 }
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -198,7 +198,7 @@
 		p = &part{hash: nameHash(name), updated: o.start, generation: o.generation}
 		p.share, p.limits = o.share(name)
 		// Credit that an earlier owner or incarnation had to account for may be lost.
-		p.tokens = -p.limits.Credit * p.share
+		p.tokens = -min(p.limits.Credit, p.limits.Rate*ViewDelay.Seconds()) * p.share
 		o.parts[name] = p
 	}
 	o.advance(now, name, p)
