--- a/core/quota/entry.go
+++ b/core/quota/entry.go
@@ -22,6 +22,8 @@
 	idlePeriod = 10 * time.Second
 	// loadExpiry is how long a load that an owner has reported is used.
 	loadExpiry = 2 * time.Second
+	// awayPeriod is how long a lease of another owner than the preferred one is renewed.
+	awayPeriod = time.Second
 	// minReturn is the minimum wait that a refused client is told: one exchange.
 	minReturn = Period / 2
 	// returnShare is the part of the tokens that clients that come back may expect; the
@@ -104,6 +106,8 @@
 	random        *rand.Rand
 	owners        []string
 	home, current int
+	// awaySince is when another owner than the preferred one was first asked.
+	awaySince time.Time
 	// tries is the number of owners that have failed in a row.
 	tries    int
 	inFlight bool
--- a/core/quota/exchange.go
+++ b/core/quota/exchange.go
@@ -126,10 +126,18 @@
 	return !a.inFlight && a.credit == 0 && a.unused == 0 && a.arrived == 0 && now.Sub(a.demand.at) > idlePeriod
 }
 
-// preferHome returns to the preferred owner once it responds again, if the present one has
-// enough tokens and there is no lease to renew.
+// preferHome returns to the preferred owner once it gives credit again. A lease that ends
+// early counts until it expires, so it is renewed for a while first.
 func (a *entryAccount) preferHome(contacts map[string]*contact, now time.Time) {
-	if a.current == a.home || a.short || a.tries > 0 || a.lease.count > 0 || a.lease.spent > 0 {
+	if a.current == a.home {
+		a.awaySince = time.Time{}
+		return
+	}
+	if a.awaySince.IsZero() {
+		a.awaySince = now
+	}
+	holds := a.lease.count > 0 || a.lease.spent > 0
+	if a.short || a.tries > 0 || holds && now.Sub(a.awaySince) < awayPeriod {
 		return
 	}
 	if c := contacts[a.owners[a.home]]; c != nil && now.Sub(c.at) < contactPeriod && !c.all && !c.exhausted[a.hash] {
