List accounts without credit from the first moment of an owner

An owner listed only accounts that some entry had asked for, so credit was off for all accounts for 3 s after each change of the members that own quotas. The parts of an owner are now created with the view, and those without a token are listed until they have one.

--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -45,10 +44,7 @@
 	// changes.
 	changedAt  time.Time
 	generation uint64
-	// uncertainUntil is the end of the time in which accounts that no entry has asked
-	// for may have no tokens.
-	uncertainUntil time.Time
-	parts          map[string]*part
+	parts      map[string]*part
 	// low holds the parts without a token.
 	low map[string]*part
 }
@@ -90,7 +86,6 @@
 		wait = ViewDelay
 	}
 	o.changedAt = start.Add(wait)
-	o.uncertainUntil = o.changedAt
 	return o
 }
 
@@ -104,20 +99,23 @@
 			return
 		}
 		o.epochs[last].end = now
-		if !slices.Equal(o.epochs[last].view.candidates, view.candidates) {
-			o.uncertainUntil = later(o.uncertainUntil, now.Add(o.viewDelay))
-		}
 	}
 	o.epochs = append(o.epochs, epoch{view: view})
 	o.changedAt = later(o.changedAt, now)
 	o.generation++
+	o.prune(now)
 	for name := range o.parts {
 		if !view.Owns(o.vm, name) {
 			delete(o.parts, name)
 			delete(o.low, name)
 		}
 	}
-	o.prune(now)
+	for name := range view.limits {
+		if o.parts[name] == nil && view.Owns(o.vm, name) {
+			// Until its bucket has a token, entries must not rely on it for credit.
+			o.low[name] = o.part(now, name)
+		}
+	}
 }
 
 // prune drops the views that ended more than ViewDelay ago.
@@ -146,10 +144,11 @@
 }
 
 func (o *Owner) grant(now time.Time, d *pb.QuotaDemand) *pb.QuotaGrant {
-	p := o.part(now, d.GetAccount())
+	p := o.parts[d.GetAccount()]
 	if p == nil {
 		return &pb.QuotaGrant{NotOwner: true}
 	}
+	o.advance(now, d.GetAccount(), p)
 	p.arrivals.add(now, float64(d.GetArrived()))
 	p.settle(d.GetLease(), float64(d.GetHeld())+float64(d.GetSettled()))
 	p.tokens -= float64(d.GetUsedOnCredit())
@@ -170,7 +169,6 @@
 
 // list adds the accounts without credit to a response.
 func (o *Owner) list(now time.Time, response *pb.QuotaResponse) {
-	response.ExhaustedIncomplete = now.Before(o.uncertainUntil)
 	if last := len(o.epochs) - 1; last >= 0 && o.epochs[last].view != nil {
 		response.View = o.epochs[last].view.hash
 	}
@@ -188,29 +186,17 @@
 	}
 }
 
-// part returns this node's part of a quota up to date, or nil if it has none.
+// part returns a new part of a quota.
 func (o *Owner) part(now time.Time, name string) *part {
-	p := o.parts[name]
-	if p == nil {
-		if !o.owns(name) {
-			return nil
-		}
-		p = &part{hash: nameHash(name), updated: o.start, generation: o.generation}
-		p.share, p.limits = o.share(name)
-		// Credit that an earlier owner or incarnation had to account for may be lost.
-		p.tokens = -min(p.limits.Credit, p.limits.Rate*ViewDelay.Seconds()) * p.share
-		o.parts[name] = p
-	}
+	p := &part{hash: nameHash(name), updated: o.start, generation: o.generation}
+	p.share, p.limits = o.share(name)
+	// Credit that an earlier owner or incarnation had to account for may be lost.
+	p.tokens = -min(p.limits.Credit, p.limits.Rate*ViewDelay.Seconds()) * p.share
+	o.parts[name] = p
 	o.advance(now, name, p)
 	return p
 }
 
-// owns reports whether the view in force makes this node an owner of the account.
-func (o *Owner) owns(name string) bool {
-	last := len(o.epochs) - 1
-	return last >= 0 && o.epochs[last].view != nil && o.epochs[last].view.Owns(o.vm, name)
-}
-
 // advance fills the bucket of a part and ends leases.
 func (o *Owner) advance(now time.Time, name string, p *part) {
 	if p.generation != o.generation {
@@ -249,11 +235,11 @@
 			continue
 		}
 		limits = l
-		owners := e.view.Owners(name)
-		if !slices.Contains(owners, o.vm) {
+		if !e.view.Owns(o.vm, name) {
 			share = 0
+			continue
 		}
-		share = min(share, 1/float64(len(owners)))
+		share = min(share, 1/float64(e.view.ownerCount(name)))
 	}
 	return share, limits
 }
--- a/core/quota/view.go
+++ b/core/quota/view.go
@@ -18,6 +18,9 @@
 	// few candidates, one message covers all accounts, and an entry stays in contact
 	// with the owners of accounts that it rarely sees.
 	membersPerCandidate = 64
+	// scoreKeyBytes is the length of an account's and a VM's name up to which a score
+	// needs no allocation.
+	scoreKeyBytes = 256
 )
 
 // A View is what a node knows of the members and of the accounts with a quota. It is
@@ -101,10 +104,8 @@
 		index int
 	}
 	scores := make([]scored, 0, len(v.candidates))
-	var key []byte
 	for i, vm := range v.candidates {
-		key = append(append(append(key[:0], name...), 0), vm...)
-		scores = append(scores, scored{xxhash.Sum64(key), i})
+		scores = append(scores, scored{score(name, vm), i})
 	}
 	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	scores = scores[:limits.Owners]
@@ -116,6 +117,12 @@
 	return owners
 }
 
+// score ranks the candidates for an account; the highest ones own its quota.
+func score(account, vm string) uint64 {
+	var buffer [scoreKeyBytes]byte
+	return xxhash.Sum64(append(append(append(buffer[:0], account...), 0), vm...))
+}
+
 // relied returns the owners on which an entry relies for credit, if they are few enough to
 // contact all of them in each period.
 func (v *View) relied() []string {
@@ -126,7 +133,24 @@
 }
 
 // Owns reports whether a VM owns a part of the quota of an account.
-func (v *View) Owns(vm, name string) bool { return slices.Contains(v.Owners(name), vm) }
+func (v *View) Owns(vm, name string) bool {
+	if _, limited := v.limits[name]; !limited || !slices.Contains(v.candidates, vm) {
+		return false
+	}
+	own, higher, count := score(name, vm), 0, v.ownerCount(name)
+	for _, candidate := range v.candidates {
+		if candidate != vm && score(name, candidate) >= own {
+			higher++
+		}
+		if higher == count {
+			return false
+		}
+	}
+	return true
+}
+
+// ownerCount returns the number of owners of an account with a quota.
+func (v *View) ownerCount(name string) int { return min(v.limits[name].Owners, len(v.candidates)) }
 
 // equalParts reports whether two views divide the same quotas among the same members.
 func (v *View) equalParts(other *View) bool {
