--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -48,8 +48,16 @@
 	require.NoError(t, m.ObserveControl(func() []ControlSample {
 		return []ControlSample{{Kind: "tick", Messages: 3, Errors: 1, BytesIn: 8, BytesOut: 9, Processing: 2 * time.Second}}
 	}))
+	require.NoError(t, m.ObserveQuotas(func() QuotaSample {
+		return QuotaSample{Admitted: 5, Exceeded: 4, Unknown: 3, Exchanged: 2, Failed: 1}
+	}))
 	got := scrape(t, m)
 	for _, want := range []string{
+		`primrosemount_quota_decisions_total{result="admitted"} 5`,
+		`primrosemount_quota_decisions_total{result="exceeded"} 4`,
+		`primrosemount_quota_decisions_total{result="unknown"} 3`,
+		`primrosemount_quota_exchanges_total{result="answered"} 2`,
+		`primrosemount_quota_exchanges_total{result="failed"} 1`,
 		`primrosemount_requests_total{class="critical",outcome="not_run",reason="overloaded",service="orders"} 1`,
 		`primrosemount_request_duration_seconds_bucket{class="critical",service="orders",le="0.005"} 1`,
 		`primrosemount_retries_total{service="orders"} 1`,
