--- a/core/quota/exchange.go
+++ b/core/quota/exchange.go
@@ -114,7 +114,7 @@
 // isUrgent reports whether the account should be reported at once. If the owners had too
 // few tokens, only requests on credit are urgent.
 func (a *entryAccount) isUrgent(now time.Time) bool {
-	if a.credit > 0 || a.tries > 0 && a.tries < len(a.owners) {
+	if a.credit > 0 || a.tries > 0 && a.mayTry() {
 		return true
 	}
 	return !a.short && !now.Before(a.waitUntil) && (a.refused || a.wanted(now) > 0 && a.tokens(now) == 0)
@@ -126,10 +126,18 @@
 	return !a.inFlight && a.credit == 0 && a.unused == 0 && a.arrived == 0 && now.Sub(a.demand.at) > idlePeriod
 }
 
-// preferHome returns to the preferred owner once it responds again, if the present one has
-// enough tokens and there is no lease to renew.
+// preferHome returns to the preferred owner once it gives credit again. A lease that ends
+// early counts until it expires, so it is renewed for a while first.
 func (a *entryAccount) preferHome(contacts map[string]*contact, now time.Time) {
-	if a.current == a.home || a.short || a.tries > 0 || a.lease.count > 0 || a.lease.spent > 0 {
+	if a.current == a.home {
+		a.awaySince = time.Time{}
+		return
+	}
+	if a.awaySince.IsZero() {
+		a.awaySince = now
+	}
+	holds := a.lease.count > 0 || a.lease.spent > 0
+	if a.short || a.tries > 0 || holds && now.Sub(a.awaySince) < awayPeriod {
 		return
 	}
 	if c := contacts[a.owners[a.home]]; c != nil && now.Sub(c.at) < contactPeriod && !c.all && !c.exhausted[a.hash] {
@@ -256,5 +264,8 @@
 	}
 	a.tries++
 	a.current = (a.current + 1) % len(a.owners)
-	return a.tries < len(a.owners)
+	return a.mayTry()
 }
+
+// mayTry reports whether another owner should be asked at once after failures.
+func (a *entryAccount) mayTry() bool { return a.tries < min(len(a.owners), maxOwners) }
