Reset abandoned connections when the target sends

A connection of an abandoned request was half closed, and up to 1 MB that the target sent was received and discarded. A target that notices only that it cannot send, which a full close causes, kept working for up to 2 s for a caller that had left. Now the first byte from the target resets the connection, as after a full close. The end of the stream that the target receives is the same in both cases, and the connection counts as open as before.

The context of a request often ends at the same time as its deadline. Its goroutine could then interrupt the wait for the target after the connection was abandoned, so that it counted no more. Such a late interrupt now changes nothing.

--- a/node/relay/connectionbounds.go
+++ b/node/relay/connectionbounds.go
@@ -1,8 +1,8 @@
 package relay
 
 import (
-	"io"
 	"math"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,8 +19,6 @@
 	// lingerTime is how long a connection counts whose request was abandoned, unless the
 	// target ends it before.
 	lingerTime = 2 * time.Second
-	// maxLingerBytes limits what is read from such a connection.
-	maxLingerBytes = 1 << 20
 )
 
 // errTooManyConnections is returned if the target may not accept another connection.
@@ -51,16 +49,52 @@
 
 // abandon ends a connection whose request may still be running at the target. The target
 // counts the connection until it notices the end, so it counts as open until the target
-// has closed its side, or for lingerTime.
+// has closed its side, or for lingerTime. On the wire this is like a full close: the target
+// receives the end of the stream, and a reset as soon as it sends anything. Some targets
+// notice only the reset.
 func (c *targetConn) abandon() {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if !c.beginLinger() {
 		_ = c.Close()
 		return
 	}
 	go func() {
-		// Any error ends the connection.
-		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+		var first [1]byte
+		if n, _ := c.Conn.Read(first[:]); n > 0 {
+			// Without the reset, the target could send more before it notices the end.
+			_ = c.resetOnClose()
+		}
 		_ = c.Close()
 	}()
 }
+
+// beginLinger closes the sending side and sets the time until which the target may close
+// its own. It reports whether the connection now waits for the target.
+func (c *targetConn) beginLinger() bool {
+	c.ending.Lock()
+	defer c.ending.Unlock()
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return false
+	}
+	c.lingers = true
+	return true
+}
+
+// interrupt ends the reads and writes of a request whose context has ended. It may run
+// after the request, and does not end the wait of an abandoned connection for its target.
+func (c *targetConn) interrupt() {
+	c.ending.Lock()
+	defer c.ending.Unlock()
+	if !c.lingers {
+		_ = c.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// resetOnClose lets Close reset the connection.
+func (c *targetConn) resetOnClose() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return tcp.SetLinger(0)
+}
--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -91,6 +91,10 @@
 	// open is the count of open connections, which the first Close decrements.
 	open   *atomic.Int64
 	closed sync.Once
+	// ending guards lingers, which is set once the connection waits for the target to end
+	// an abandoned request.
+	ending  sync.Mutex
+	lingers bool
 }
 
 // Close implements net.Conn.
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return notSent(ctx, deadline, err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, conn.interrupt)
 	sent := time.Now()
 	result, reusable := c.exchange(ctx, conn, targetID, request, deadline, account)
 	result.took = time.Since(sent)
