Keep averages and shortages valid in long-running nodes

The number of samples of an average wrapped to zero after 2^32 samples (50 days at 1,000 requests per second). The weight of the next sample was infinite and the average NaN from then on. The number now stays at its maximum.

Shortages of operations that are not observed any more stayed in the map. Ended shortages are now removed when there is no space.

--- a/core/cost/average.go
+++ b/core/cost/average.go
@@ -30,11 +30,21 @@
 
 // Add includes a sample with at least the given weight, which is between 0 and 1.
 func (a *Average) Add(at int64, sample, minWeight float64) {
-	weight := math.Max(minWeight, 1/float64(a.count.Add(1)))
+	weight := math.Max(minWeight, 1/float64(a.countSample()))
 	a.updated.Store(at)
 	a.blend(sample, weight)
 }
 
+// countSample returns the number of samples including a new one. It does not wrap, because
+// a weight must be finite.
+func (a *Average) countSample() uint32 {
+	if n := a.count.Add(1); n != 0 {
+		return n
+	}
+	a.count.Store(math.MaxUint32)
+	return math.MaxUint32
+}
+
 // AddAfterPause is like Add, but the weight of the sample also grows with the time since
 // the one before, up to maxPauseWeight. Otherwise an average of few samples per second
 // would follow a change only after many seconds. After a pause of halfAge, the earlier
--- a/core/threshold/shortage.go
+++ b/core/threshold/shortage.go
@@ -1,6 +1,7 @@
 package threshold
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 type Shortages struct {
 	mu     sync.Mutex
 	byCall map[Dependency]shortage
+	swept  time.Time
 }
 
 // shortage is a period in which an operation was refused for some level.
@@ -40,7 +42,7 @@
 	if active && known.since.Before(since) {
 		since = known.since
 	}
-	if !active && len(s.byCall) >= maxOperations {
+	if !active && len(s.byCall) >= maxOperations && !s.sweep(now) {
 		return reported
 	}
 	s.byCall[called] = shortage{since: since, latest: now}
@@ -66,6 +68,17 @@
 	return known, found
 }
 
+// sweep removes the shortages that have ended, at most once per shortageGap. It reports
+// whether there is space for another one.
+func (s *Shortages) sweep(now time.Time) bool {
+	if now.Sub(s.swept) < shortageGap {
+		return false
+	}
+	s.swept = now
+	maps.DeleteFunc(s.byCall, func(_ Dependency, known shortage) bool { return now.Sub(known.latest) > shortageGap })
+	return len(s.byCall) < maxOperations
+}
+
 // age returns the time since the shortage began; zero if there is none.
 func (s shortage) age(now time.Time) time.Duration {
 	if s.since.IsZero() {
--- a/core/threshold/shortage_test.go
+++ b/core/threshold/shortage_test.go
@@ -1,6 +1,7 @@
 package threshold
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -27,6 +28,28 @@
 	require.Zero(t, s.Age(at(2600), called))
 }
 
+// Guards against shortages of operations that no longer exist and take up all the space,
+// so that later shortages have no age.
+func TestEndedShortagesMakeRoom(t *testing.T) {
+	s := NewShortages()
+	for i := range maxOperations {
+		s.Observe(start, Dependency{"s", strconv.Itoa(i)}, 300, 0)
+	}
+	called, later := Dependency{"s", "new"}, start.Add(shortageGap+time.Millisecond)
+	s.Observe(later, called, 300, 0)
+	require.Equal(t, 500*time.Millisecond, s.Observe(later.Add(500*time.Millisecond), called, 300, 0))
+	require.Len(t, s.byCall, 1)
+}
+
+// Guards against more operations than the limit.
+func TestShortagesAreBounded(t *testing.T) {
+	s := NewShortages()
+	for i := range maxOperations + 1 {
+		s.Observe(start, Dependency{"s", strconv.Itoa(i)}, 300, 0)
+	}
+	require.Len(t, s.byCall, maxOperations)
+}
+
 // fixedLimits limits all calls to a level.
 type fixedLimits struct {
 	enabled bool
