Forget unused operations of retry limits, and copy no full gate

A limiter kept the first 256 operations that called its service for ever. Operations of later routes had an unknown number of calls, so that the retries that their root requests need were not counted. Operations with less than 0.01 calls per second are now forgotten when there is no space.

--- a/core/cost/work.go
+++ b/core/cost/work.go
@@ -110,11 +110,12 @@
 	if o := (*w.byOperation.Load())[number]; o != nil {
 		return o
 	}
+	full := len(*w.byOperation.Load()) >= maxGateOperations
+	if full && at-w.swept < time.Second {
+		return nil
+	}
 	byOperation := maps.Clone(*w.byOperation.Load())
-	if len(byOperation) >= maxGateOperations {
-		if at-w.swept < time.Second {
-			return nil
-		}
+	if full {
 		w.swept = at
 		maps.DeleteFunc(byOperation, func(_ uint32, o *gateOperation) bool { return o.own.Age(int64(at)) >= staleAge })
 	}
--- a/core/cost/work_test.go
+++ b/core/cost/work_test.go
@@ -72,3 +72,15 @@
 	w.Observe(time.Hour, 1<<30, workMean, 0)
 	require.Len(t, *w.byOperation.Load(), 1, "operations without samples are forgotten when there is no space")
 }
+
+// Guards against a copy of all operations for each request of an operation for which there
+// is no space: 1,024 entries take longer to copy than the gate has for a request.
+func TestFullGateCopiesNoOperations(t *testing.T) {
+	w := NewWork()
+	at := time.Minute
+	for n := range uint32(maxGateOperations + 1) {
+		w.Observe(at, n, workMean, 0)
+	}
+	allocated := testing.AllocsPerRun(100, func() { w.Observe(at, maxGateOperations+1, workMean, 0) })
+	require.Zero(t, allocated)
+}
--- a/core/retry/demand.go
+++ b/core/retry/demand.go
@@ -26,6 +26,10 @@
 	// maxOperations limits the number of operations with a known number of calls. Calls
 	// of further operations are counted one by one.
 	maxOperations = 256
+	// unusedRate is the rate of calls per second below which an operation is forgotten if
+	// there is no space for others. One with a call per second reaches it 14 s after its
+	// last call.
+	unusedRate = 0.01
 )
 
 // rate is an exponentially weighted average of the rate of an event.
@@ -126,13 +130,17 @@
 	d.first.update(elapsed, settled)
 	d.later.update(elapsed, settled)
 	d.other.update(elapsed, settled)
-	for _, c := range d.operations {
+	full := len(d.operations) >= maxOperations
+	for name, c := range d.operations {
 		if refusing {
 			c.first.count, c.later.count = 0, 0
 			continue
 		}
 		c.first.update(elapsed, callsTime)
 		c.later.update(elapsed, callsTime)
+		if full && c.first.perSecond+c.later.perSecond < unusedRate {
+			delete(d.operations, name)
+		}
 	}
 }
 
