Reuse no connection beyond its own idle time

Idle connections are sorted by how long they were idle, and closing them stopped at the first that may stay. One with a shorter idle timeout behind it was then used after its target may have closed it. All are checked now. Test: TestConnectionIsNotReusedAfterItsOwnIdleTime (got the one of 1 ms).

--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -252,17 +253,18 @@
 	return last
 }
 
-// closeExpired closes connections to a previous address and those that were idle
-// for too long. The connections are sorted by idle time, longest first.
+// closeExpired closes connections to a previous address and those that were idle for
+// longer than their target has stated.
 func (c *targetClient) closeExpired(now time.Time, address string) {
 	addressChanged := address != c.address
 	c.address = address
-	expired := 0
-	for expired < len(c.idle) && (addressChanged || now.Sub(c.idle[expired].idleSince) > c.idle[expired].maxIdle) {
-		_ = c.idle[expired].Close()
-		expired++
-	}
-	c.idle = append(c.idle[:0], c.idle[expired:]...)
+	c.idle = slices.DeleteFunc(c.idle, func(conn *targetConn) bool {
+		expired := addressChanged || now.Sub(conn.idleSince) > conn.maxIdle
+		if expired {
+			_ = conn.Close()
+		}
+		return expired
+	})
 }
 
 // putIdle makes a connection available for reuse, unless the target has moved to
--- a/node/relay/targetclient_test.go
+++ b/node/relay/targetclient_test.go
@@ -321,3 +321,23 @@
 		})
 	}
 }
+
+// Guards against the reuse of a connection that was idle for longer than its target has
+// stated, because one that was idle for longer still may be kept: the target may close the
+// connection just when the request is sent.
+func TestConnectionIsNotReusedAfterItsOwnIdleTime(t *testing.T) {
+	target := startCappedTarget(t, 10, time.Millisecond)
+	client := newTargetClient(testCodec{}, responseBudget(16<<20))
+	client.address = target.address
+	defer client.closeIdle()
+	for _, maxIdle := range []time.Duration{time.Minute, time.Millisecond} {
+		conn, err := client.dial(t.Context(), target.address, time.Now().Add(time.Second))
+		require.NoError(t, err)
+		conn.maxIdle = maxIdle
+		client.putIdle(target.address, conn)
+	}
+	time.Sleep(5 * time.Millisecond)
+	require.Equal(t, time.Minute, client.takeIdle(target.address, true).maxIdle)
+	require.Nil(t, client.takeIdle(target.address, true))
+	require.Equal(t, int64(1), client.open.Load())
+}
