Bound the levels that other nodes send

Levels and thresholds are 32 bits in messages and were cut to 16. A level of 65,536 became the most important one, and a threshold of 65,537 refused nearly all requests of an operation. Values above the largest level now become that level, as for the threshold of a gate before. Tests: TestLevelFromOtherNodeIsBounded; TestDoomedRequestIsRefusedOnArrival failed with a level of 65,536.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -94,6 +94,10 @@
 	return max(Level(c)*Cohorts+Level(cohort%Cohorts), 1)
 }
 
+// LevelFromProto converts a level that another node sent. Values above MaxLevel become
+// MaxLevel; without the bound, large ones would wrap to the most important levels.
+func LevelFromProto(level uint32) Level { return Level(min(level, uint32(MaxLevel))) }
+
 // LevelOfContext returns the level of a call from the context of its root request.
 func LevelOfContext(context *pb.RequestContext) Level {
 	class := ClassFromProto(context.GetClass())
--- a/core/outcome/outcome_test.go
+++ b/core/outcome/outcome_test.go
@@ -52,3 +52,11 @@
 		require.Equal(t, status >= 100 && status <= 199 && status != 101, IsInterimStatus(status), status)
 	}
 }
+
+// Guards against levels of other nodes that wrap to more important ones, and against a
+// level that is unknown (0) becoming known.
+func TestLevelFromOtherNodeIsBounded(t *testing.T) {
+	for value, want := range map[uint32]Level{0: 0, 1: 1, 300: 300, uint32(MaxLevel): MaxLevel, uint32(MaxLevel) + 1: MaxLevel, 1 << 16: MaxLevel, 1<<16 + 1: MaxLevel, 1<<32 - 1: MaxLevel} {
+		require.Equal(t, want, LevelFromProto(value), "value %d", value)
+	}
+}
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -90,7 +90,7 @@
 // ReportFromProto converts a GateReport of the schema to a Report.
 func ReportFromProto(g *pb.GateReport) Report {
 	return Report{
-		Threshold:  outcome.Level(min(g.GetThreshold(), uint32(outcome.MaxLevel))),
+		Threshold:  outcome.LevelFromProto(g.GetThreshold()),
 		Draining:   g.GetDraining(),
 		TargetDown: g.GetTargetDown(),
 		InFlight:   int(g.GetInFlight()),
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -199,7 +199,7 @@
 func ThresholdResponse(request *Request, response *pb.CallResponse) threshold.Response {
 	return threshold.Response{
 		Level:     request.effectiveLevel(),
-		Threshold: outcome.Level(response.GetGate().GetOperationThreshold()),
+		Threshold: outcome.LevelFromProto(response.GetGate().GetOperationThreshold()),
 		Success:   outcome.Succeeded(response),
 	}
 }
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -124,7 +124,7 @@
 // requests bypass the learned thresholds.
 func (d *dispatcher) observe(o *outgoing, response *pb.ForwardResponse) {
 	observed := threshold.Response{
-		Threshold: outcome.Level(response.GetGate().GetOperationThreshold()),
+		Threshold: outcome.LevelFromProto(response.GetGate().GetOperationThreshold()),
 		Success:   succeeded(response),
 		Prompt:    d.limits.active(),
 	}
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -87,7 +87,7 @@
 		return
 	}
 	admitted, ok := r.gate.offer(ctx, gate.Request{
-		Level:         outcome.Level(request.GetLevel()),
+		Level:         outcome.LevelFromProto(request.GetLevel()),
 		PriorityBoost: threshold.PriorityBoost(request.GetCompletedCalls()),
 		Deadline:      deadline,
 		Operation:     r.numbering.lookup(request.GetRoute()),
@@ -105,7 +105,7 @@
 // run sends an admitted request to the target.
 func (r *receiver) run(ctx context.Context, request *pb.ForwardRequest, response *pb.ForwardResponse, deadline time.Time, admitted admission, account *memory.Account) {
 	started := time.Now()
-	run := r.operations.Start(request.GetRoute(), outcome.Level(request.GetLevel()))
+	run := r.operations.Start(request.GetRoute(), outcome.LevelFromProto(request.GetLevel()))
 	attemptID := string(request.GetAttemptId())
 	finished := false
 	defer func() {
@@ -117,7 +117,7 @@
 		}
 	}()
 	r.graph.Start(attemptID, callgraph.Parent{
-		Route: request.GetRoute(), Account: request.GetAccount(), Level: outcome.Level(request.GetLevel()), Trial: request.GetTrial(), Repeat: request.GetRepeat(),
+		Route: request.GetRoute(), Account: request.GetAccount(), Level: outcome.LevelFromProto(request.GetLevel()), Trial: request.GetTrial(), Repeat: request.GetRepeat(),
 		PriorCompletedCalls: request.GetCompletedCalls(), Run: run,
 	})
 	result := r.targets.send(ctx, r.address(), admitted.targetID, request, deadline, account)
--- a/node/relay/retrylimit.go
+++ b/node/relay/retrylimit.go
@@ -143,6 +143,6 @@
 // doomed reports whether a request that has arrived would fail because of a call of the
 // target. Trial requests pass.
 func (r *receiver) doomed(request *pb.ForwardRequest) bool {
-	level := outcome.Level(request.GetLevel()).Boosted(threshold.PriorityBoost(request.GetCompletedCalls()))
+	level := outcome.LevelFromProto(request.GetLevel()).Boosted(threshold.PriorityBoost(request.GetCompletedCalls()))
 	return !request.GetTrial() && r.operations.Doomed(time.Now(), request.GetRoute(), level)
 }
--- a/node/relay/retrylimit_test.go
+++ b/node/relay/retrylimit_test.go
@@ -185,7 +185,9 @@
 	r := &receiver{operations: operations}
 	request := &pb.ForwardRequest{Route: "caller", Level: 390}
 	require.True(t, r.doomed(request))
-	request.CompletedCalls = 1
+	request.Level = 1 << 16
+	require.True(t, r.doomed(request), "a level beyond all others is the least important one")
+	request.Level, request.CompletedCalls = 390, 1
 	require.False(t, r.doomed(request), "the boost for completed calls applies")
 	request.CompletedCalls, request.Trial = 0, true
 	require.False(t, r.doomed(request))
