Count only holders as proof that a drain is held

The first message to the only holder was skipped, because a comparison with it was in progress. A random other node received the announcement and was taken for the peer that keeps it. The store returned from a copy of before the drain, and the restarted node asked the holder, which had nothing.

Now only a response of a holder counts, since only holders are asked by the next incarnation.

--- a/node/relay/drainrecord.go
+++ b/node/relay/drainrecord.go
@@ -107,10 +107,11 @@
 	}
 }
 
-// notePeerHolds records that another node has received an announcement of this node.
-func (t *membersTask) notePeerHolds(sent *pb.RelayMember) {
-	if sent.GetIncarnation() == t.self.GetIncarnation() {
-		t.heldByPeer = max(t.heldByPeer, sent.GetRevision())
+// notePeerHolds records that the node at an address has received an announcement of this
+// node. Only holders count, because the next incarnation does not ask other nodes.
+func (t *membersTask) notePeerHolds(address string, sent *pb.RelayMember) {
+	if sent.GetIncarnation() == t.self.GetIncarnation() && sent.GetRevision() > t.heldByPeer && t.isHolder(address) {
+		t.heldByPeer = sent.GetRevision()
 	}
 }
 
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -71,8 +71,8 @@
 	stored storedMembers
 	// storeRates are the limits of the store on the calls of all nodes together.
 	storeRates StoreRates
-	// heldByPeer is the highest revision of this node's announcement that another
-	// node has received.
+	// heldByPeer is the highest revision of this node's announcement that a holder has
+	// received.
 	heldByPeer uint64
 	// drainWaiters wait until an announcement is held outside this process.
 	drainWaiters []drainWaiter
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -173,7 +173,7 @@
 		response, err := t.sync(bounded, address, request)
 		t.events <- func() {
 			if err == nil {
-				t.notePeerHolds(request.GetSelf())
+				t.notePeerHolds(address, request.GetSelf())
 			}
 			t.syncDone(ctx, address, fallback, requestedAt, response, err)
 		}
