Draw the rewrite of a schedule before its goroutine starts

The goroutine of a return of the store drew from the random numbers of the schedule while the schedule itself did: a data race, and the same seed played different schedules. The draw now comes first. The checks are unchanged.

--- a/node/relay/eraschedule_test.go
+++ b/node/relay/eraschedule_test.go
@@ -51,7 +51,8 @@
 	case 3, 4:
 		age := time.Duration(f.rng.Int64N(int64(4 * time.Second)))
 		outage := time.Duration(f.rng.Int64N(int64(800 * time.Millisecond)))
-		f.group.Go(func() { f.store.returnFrom(f.ctx, time.Now().Add(-age), outage, f.drawRewrite()) })
+		rewrite := f.drawRewrite()
+		f.group.Go(func() { f.store.returnFrom(f.ctx, time.Now().Add(-age), outage, rewrite) })
 	case 5:
 		f.treat(n, []storeMode{refusing, silent, unreachable}[f.rng.IntN(3)], span)
 	case 6:
