--- a/core/retry/demand_test.go
+++ b/core/retry/demand_test.go
@@ -29,7 +29,7 @@
 	for i := range maxOperations {
 		now = playOperation(l, now, strconv.Itoa(i), 0, 1)
 	}
-	now = playOperation(l, now.Add(time.Minute), "new", 3, 20)
+	playOperation(l, now.Add(time.Minute), "new", 3, 20)
 	require.True(t, l.demand.operations["new"].many())
 	require.LessOrEqual(t, len(l.demand.operations), maxOperations)
 	require.InDelta(t, 3, l.demand.operations["new"].laterCalls(), 0.01)
