Try targets again that were misjudged, and keep their load only where it is used

A target whose speed was misjudged by its first responses got no requests at low load any more, so the estimate never changed: 0 of 300 uploads reached the second target of TestUploadRunsAtMostOnce, which then had nothing to check. One request in 32 now goes to a random target of the zone; the test of it fails without.

The load of a target is created on first use: 9,600 endpoints that get no calls took about 2 MB, and TestNodeProcessAtScale exceeded 32 MB once.

--- a/core/route/candidates.go
+++ b/core/route/candidates.go
@@ -90,7 +90,7 @@
 		Refusal:      e.refusalOf(q),
 		RefusedShare: e.refused.load(),
 		FailedShare:  e.failed.load(),
-		Bias:         time.Duration(e.load.usualBias(q.at, n.mean)),
+		Bias:         time.Duration(e.learned().usualBias(q.at, n.mean)),
 	}, x.occupancy()
 }
 
--- a/core/route/counters.go
+++ b/core/route/counters.go
@@ -93,7 +93,9 @@
 	draining      atomic.Bool
 	down          atomic.Bool
 	downAt        atomic.Int64
-	load          load // used by LeastWork, see load.go
+	// workLoad is what LeastWork knows of the target, see load.go. It is created on first
+	// use, because a node of a large fleet calls few of the targets that it knows.
+	workLoad atomic.Pointer[load]
 	// State of ejection, see eject.go.
 	phase         atomic.Uint32
 	cause         atomic.Uint32
@@ -103,6 +105,15 @@
 	rampStartedAt atomic.Int64
 }
 
+// learned returns what LeastWork knows of the target.
+func (c *counters) learned() *load {
+	if l := c.workLoad.Load(); l != nil {
+		return l
+	}
+	c.workLoad.CompareAndSwap(nil, &load{})
+	return c.workLoad.Load()
+}
+
 // recordOutcome updates latency and shares with a result.
 func (e *Endpoint) recordOutcome(at int64, result Result, verdict verdict) {
 	e.decayToMedian(at)
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -84,11 +84,11 @@
 func (e *Endpoint) explain(at int64, n *need, best *estimate) Explanation {
 	x := Explanation{
 		VM: e.target.VM, Cost: time.Duration(n.own), CostSamples: n.operation.Samples(), CostAge: ageOf(n.operation.Samples(), n.operation.Age(at)),
-		Calls: time.Duration(n.calls), Speed: best.speed, SpeedSamples: e.load.speed.Samples(), SpeedAge: ageOf(e.load.speed.Samples(), e.load.speed.Age(at)),
+		Calls: time.Duration(n.calls), Speed: best.speed, SpeedSamples: e.learned().speed.Samples(), SpeedAge: ageOf(e.learned().speed.Samples(), e.learned().speed.Age(at)),
 		WorkLeft: time.Duration(best.work), Requests: best.requests, Slots: best.slots, ReportAge: unknownAge,
 		Wait: time.Duration(best.wait), Score: time.Duration(best.score),
 	}
-	if reported := e.load.reportedAt.Load(); reported > 0 {
+	if reported := e.learned().reportedAt.Load(); reported > 0 {
 		x.ReportAge = time.Duration(max(at-reported, 0))
 	}
 	return x
--- a/core/route/leastwork.go
+++ b/core/route/leastwork.go
@@ -14,6 +14,10 @@
 	// more of the requests leave their zone without being faster.
 	ownSamples   = 6
 	otherSamples = 3
+	// One in refreshDivisor requests goes to a random target of the node's own zone, unless
+	// one of another zone is better. A target whose speed was misjudged while it got few
+	// requests would otherwise get none at low load, and the estimate would not change.
+	refreshDivisor = 32
 	// serviceWeight is the weight of the own work at a target in its score. Below 1,
 	// slow targets get a part of the load before the fast ones are nearly full.
 	serviceWeight = 0.1
@@ -112,7 +116,10 @@
 // own zone and some of the other zones.
 func (s *service) leastWork(v *view, q query, n need) Placement {
 	p := Placement{need: n}
-	shortage := 1.0
+	shortage, ownSamples := 1.0, ownSamples
+	if s.placed.Add(1)%refreshDivisor == 0 {
+		ownSamples = 1
+	}
 	if v.preferOwnZone {
 		if trial := q.place(&p, v.ownZone, 0, ownSamples); trial != nil {
 			return p.only(trial, q.at)
@@ -177,8 +184,8 @@
 // estimate sets x to what is expected of a request at the target. Failures and refusals
 // raise the score. unknown is added to the occupancy.
 func (e *Endpoint) estimate(x *estimate, at int64, n *need, unknown float64) {
-	fresh := e.load.freshness(at)
-	x.speed = e.load.presentSpeed(fresh)
+	fresh := e.learned().freshness(at)
+	x.speed = e.learned().presentSpeed(fresh)
 	slowness := 1 / x.speed
 	x.backlog = e.backlog(at, n.mean*slowness, fresh)
 	x.wait = x.backlog.wait()
@@ -188,7 +195,7 @@
 	if e.tier != tierOwnZone {
 		x.explained += float64(zoneRoundTrip)
 	}
-	bias := e.load.usualBias(at, n.mean)
+	bias := e.learned().usualBias(at, n.mean)
 	occupancy := x.occupancy() + unknown
 	if bias > 0 {
 		// A longer latency than expected means more requests than reported.
--- a/core/route/leastwork_test.go
+++ b/core/route/leastwork_test.go
@@ -330,7 +330,7 @@
 	workers.Wait()
 	r.Each("s", func(e *Endpoint) {
 		require.Zero(t, e.Status(start).InFlight)
-		require.Zero(t, e.load.inFlightWork.Load())
+		require.Zero(t, e.learned().inFlightWork.Load())
 	})
 	require.Positive(t, r.PlacementTotals().Responses)
 }
@@ -356,3 +356,29 @@
 		p.End(now, result, 100)
 	}
 }
+
+// Guards against a target that gets no requests any more at low load because its speed was
+// once misjudged: requests one after the other, two equal targets, one of which answered
+// its first requests ten times more slowly.
+func TestMisjudgedTargetIsTriedAgain(t *testing.T) {
+	now := time.Unix(1, 0)
+	r := New(Config{Self: 1, Zone: "a", Start: now, Policy: NearestCapacity})
+	r.Update(now, "s", []Target{{Incarnation: 1, VM: "v1", Zone: "a", Slots: 8}, {Incarnation: 2, VM: "v2", Zone: "a", Slots: 8}})
+	chosen := map[string]int{}
+	for i := range 700 {
+		p, err := r.Place(now, "s", 0, Request{Operation: "o", Bytes: 100})
+		require.Nil(t, err)
+		took := 10 * time.Millisecond
+		if p.Endpoint.Target().VM == "v1" && i < 100 {
+			took *= 10
+		}
+		p.Begin()
+		now = now.Add(took)
+		p.Report(now, Report{InFlight: 0, Limit: 8, Slots: 8, WorkLeft: time.Microsecond, OwnWork: took, Speed: 1})
+		p.End(now, Result{Latency: took, Outcome: outcome.Completed, NodeResponded: true}, 100)
+		if i >= 100 {
+			chosen[p.Endpoint.Target().VM]++
+		}
+	}
+	require.Greater(t, chosen["v1"], 3, "%v", chosen)
+}
--- a/core/route/load.go
+++ b/core/route/load.go
@@ -118,7 +118,7 @@
 	if fresh == 0 {
 		return e.backlogWithoutWork(at, requestCost)
 	}
-	l := &e.load
+	l := e.learned()
 	slots := max(l.slots.load(), 1)
 	mean := &e.service.mean
 	b := backlog{
@@ -185,17 +185,21 @@
 func (s *service) updateLoad(v *view, at int64) {
 	var occupancy, work, speed, n, learned float64
 	for _, e := range v.close {
-		reported := e.load.reportedAt.Load()
+		l := e.workLoad.Load()
+		if l == nil {
+			continue
+		}
+		reported := l.reportedAt.Load()
 		if reported == 0 || e.state(at) != stateOpen {
 			continue
 		}
 		weight := freshnessOf(at, reported, reportHalfAge)
-		slots := max(e.load.slots.load(), 1)
-		occupancy += weight * e.load.requests.load() / slots
-		work += weight * e.load.work.load() / slots
+		slots := max(l.slots.load(), 1)
+		occupancy += weight * l.requests.load() / slots
+		work += weight * l.work.load() / slots
 		n += weight
-		if e.load.speed.Samples() > 0 {
-			speed += e.load.speed.Value()
+		if l.speed.Samples() > 0 {
+			speed += l.speed.Value()
 			learned++
 		}
 	}
@@ -211,6 +215,8 @@
 // eachSpeed calls f for the speed of each target of the service.
 func (v *view) eachSpeed(f func(*cost.Speed)) {
 	for _, e := range v.byIncarnation {
-		f(&e.load.speed)
+		if l := e.workLoad.Load(); l != nil {
+			f(&l.speed)
+		}
 	}
 }
--- a/core/route/loads_test.go
+++ b/core/route/loads_test.go
@@ -390,7 +390,7 @@
 		speed := 0.0
 		for _, r := range p.routers {
 			if e := r.Find(id + 1); e.tier == tierOwnZone {
-				speed += e.load.speed.Value() / playCallers
+				speed += e.learned().speed.Value() / playCallers
 			}
 		}
 		p.result.speeds = append(p.result.speeds, speed)
@@ -482,7 +482,7 @@
 		{"2 choices", scan(occupancy, 2)},
 		{"4 choices", scan(occupancy, 4)},
 		{"least work left", scan(func(e *Endpoint, q *query, s *service) float64 {
-			b := e.backlog(q.at, s.needOf(Request{}).mean, e.load.freshness(q.at))
+			b := e.backlog(q.at, s.needOf(Request{}).mean, e.learned().freshness(q.at))
 			return b.work / b.slots
 		}, 0)},
 		expectedCompletion,
--- a/core/route/placement.go
+++ b/core/route/placement.go
@@ -81,7 +81,7 @@
 func (p *Placement) Begin() {
 	p.Endpoint.Begin()
 	if p.byWork {
-		l := &p.Endpoint.load
+		l := p.Endpoint.learned()
 		p.reportedAt = l.reportedAt.Load()
 		l.inFlightWork.Add(p.expectedWork)
 		l.sentWork.Add(p.expectedWork)
@@ -95,7 +95,7 @@
 	p.Endpoint.Report(now, report)
 	if p.byWork && report.OwnWork > 0 {
 		s := p.Endpoint.service
-		s.operations.Learn(s.clock.nanos(now), p.need.operation, &p.Endpoint.load.speed, float64(report.OwnWork))
+		s.operations.Learn(s.clock.nanos(now), p.need.operation, &p.Endpoint.learned().speed, float64(report.OwnWork))
 	}
 }
 
@@ -111,7 +111,7 @@
 // endWork removes the request from what the node has in flight. Without a report since
 // Begin, it also removes it from what was sent since the report.
 func (p *Placement) endWork() {
-	l := &p.Endpoint.load
+	l := p.Endpoint.learned()
 	l.inFlightWork.Add(-p.expectedWork)
 	if l.reportedAt.Load() == p.reportedAt {
 		l.sentWork.Add(-p.expectedWork)
@@ -136,7 +136,7 @@
 	}
 	all := p.Endpoint.service.operations.All()
 	if !result.Unrepresentative {
-		p.Endpoint.load.addBias(at, latency-expected, p.need.mean)
+		p.Endpoint.learned().addBias(at, latency-expected, p.need.mean)
 	}
 	if !late && !result.Unrepresentative {
 		p.Endpoint.service.totals.add(expected, latency)
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -60,6 +60,7 @@
 	view          atomic.Pointer[view]
 	random        random
 	roundRobin    atomic.Uint64 // position of RoundRobin
+	placed        atomic.Uint64 // number of requests that LeastWork has placed
 	latencyMedian atomicFloat   // median of counters.latency, nanoseconds
 	meanLatency   atomicFloat   // median of counters.meanLatency, nanoseconds
 	refused       atomicFloat   // median of counters.refused
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -159,7 +159,9 @@
 	e.down.Store(report.TargetDown)
 	e.threshold.Store(at, report.Threshold)
 	e.setHint(at, report.InFlight, report.Limit)
-	e.load.report(at, report)
+	if report.WorkLeft > 0 {
+		e.learned().report(at, report)
+	}
 }
 
 // A Status describes the state of an endpoint for operators.
