Give small accounts larger buckets, and split the entry's side

Requests of small accounts that arrive close together were refused although their quota was not used: the rate took all of the overage, and 0.4 of the margin was reserved for credit. The rate now takes three quarters of the overage, and credit 0.3 of the margin.

A quota that is used up is logged once for a series of refusals, which ends after a second without one, and the task looks only for a new configuration while no account has a limit.

--- a/core/quota/entry.go
+++ b/core/quota/entry.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -22,6 +21,9 @@
 	idlePeriod = 10 * time.Second
 	// loadExpiry is how long a load that an owner has reported is used.
 	loadExpiry = 2 * time.Second
+	// seriesPeriod is the time without refusals after which a new series of refusals
+	// begins.
+	seriesPeriod = time.Second
 	// awayPeriod is how long a lease of another owner than the preferred one is renewed.
 	awayPeriod = time.Second
 	// minReturn is the minimum wait that a refused client is told: one exchange.
@@ -53,8 +55,7 @@
 	RetryAfter time.Duration
 	// Urgent is true if an exchange should not wait for the regular time.
 	Urgent bool
-	// Exhausted is true if the request is the first that is refused in a period of
-	// refusals.
+	// Exhausted is true if the request is the first of a series that is refused.
 	Exhausted bool
 	// Age is the time since an owner last responded about the account; negative if none
 	// has. It is set for refused requests.
@@ -95,61 +96,6 @@
 	view uint64
 }
 
-// entryAccount is what an entry knows of one account.
-type entryAccount struct {
-	mu   sync.Mutex
-	name string
-	hash uint32
-	// view is the view from which owners were derived. home is the index of the
-	// preferred owner and current that of the one to ask next.
-	view          *View
-	random        *rand.Rand
-	owners        []string
-	home, current int
-	// awaySince is when another owner than the preferred one was first asked.
-	awaySince time.Time
-	// tries is the number of owners that have failed in a row.
-	tries    int
-	inFlight bool
-
-	// lease is held from the current owner. loose tokens are of leases that will not be
-	// renewed.
-	lease lease
-	loose tokens
-	// credit is the number of requests on credit that no owner has confirmed.
-	credit uint32
-	// unused is the number of admitted requests that did not run.
-	unused  uint32
-	arrived uint32
-	demand  decayingCount
-	used    decayingCount
-	// refused is set if a request was refused since the last report, and refusing if the
-	// last decision was a refusal.
-	refused, refusing bool
-	// short is set if the last response contained fewer tokens than wanted.
-	short bool
-	// answered is when an owner last responded, and waitUntil is when it expected to
-	// have tokens again. nextReturn is the latest time that a refused client was told.
-	answered, waitUntil, nextReturn time.Time
-	supply                          decayingCount
-	load                            float64
-	loadAt                          time.Time
-}
-
-// tokens are tokens with a common expiry.
-type tokens struct {
-	count   uint32
-	expires time.Time
-}
-
-// lease is a lease on tokens of one owner.
-type lease struct {
-	tokens
-	id uint64
-	// spent is the number of tokens spent since the last report.
-	spent uint32
-}
-
 // NewEntry returns the entry's side. It needs a view before it admits requests. The seed
 // should differ between nodes, so that they tell refused clients different times.
 func NewEntry(rules Rules, seed uint64) *Entry {
@@ -243,70 +189,6 @@
 	return a
 }
 
-// follow derives the owners from a view.
-func (a *entryAccount) follow(view *View) {
-	if a.view == view {
-		return
-	}
-	owners := view.Owners(a.name)
-	a.view = view
-	if slices.Equal(a.owners, owners) {
-		return
-	}
-	a.detach()
-	a.owners, a.tries = owners, 0
-	a.home = 0
-	if len(owners) > 0 {
-		a.home = view.home % len(owners)
-	}
-	a.current = a.home
-}
-
-// takeToken spends a token if there is one.
-func (a *entryAccount) takeToken(now time.Time) bool {
-	if a.loose.expire(now); a.loose.count > 0 {
-		a.loose.count--
-		return true
-	}
-	if a.lease.expire(now); a.lease.count > 0 {
-		a.lease.count--
-		a.lease.spent++
-		return true
-	}
-	return false
-}
-
-// tokens returns the number of tokens held.
-func (a *entryAccount) tokens(now time.Time) uint32 {
-	a.loose.expire(now)
-	a.lease.expire(now)
-	return a.loose.count + a.lease.count
-}
-
-func (t *tokens) expire(now time.Time) {
-	if t.count > 0 && !now.Before(t.expires) {
-		t.count = 0
-	}
-}
-
-// detach ends the renewal of the lease, so that a part of it is never reported twice. Its
-// tokens can be spent until they expire.
-func (a *entryAccount) detach() {
-	if a.lease.count > 0 {
-		if a.loose.count == 0 || a.lease.expires.Before(a.loose.expires) {
-			a.loose.expires = a.lease.expires
-		}
-		a.loose.count += a.lease.count
-	}
-	a.lease = lease{}
-}
-
-func (a *entryAccount) admit(now time.Time, urgent bool) Decision {
-	a.used.add(now, 1)
-	a.refusing = false
-	return Decision{Verdict: Admitted, Urgent: urgent}
-}
-
 // hasCredit reports whether the owner to ask gives credit. If it does not and another one
 // does, that one becomes the one to ask. The read lock and the account's are held.
 func (e *Entry) hasCredit(now time.Time, a *entryAccount) bool {
@@ -329,61 +211,6 @@
 	return c != nil && now.Sub(c.at) < contactPeriod && c.view == e.view.hash && !c.all && !c.exhausted[a.hash]
 }
 
-// ask makes an owner the one to ask next.
-func (a *entryAccount) ask(owner int) {
-	if owner != a.current {
-		a.detach()
-		a.current = owner
-	}
-}
-
-// refuse returns the refusal of a request.
-func (e *Entry) refuse(now time.Time, a *entryAccount) Decision {
-	d := Decision{Verdict: Exceeded, Urgent: !a.refused && !now.Before(a.waitUntil), Exhausted: !a.refusing, Age: a.age(now)}
-	if now.Sub(a.answered) >= contactPeriod && !e.inContact(now, a) {
-		d.Verdict = Unknown
-	}
-	a.refused, a.refusing = true, true
-	d.RetryAfter = e.returnTime(now, a).Sub(now)
-	return d
-}
-
-// returnTime returns the time at which a refused client should come back. If the owners have
-// no tokens, clients that are refused later are told a later time, at the rate at which this
-// entry receives tokens, and those of other entries other times.
-func (e *Entry) returnTime(now time.Time, a *entryAccount) time.Time {
-	earliest := later(now.Add(minReturn), a.waitUntil)
-	if !a.short && e.anyCredit(now, a) {
-		// Only this entry lacks a token, and an exchange brings one.
-		return earliest
-	}
-	rate := max(a.supply.rate(now), e.view.limits[a.name].Rate/float64(max(e.view.members, 1))) * returnShare
-	gap := time.Duration(float64(time.Second) / rate)
-	first := earliest.Add(min(time.Duration(a.random.Float64()*float64(gap)), e.window))
-	a.nextReturn = later(first, a.nextReturn.Add(gap))
-	if a.nextReturn.After(now.Add(returnWindows * e.window)) {
-		a.nextReturn = later(first, now.Add(e.window))
-	}
-	return a.nextReturn
-}
-
-// anyCredit reports whether an owner gives credit.
-func (e *Entry) anyCredit(now time.Time, a *entryAccount) bool {
-	for i := range a.owners {
-		if e.allowsCredit(now, a, i) {
-			return true
-		}
-	}
-	return false
-}
-
-func (e *Entry) inContact(now time.Time, a *entryAccount) bool {
-	return slices.ContainsFunc(a.owners, func(vm string) bool {
-		c := e.contacts[vm]
-		return c != nil && now.Sub(c.at) < contactPeriod
-	})
-}
-
 // Refund returns what Take used for a request that has not run and will not run.
 func (e *Entry) Refund(now time.Time, name string) {
 	e.mu.RLock()
@@ -416,47 +243,3 @@
 	}
 	return a.load, true
 }
-
-// A Use is the use of one quota at this entry.
-type Use struct {
-	Account string
-	// Rate is the configured rate of the quota.
-	Rate float64
-	// Used is the number of requests admitted per second here, and Held the number of
-	// tokens held.
-	Used float64
-	Held uint32
-	// Load is the load of the account at all entries; 0 if it is not known.
-	Load float64
-	// Age is the time since an owner last responded; negative if none has.
-	Age time.Duration
-}
-
-// Snapshot returns the use of the quotas that had requests lately, by account.
-func (e *Entry) Snapshot(now time.Time) []Use {
-	e.mu.RLock()
-	defer e.mu.RUnlock()
-	uses := make([]Use, 0, len(e.accounts))
-	for _, a := range e.accounts {
-		uses = append(uses, a.use(now, e.view.limits[a.name].Configured))
-	}
-	slices.SortFunc(uses, func(a, b Use) int { return cmp.Compare(a.Account, b.Account) })
-	return uses
-}
-
-func (a *entryAccount) use(now time.Time, rate float64) Use {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	u := Use{Account: a.name, Rate: rate, Used: max(a.used.rate(now), 0), Held: a.tokens(now), Age: a.age(now)}
-	if now.Sub(a.loadAt) < loadExpiry {
-		u.Load = a.load
-	}
-	return u
-}
-
-func (a *entryAccount) age(now time.Time) time.Duration {
-	if a.answered.IsZero() {
-		return -1
-	}
-	return now.Sub(a.answered)
-}
--- a/core/quota/limits.go
+++ b/core/quota/limits.go
@@ -61,8 +61,12 @@
 	// capacitySeconds is the ratio of capacity and rate that leaves tokens for the
 	// leases of all entries between two exchanges.
 	capacitySeconds = 0.45
+	// rateShare is the part of the overage that the rate of a small account may use. The
+	// rest makes its buckets larger, which helps more against requests that arrive close
+	// together.
+	rateShare = 0.75
 	// creditShare is the maximum part of the margin that is reserved for credit.
-	creditShare = 0.4
+	creditShare = 0.3
 )
 
 // Limits are the quota of an account as its owners apply it.
@@ -96,7 +100,7 @@
 	credit := min(float64(members), creditShare*margin)
 	total := owed + margin - credit
 	window := rules.Window.Seconds()
-	rate := min(total/(window+capacitySeconds), owed*(1+rules.Overage)/window)
+	rate := min(total/(window+capacitySeconds), owed*(1+rules.Overage*rateShare)/window)
 	capacity := total - rate*window
 	return Limits{
 		Rate: rate, Capacity: capacity, Credit: credit, Configured: a.RatePerSecond,
--- a/node/relay/quota.go
+++ b/node/relay/quota.go
@@ -107,7 +107,7 @@
 	defer q.exchanges.Wait()
 	ticker := time.NewTicker(quotaTick)
 	defer ticker.Stop()
-	earliest := time.Time{}
+	earliest, idle := time.Time{}, false
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -119,7 +119,20 @@
 		now := time.Now()
 		earliest = now.Add(quotaTick / 2)
 		q.step(ctx, now)
+		if idle != (q.limited == 0) {
+			idle = q.limited == 0
+			ticker.Reset(q.interval())
+		}
+	}
+}
+
+// interval returns the time between two steps. Without limits, the task only looks for a
+// change of the configuration.
+func (q *quotaTask) interval() time.Duration {
+	if q.limited == 0 {
+		return quota.Period
 	}
+	return quotaTick
 }
 
 // step applies changes of the members and of the configuration, and starts the exchanges
