Keep the fill of a bucket whose part has not grown

Each change of the members that own quotas made all buckets lose what they had filled since they were last used. Only a part that grows may have been another node's before.

--- a/core/quota/load_test.go
+++ b/core/quota/load_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -160,3 +162,55 @@
 		require.GreaterOrEqual(t, float64(ran)/float64(returned), 0.8)
 	}
 }
+
+// Guards against a join that refuses more than the part of the new owner: 66 nodes at the
+// usual load, and a member joins that ranks among the first candidates. The others learn of
+// it within a second. Logs the share let through second by second.
+func TestJoinOfOwnerCostsAtMostItsPart(t *testing.T) {
+	const nodes, seconds = 66, 8
+	w := newWorld(4, nodes, zipfAccounts(75)...)
+	anywhere := func(*account.Account) int { return w.rng.IntN(nodes) }
+	one := func(*account.Account) float64 { return 1 }
+	w.play(8*time.Second, one, anywhere)
+	joining := w.joinAsOwner()
+	for _, n := range w.nodes[:nodes] {
+		w.after(time.Duration(w.rng.Int64N(int64(time.Second))), func() { w.view(n, joining) })
+	}
+	from := w.now
+	var shares []float64
+	for range seconds {
+		start := w.now
+		w.play(time.Second, one, anywhere)
+		ran, asked := 0, 0
+		for name := range w.asked {
+			ran, asked = ran+countSince(w.ran[name], start), asked+countSince(w.asked[name], start)
+		}
+		shares = append(shares, float64(ran)/float64(asked))
+	}
+	t.Logf("let through each second: %.3f", shares)
+	require.GreaterOrEqual(t, w.report(t, from), 1-1.0/maxOwners)
+}
+
+// joinAsOwner starts a node that ranks among the first candidates and returns the members.
+func (w *world) joinAsOwner() []string {
+	n := w.add()
+	for i := 0; ; i++ {
+		n.vm = "joining-" + strconv.Itoa(i)
+		members := w.vms()
+		if slices.Contains(NewView("", members, nil, testRules).Candidates(), n.vm) {
+			n.members = members
+			w.start(n, false)
+			return members
+		}
+	}
+}
+
+func countSince(times []time.Time, start time.Time) int {
+	count := 0
+	for _, t := range times {
+		if t.After(start) {
+			count++
+		}
+	}
+	return count
+}
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -192,6 +192,8 @@
 	p.share, p.limits = o.share(name)
 	// Credit that an earlier owner or incarnation had to account for may be lost.
 	p.tokens = -min(p.limits.Credit, p.limits.Rate*ViewDelay.Seconds()) * p.share
+	// What was filled before may have been another node's part.
+	p.updated = later(p.updated, o.changedAt)
 	o.parts[name] = p
 	o.advance(now, name, p)
 	return p
@@ -200,11 +202,14 @@
 // advance fills the bucket of a part and ends leases.
 func (o *Owner) advance(now time.Time, name string, p *part) {
 	if p.generation != o.generation {
+		missed, share := o.generation-p.generation > 1, p.share
 		p.generation = o.generation
 		p.share, p.limits = o.share(name)
+		if missed || p.share > share {
+			// What was filled before the last change may have been another node's part.
+			p.updated = later(p.updated, o.changedAt)
+		}
 	}
-	// What was filled before the last change may have been another node's part.
-	p.updated = later(p.updated, o.changedAt)
 	slot := o.firstLease + uint64(max(now.Sub(o.start), 0)/slotDuration)
 	// Leases end in steps, so that the bucket fills as they do.
 	for steps := 0; p.slot < slot && steps < leaseSlots; steps++ {
