--- a/node/relay/quotawiring_test.go
+++ b/node/relay/quotawiring_test.go
@@ -53,6 +53,7 @@
 			VM: n.vm, EntryAddress: freeAddress(t), PeerAddress: addresses[i], TargetAddress: "127.0.0.1:1", MemoryBytes: 64 << 20,
 			Config: &simClient{store: store, node: n, topic: &store.config}, Members: &simClient{store: store, node: n, topic: &store.members},
 			Decode: func([]byte) (*ingress.Table, error) { return &ingress.Table{Version: 1, Accounts: directory}, nil },
+			Redact: func(document []byte) ([]byte, error) { return document, nil },
 			Logger: zap.NewNop(), Metrics: metrics,
 		})
 		require.NoError(t, err)
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -143,7 +143,7 @@
 	// Decode decodes a configuration document.
 	Decode func(document []byte) (*ingress.Table, error)
 	// Redact returns a configuration document with digests in place of the keys of client
-	// accounts, which Decode also decodes.
+	// accounts, which Decode also decodes. It is required if Decode returns accounts.
 	Redact  func(document []byte) ([]byte, error)
 	Logger  *zap.Logger
 	Metrics *telemetry.Metrics
