Play client accounts in the fault soak

Cause: the soak had no client accounts, so nothing checked keys and quotas while nodes are killed, suspended and cut off. Clients send valid, unknown and removed keys or none, an account sends many times its load, and keys and quotas change in new versions of the configuration. The steps are added to the schedule of a seed, which stays as it was; schedules in seeds.txt have accounts only if their line says so.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	Calm       time.Duration `arg:"--calm" default:"3s" help:"time of load after the recovery"`
 	Sabotage   bool          `arg:"--sabotage" help:"duplicate what is sent to targets, which the checks must find"`
 	NoReturns  bool          `arg:"--no-returns" help:"leave out returns of the store from copies"`
+	Accounts   string        `arg:"--accounts" default:"some" help:"seeds with client accounts: some (one in three), all or none"`
 	Regression bool          `arg:"--regression" help:"play the schedules that failed once instead of seeds"`
 }
 
@@ -39,6 +40,9 @@
 	if args.VMs < 2 || args.Seeds < 1 || args.Clients < 1 {
 		parser.Fail("--vms needs at least 2, --seeds and --clients at least 1")
 	}
+	if args.Accounts != "some" && args.Accounts != "all" && args.Accounts != "none" {
+		parser.Fail("--accounts needs some, all or none")
+	}
 	if args.Seed == 0 {
 		args.Seed = uint64(time.Now().UnixNano()) % 1_000_000
 	}
@@ -74,11 +78,16 @@
 	}
 	list := make([]soak.Schedule, 0, a.Seeds)
 	for seed := a.Seed; seed < a.Seed+uint64(a.Seeds); seed++ {
-		list = append(list, soak.Schedule{Seed: seed, VMs: a.VMs, Faults: a.Faults})
+		list = append(list, soak.Schedule{Seed: seed, VMs: a.VMs, Faults: a.Faults, Accounts: a.hasAccounts(seed)})
 	}
 	return list, nil
 }
 
+// hasAccounts reports whether the schedule of the seed has client accounts.
+func (a *arguments) hasAccounts(seed uint64) bool {
+	return a.Accounts == "all" || a.Accounts == "some" && soak.HasAccounts(seed)
+}
+
 // runSchedule runs one schedule and prints its report. It returns false if there are
 // findings.
 func (a *arguments) runSchedule(s soak.Schedule) (bool, error) {
@@ -94,13 +103,13 @@
 		Binary: binary, Folder: folder, Seed: s.Seed, VMs: s.VMs, Clients: a.Clients,
 		Faults: s.Faults, Calm: a.Calm, Sabotage: a.Sabotage,
 		// The schedules that failed once had no returns.
-		Returns: !a.NoReturns && !a.Regression,
+		Returns: !a.NoReturns && !a.Regression, Accounts: s.Accounts,
 	})
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d steps, %d requests, %d served, %d reached targets, %d MB at most, longest stall of the runner %s, %d findings\n",
-		s.Seed, len(report.Steps), report.Attempts, report.Served, report.Arrivals, report.PeakMB, report.Stall.Round(time.Millisecond), len(report.Findings))
+	fmt.Printf("seed %d, accounts %t: %d steps, %d requests, %d served, %d reached targets, %d without a valid key, %d over a quota, %d MB at most, longest stall of the runner %s, %d findings\n",
+		s.Seed, s.Accounts, len(report.Steps), report.Attempts, report.Served, report.Arrivals, report.Unauthorized, report.OverQuota, report.PeakMB, report.Stall.Round(time.Millisecond), len(report.Findings))
 	for _, finding := range report.Findings {
 		fmt.Println("  ", finding)
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -94,6 +95,7 @@
 	c.checkBudget()
 	c.checkConfig()
 	c.checkRecovery()
+	c.checkAccounts()
 	for _, end := range h.UnexpectedExits {
 		c.find("ENDS", "", "%s", end)
 	}
@@ -122,6 +124,8 @@
 	case a.Status/100 == 2 && a.ResponseBody != responseBodyFor(a.ID):
 		c.find("MIXED", a.ID, "success with a body of %d bytes that is not the target's", len(a.ResponseBody))
 	case a.Status == 404 && a.Route == RouteGeneration:
+	case a.Status == http.StatusUnauthorized:
+		// See checkUnauthorized.
 	case a.Status/100 == 3, a.Status/100 == 4 && !refusal(a.Status):
 		c.find("DENIED", a.ID, "a valid request got status %d", a.Status)
 	}
@@ -339,7 +343,8 @@
 
 // checkRecovery finds requests that fail more than RecoveryBound after the end of
 // the last fault. It excludes RouteGeneration, because a node responds with status
-// 404 for a generation that was replaced.
+// 404 for a generation that was replaced. checkUnauthorized and checkQuotaRefusals apply
+// to refusals that concern client accounts.
 func (c *checker) checkRecovery() {
 	if c.FaultsEnded.IsZero() {
 		return
@@ -349,6 +354,9 @@
 		if a.Sent.Before(c.FaultsEnded.Add(RecoveryBound)) || a.GaveUp || a.Route == RouteGeneration || c.stalled(a.Sent, a.Ended) {
 			continue
 		}
+		if a.Status == http.StatusUnauthorized || c.quotaRefused(a) {
+			continue
+		}
 		if a.Status != 200 {
 			c.find("RECOVER", a.ID, "sent %s after the last fault to VM %d, got status %d", a.Sent.Sub(c.FaultsEnded), a.VM+1, a.Status)
 			continue
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -90,7 +90,7 @@
 
 // request returns the request as it is sent.
 func (a *Attempt) request() plainplatform.Request {
-	return plainplatform.Request{ID: a.ID, Method: a.Method, Host: a.Route.host(), Target: a.Target, Body: a.Body, Deadline: a.Deadline}
+	return plainplatform.Request{ID: a.ID, Method: a.Method, Host: a.Route.host(), Target: a.Target, Body: a.Body, Deadline: a.Deadline, Key: a.Key, Tenant: a.ForgedAccount}
 }
 
 // record records the response, or its absence.
@@ -144,6 +144,7 @@
 // client sends random requests to one VM.
 type client struct {
 	vm         *vm
+	keys       *keyring
 	name       string
 	random     *rand.Rand
 	history    *History
@@ -192,7 +193,11 @@
 // nextAttempt returns a new request of the route.
 func (c *client) nextAttempt(route Route) *Attempt {
 	c.count++
-	return newAttempt(fmt.Sprintf("%s-%d", c.name, c.count), route, 0, c.vm.index, c.vm.currentIncarnation())
+	a := newAttempt(fmt.Sprintf("%s-%d", c.name, c.count), route, 0, c.vm.index, c.vm.currentIncarnation())
+	if c.keys != nil {
+		a.Key, a.ForgedAccount = c.keys.draw(c.random), drawForgedAccount(c.random)
+	}
+	return a
 }
 
 // sendAhead sends several idempotent requests at once.
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -12,6 +12,16 @@
 // that crash, drain, restart, become slow or send faulty responses; and changes of
 // the configuration. Faults may repeat in series and overlap.
 //
+// Client accounts. One in three seeds has a configuration with client accounts, keys and
+// quotas. Clients send valid, unknown and removed keys or none, and state account names
+// that the node has to replace. PlanAccounts adds steps to the schedule: an account sends
+// many times its usual load and ignores refusals; keys are added and removed, and quotas
+// lowered and restored, by new versions of the configuration. Public routes need no key.
+// The checks compare keys with the versions that may be in force at the entry node, as
+// for routes, and count what targets ran of each account in every window of 5 s. A
+// lowered quota binds one window after each VM has been undisturbed long enough to have
+// it.
+//
 // Checks. A History records all requests that clients sent with their responses,
 // and all requests that targets received and ran. Check returns the guarantees that
 // a history violates. After the last fault, the fleet has RecoveryBound until it
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -87,6 +87,8 @@
 	ackedGeneration int
 	// configMutex serializes changes of the configuration.
 	configMutex sync.Mutex
+	// keys holds the client accounts; nil if the configuration has none.
+	keys *keyring
 }
 
 // newFleet starts the store and creates the VMs and their proxies. It does not start the
@@ -94,6 +96,9 @@
 func newFleet(o Options, history *History) (*fleet, error) {
 	f := &fleet{history: history, store: logservice.New(logservice.Config{})}
 	f.store.SetEra(1)
+	if o.Accounts {
+		f.keys = newKeyring(o.VMs * o.Clients)
+	}
 	addresses, err := freeport.Addresses(1 + o.VMs*addressesPerVM)
 	if err != nil {
 		return nil, err
@@ -186,6 +191,14 @@
 	return f.write(f.generation() + 1)
 }
 
+// configureAccount stores the next generation, in which a step has changed an account.
+func (f *fleet) configureAccount(s Step) error {
+	f.configMutex.Lock()
+	defer f.configMutex.Unlock()
+	f.keys.change(s)
+	return f.write(f.generation() + 1)
+}
+
 // configureAgain stores the newest generation again, which the store may have lost.
 func (f *fleet) configureAgain() error {
 	f.configMutex.Lock()
@@ -195,8 +208,8 @@
 
 // write stores a generation of the configuration. The caller must hold configMutex.
 func (f *fleet) write(next int) error {
-	change := Change{Generation: next, Sent: time.Now()}
-	record := plainplatform.KeyedRecord(plainplatform.KeyConfig, plainplatform.Configuration(next, routes(next)))
+	change := Change{Generation: next, Sent: time.Now(), Accounts: f.keys.all()}
+	record := plainplatform.KeyedRecord(plainplatform.KeyConfig, plainplatform.Configuration(next, routes(next), tenants(change.Accounts)...))
 	for range maxConfigAttempts {
 		if _, err := f.store.Append(context.Background(), plainplatform.TopicOperator, record); err == nil {
 			change.Acked = time.Now()
@@ -220,7 +233,7 @@
 		{Name: "order", Host: hostShop, PathPrefix: "/order/", Service: serviceStock},
 		{Name: "price", Host: hostPrice, PathPrefix: "/price/", Idempotent: true, Priority: 1, Service: servicePrices},
 		{Name: "debit", Host: hostPrice, PathPrefix: "/debit/", Service: servicePrices},
-		{Name: name, Host: hostPrice, PathPrefix: "/" + name + "/", Idempotent: true, Priority: 2, Service: servicePrices},
+		{Name: name, Host: hostPrice, PathPrefix: "/" + name + "/", Idempotent: true, Priority: 2, Service: servicePrices, Public: true},
 	}
 	for i := range list {
 		list[i].Timeout, list[i].Attempts = routeTimeout, routeAttempts
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -37,7 +37,10 @@
 	VM, Incarnation      int
 	Method, Target, Body string
 	Deadline             time.Duration
-	Sent, Ended          time.Time
+	// Key is the key of a client account that the request carried, and ForgedAccount
+	// the account name that the client stated, which the node must not pass on.
+	Key, ForgedAccount string
+	Sent, Ended        time.Time
 	// Status is 0 if no complete response was received.
 	Status       int
 	ResponseBody string
@@ -64,6 +67,10 @@
 	Body           string
 	Caller         string
 	Deadline       time.Duration
+	// Account is the name of the client account that the node stated.
+	Account string
+	// KeyIn names the part of the request that contained a key, or is empty.
+	KeyIn string
 	// Ran is false if the target refused the request.
 	Ran bool
 }
@@ -78,6 +85,8 @@
 type Change struct {
 	Generation  int
 	Sent, Acked time.Time
+	// Accounts holds the client accounts of the configuration.
+	Accounts []Account
 }
 
 // allVMs is the VM of a disturbance that affects every VM.
@@ -101,6 +110,8 @@
 	// UnexpectedExits describes processes that exited unexpectedly or exceeded
 	// their memory limit.
 	UnexpectedExits []string
+	// LogLeaks describes the log files of nodes that contain a key.
+	LogLeaks []string
 	// FaultsEnded is the time at which the last fault ended.
 	FaultsEnded time.Time
 }
@@ -168,7 +179,9 @@
 
 // harmless reports whether rules with a time bound also apply during disturbances of
 // the kind.
-func (k Kind) harmless() bool { return k == ConfigChange || k == TargetDrain || k == NodeReload }
+func (k Kind) harmless() bool {
+	return k == ConfigChange || k == TargetDrain || k == NodeReload || k.ofAccounts()
+}
 
 // affectsStore reports whether the kind is a fault of the store or of a link to it.
 func (k Kind) affectsStore() bool {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -59,8 +59,19 @@
 	// operator writes the newest configuration again. It is drawn by PlanReturns, so
 	// that the schedules of earlier seeds stay as they are.
 	StoreReturns
+	// AccountSurge makes the clients of Account send many times their usual load for
+	// For. KeyAdded, KeyRemoved, QuotaLowered and QuotaRestored change Account in a new
+	// version of the configuration. They are drawn by PlanAccounts.
+	AccountSurge
+	KeyAdded
+	KeyRemoved
+	QuotaLowered
+	QuotaRestored
 )
 
+// ofAccounts reports whether the kind concerns client accounts.
+func (k Kind) ofAccounts() bool { return k >= AccountSurge && k <= QuotaRestored }
+
 // String returns the name of the kind.
 func (k Kind) String() string {
 	switch k {
@@ -69,6 +80,9 @@
 	case StoreReturns:
 		return "store returns from a copy"
 	}
+	if k.ofAccounts() {
+		return [...]string{"account surges", "key added", "key removed", "quota lowered", "quota restored"}[k-AccountSurge]
+	}
 	return [...]string{
 		"node killed", "node paused", "node stopped", "node reloads", "node with its clock back",
 		"link of clients", "link of nodes", "link of the target", "link of the store",
@@ -80,7 +94,7 @@
 // Planned reports whether the kind is planned work, during which no request may be
 // lost.
 func (k Kind) Planned() bool {
-	return k == NodeStop || k == NodeReload || k == TargetDrain || k == ConfigChange
+	return k == NodeStop || k == NodeReload || k == TargetDrain || k == ConfigChange || k.ofAccounts()
 }
 
 // Step is one step of a schedule.
@@ -91,11 +105,16 @@
 	VM   int
 	For  time.Duration
 	Link LinkFault
+	// Account is the index of the affected client account.
+	Account int
 }
 
 // String returns a one-line description of the step.
 func (s Step) String() string {
 	text := fmt.Sprintf("%6.2fs %s, VM %d, for %.2fs", s.At.Seconds(), s.Kind, s.VM+1, s.For.Seconds())
+	if s.Kind.ofAccounts() {
+		text = fmt.Sprintf("%6.2fs %s, account %s, for %.2fs", s.At.Seconds(), s.Kind, accountNames[s.Account], s.For.Seconds())
+	}
 	if s.Link != LinkHealthy {
 		text += ", " + s.Link.String()
 	}
--- a/internal/soak/seeds.go
+++ b/internal/soak/seeds.go
@@ -18,6 +18,8 @@
 	Seed   uint64
 	VMs    int
 	Faults time.Duration
+	// Accounts adds client accounts, see PlanAccounts.
+	Accounts bool
 	// Cause describes the cause of an earlier failure, if there was one.
 	Cause string
 }
@@ -44,6 +46,9 @@
 	return list, lines.Err()
 }
 
+// accountsWord stands before the cause of a schedule that has client accounts.
+const accountsWord = "accounts"
+
 func parseRegression(line string) (Schedule, error) {
 	var r Schedule
 	var faults string
@@ -55,8 +60,8 @@
 		return r, errors.Newf("soak: %q: %v; write the duration of the faults with a unit, such as 20s", line, err)
 	}
 	_, cause, _ := strings.Cut(line, faults)
-	r.Cause = strings.TrimSpace(cause)
-	if r.Cause == "" {
+	r.Cause, r.Accounts = strings.CutPrefix(strings.TrimSpace(cause), accountsWord+" ")
+	if r.Cause == "" || r.Cause == accountsWord {
 		return r, errors.Newf("soak: %q has no cause; add one after the duration of the faults", line)
 	}
 	return r, nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -34,6 +35,9 @@
 	Sabotage bool
 	// Returns adds returns of the store from copies to the schedule.
 	Returns bool
+	// Accounts adds client accounts to the configuration, and steps that concern them to
+	// the schedule.
+	Accounts bool
 }
 
 // Report is the result of one run.
@@ -43,6 +47,9 @@
 	Attempts int
 	Served   int
 	Arrivals int
+	// Unauthorized and OverQuota count the requests that were refused for their key and
+	// for the quota of their account.
+	Unauthorized, OverQuota int
 	// PeakMB is the peak resident memory of any node process, in MiB.
 	PeakMB int
 	// Stall is the longest time for which the soak process itself did not run.
@@ -77,6 +84,9 @@
 	if o.Returns {
 		steps = PlanReturns(steps, o.Seed, o.Faults)
 	}
+	if o.Accounts {
+		steps = PlanAccounts(steps, o.Seed, o.Faults)
+	}
 	if err := r.writeSchedule(steps); err != nil {
 		return nil, err
 	}
@@ -94,6 +104,9 @@
 	close(done)
 	load.Wait()
 	r.checkMemory()
+	if err := r.checkLogs(); err != nil {
+		return nil, err
+	}
 	report := r.report(steps)
 	return report, r.writeFindings(report)
 }
@@ -104,7 +117,7 @@
 	for _, v := range r.fleet.vms {
 		for n := range r.options.Clients {
 			c := &client{
-				vm: v, history: r.history, name: fmt.Sprintf("c%d-%d", v.index+1, n),
+				vm: v, keys: r.fleet.keys, history: r.history, name: fmt.Sprintf("c%d-%d", v.index+1, n),
 				random: rand.New(rand.NewPCG(r.options.Seed, uint64(v.index*1000+n))),
 			}
 			load.Go(func() { c.run(done) })
@@ -135,7 +148,8 @@
 	v := r.fleet.vms[s.VM]
 	affected := s.VM
 	switch s.Kind {
-	case StoreDown, StoreSlow, StoreLosesResponses, StoreReturns, ConfigChange:
+	case StoreDown, StoreSlow, StoreLosesResponses, StoreReturns, ConfigChange,
+		AccountSurge, KeyAdded, KeyRemoved, QuotaLowered, QuotaRestored:
 		affected = allVMs
 	}
 	defer r.history.beginDisturbance(s.Kind, affected)()
@@ -157,6 +171,10 @@
 		err = r.returnStore(s)
 	case ConfigChange:
 		err = r.fleet.configure()
+	case KeyAdded, KeyRemoved, QuotaLowered, QuotaRestored:
+		err = r.fleet.configureAccount(s)
+	case AccountSurge:
+		r.surge(s)
 	default:
 		err = r.stepTarget(s, v.target)
 	}
@@ -299,8 +317,13 @@
 	report.Stall = r.history.maxStall()
 	report.Attempts, report.Arrivals = len(r.history.Attempts), len(r.history.Arrivals)
 	for _, a := range r.history.Attempts {
-		if a.Status/100 == 2 {
+		switch {
+		case a.Status/100 == 2:
 			report.Served++
+		case a.Status == http.StatusUnauthorized:
+			report.Unauthorized++
+		case a.Status == http.StatusTooManyRequests:
+			report.OverQuota++
 		}
 	}
 	for _, v := range r.fleet.vms {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -43,6 +43,20 @@
 	require.NotZero(t, report.Served)
 }
 
+// Runs a short schedule with client accounts, and guards against any violation of the
+// guarantees in it.
+func TestSoakWithAccounts(t *testing.T) {
+	report, err := Run(Options{
+		Binary: build(t), Folder: t.TempDir(), Seed: 45, VMs: 4, Clients: 2,
+		Faults: 8 * time.Second, Calm: time.Second, Accounts: true,
+	})
+	require.NoError(t, err)
+	require.Empty(t, report.Findings, "seed %d", report.Seed)
+	require.NotZero(t, report.Served)
+	require.NotZero(t, report.Unauthorized)
+	require.NotZero(t, report.OverQuota)
+}
+
 // Guards against schedules that differ between two runs with the same seed, against
 // kinds of faults that no schedule uses, and against too few schedules with planned
 // work only, without which the rules about planned work would never apply.
@@ -84,6 +98,26 @@
 	require.Greater(t, with, 10)
 }
 
+// Guards against steps of accounts that change the schedules of earlier seeds, and
+// against kinds that no schedule uses.
+func TestAccountStepsAreAddedToSchedules(t *testing.T) {
+	played := make(map[Kind]bool)
+	for seed := range uint64(50) {
+		steps := Plan(seed, 6, 20*time.Second)
+		added := PlanAccounts(slices.Clone(steps), seed, 20*time.Second)
+		require.Equal(t, added, PlanAccounts(slices.Clone(steps), seed, 20*time.Second))
+		require.True(t, slices.IsSortedFunc(added, func(a, b Step) int { return int(a.At - b.At) }))
+		for _, step := range added {
+			require.LessOrEqual(t, step.At+step.For, 20*time.Second)
+			played[step.Kind] = true
+		}
+		require.Equal(t, steps, slices.DeleteFunc(added, func(s Step) bool { return s.Kind.ofAccounts() }))
+	}
+	for kind := AccountSurge; kind <= QuotaRestored; kind++ {
+		require.True(t, played[kind], kind)
+	}
+}
+
 // Guards against entries of seeds.txt that cannot be run again or that name no cause.
 func TestParseRegressions(t *testing.T) {
 	_, err := Regressions()
@@ -91,7 +125,10 @@
 	list, err := parseRegressions("# note\n\n12 6 20s the node forgot a drain\n")
 	require.NoError(t, err)
 	require.Equal(t, []Schedule{{Seed: 12, VMs: 6, Faults: 20 * time.Second, Cause: "the node forgot a drain"}}, list)
-	for _, line := range []string{"12", "12 6 20s", "12 6 twenty cause", "x 6 20s cause"} {
+	list, err = parseRegressions("12 6 20s accounts QUOTA: the owner kept its bucket")
+	require.NoError(t, err)
+	require.Equal(t, []Schedule{{Seed: 12, VMs: 6, Faults: 20 * time.Second, Accounts: true, Cause: "QUOTA: the owner kept its bucket"}}, list)
+	for _, line := range []string{"12", "12 6 20s", "12 6 20s accounts", "12 6 twenty cause", "x 6 20s cause"} {
 		_, err := parseRegressions(line)
 		require.Error(t, err, line)
 	}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -103,7 +104,7 @@
 	t.history.arrival(Arrival{
 		ID: run.AttemptID, TargetID: id, VM: t.vm.index, Service: t.vm.service, At: run.At,
 		Method: run.Method, Target: run.Target, Body: run.Body, Caller: run.Caller, Deadline: run.Deadline,
-		Ran: fault != plaintarget.Refuse,
+		Account: strings.Join(run.Header.Values("X-Tenant"), ", "), KeyIn: partWithKey(run), Ran: fault != plaintarget.Refuse,
 	})
 	if slow {
 		time.Sleep(targetSlowWork)
--- a/internal/standin/plainplatform/caller.go
+++ b/internal/standin/plainplatform/caller.go
@@ -24,6 +24,9 @@
 	Target   string
 	Body     string
 	Deadline time.Duration
+	// Key is the key of a client account, and Tenant the name of one, which no client
+	// may state; empty if not sent.
+	Key, Tenant string
 	// Close asks the node to close the connection after the response.
 	Close bool
 }
@@ -82,6 +85,12 @@
 func (r Request) write(w io.Writer) {
 	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Request-Deadline: %d\r\n",
 		r.Method, r.Target, r.Host, r.ID, r.Deadline.Milliseconds())
+	if r.Key != "" {
+		fmt.Fprintf(w, "X-Credential: %s\r\n", r.Key)
+	}
+	if r.Tenant != "" {
+		fmt.Fprintf(w, "X-Tenant: %s\r\n", r.Tenant)
+	}
 	if r.Close {
 		fmt.Fprint(w, "Connection: close\r\n")
 	}
--- a/internal/standin/plainplatform/settings.go
+++ b/internal/standin/plainplatform/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"time"
 )
@@ -16,6 +17,22 @@
 	Priority   int
 	Service    string
 	Attempts   int
+	// Public routes need no key of a client account.
+	Public bool
+}
+
+// Tenant is one client account of the operator's configuration.
+type Tenant struct {
+	Name string
+	Keys []string
+	// RatePerSecond and Burst are its quota; 0 means no limit.
+	RatePerSecond, Burst float64
+}
+
+// write writes the account as a resource of the configuration.
+func (t Tenant) write(w io.Writer) {
+	fmt.Fprintf(w, `{"type":"tenants","metadata":{"name":%q},"spec":{"api_keys":["%s"],"rate_per_s":%g,"burst":%g}},`,
+		t.Name, strings.Join(t.Keys, `","`), t.RatePerSecond, t.Burst)
 }
 
 // Topics and a key in the store.
@@ -31,8 +48,9 @@
 	return append(append([]byte{byte(len(key))}, key...), value...)
 }
 
-// Configuration returns the operator's configuration document with the given routes.
-func Configuration(version int, routes []Route) []byte {
+// Configuration returns the operator's configuration document with the given routes and
+// client accounts.
+func Configuration(version int, routes []Route, tenants ...Tenant) []byte {
 	var resources strings.Builder
 	services := make(map[string]bool)
 	for _, r := range routes {
@@ -40,10 +58,13 @@
 		if r.Idempotent {
 			kind = "safe"
 		}
-		fmt.Fprintf(&resources, `{"type":"routes","metadata":{"name":%q},"spec":{"hostname":%q,"path_prefix":%q,"kind":%q,"timeout":"%dms","target_latency":"500ms","priority":%d,"service":%q,"attempts":%d}},`,
-			r.Name, r.Host, r.PathPrefix, kind, r.Timeout.Milliseconds(), r.Priority, r.Service, r.Attempts)
+		fmt.Fprintf(&resources, `{"type":"routes","metadata":{"name":%q},"spec":{"hostname":%q,"path_prefix":%q,"kind":%q,"timeout":"%dms","target_latency":"500ms","priority":%d,"service":%q,"attempts":%d,"public":%t}},`,
+			r.Name, r.Host, r.PathPrefix, kind, r.Timeout.Milliseconds(), r.Priority, r.Service, r.Attempts, r.Public)
 		services[r.Service] = true
 	}
+	for _, t := range tenants {
+		t.write(&resources)
+	}
 	for service := range services {
 		fmt.Fprintf(&resources, `{"type":"services","metadata":{"name":%q},"spec":{"health_path":"/healthz","max_connections":200}},`, service)
 	}
