--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -196,10 +196,10 @@
 	// maxSurges and maxAccountChanges bound the steps of accounts in a schedule.
 	maxSurges         = 2
 	maxAccountChanges = 6
-	// minSurge and maxSurge bound the duration of a surge. A quota binds in windows of
-	// quotaWindow, which a surge has to fill.
-	minSurge = 3 * time.Second
-	maxSurge = 7 * time.Second
+	// minSurge and maxSurge bound the duration of a surge. They are above quotaWindow,
+	// since a burst and the margin hide a rate that is too high in a shorter surge.
+	minSurge = 6 * time.Second
+	maxSurge = 10 * time.Second
 	// surgePause is the mean pause between the requests of a client of a surge.
 	surgePause = 4 * time.Millisecond
 )
@@ -208,18 +208,17 @@
 // schedule, and returns both in order.
 func PlanAccounts(steps []Step, seed uint64, length time.Duration) []Step {
 	r := rand.New(rand.NewPCG(seed, accountsStream))
-	at := func() time.Duration {
-		return initialDelay + time.Duration(r.Int64N(int64(length-initialDelay-minFault)))
+	// at draws the start of a step that is to end within length.
+	at := func(period time.Duration) time.Duration {
+		return initialDelay + time.Duration(r.Int64N(max(int64(length-initialDelay-period), 1)))
 	}
 	for range 1 + r.IntN(maxSurges) {
-		steps = append(steps, Step{
-			At: at(), Kind: AccountSurge, Account: 1 + r.IntN(len(accountNames)-1),
-			For: minSurge + time.Duration(r.Int64N(int64(maxSurge-minSurge))),
-		})
+		period := minSurge + time.Duration(r.Int64N(int64(maxSurge-minSurge)))
+		steps = append(steps, Step{At: at(period), Kind: AccountSurge, Account: 1 + r.IntN(len(accountNames)-1), For: period})
 	}
 	for range 2 + r.IntN(maxAccountChanges-1) {
 		kind := KeyAdded + Kind(r.IntN(int(QuotaRestored-KeyAdded)+1))
-		step := Step{At: at(), Kind: kind, Account: r.IntN(len(accountNames))}
+		step := Step{At: at(minFault), Kind: kind, Account: r.IntN(len(accountNames))}
 		if kind == QuotaLowered || kind == QuotaRestored {
 			step.Account = 1 + r.IntN(len(accountNames)-1)
 		}
