--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -232,9 +232,10 @@
 func (r *run) surge(s Step) {
 	done := make(chan struct{})
 	var clients sync.WaitGroup
+	number := r.surges.Add(1)
 	for _, v := range r.fleet.vms {
 		c := &client{
-			vm: v, keys: r.fleet.keys, history: r.history, name: fmt.Sprintf("surge%d-%d", v.index+1, s.At.Milliseconds()),
+			vm: v, keys: r.fleet.keys, history: r.history, name: fmt.Sprintf("surge%d-%d", number, v.index+1),
 			random: rand.New(rand.NewPCG(r.options.Seed, uint64(s.At)+uint64(v.index))),
 		}
 		clients.Go(func() { c.runSurge(s.Account, done) })
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -68,6 +69,8 @@
 	// by the nodes. They become findings of the rule SOAK.
 	mutex     sync.Mutex
 	runErrors []string
+	// surges counts the surges, so that the ids of their requests are unique.
+	surges atomic.Int32
 }
 
 // Run runs the schedule of one seed under load, writes schedule.txt, and writes
