--- a/core/cost/work.go
+++ b/core/cost/work.go
@@ -14,9 +14,8 @@
 	// long as others are a part of the load and have to count in full.
 	maxSampleMultiple = 10
 	// workWeight is the weight of a sample in the mean work of an operation. If 3 % of
-	// the requests take seven times as long, the mean then varies by 13 %. With 1/256, a
-	// target that started at half speed got 0.77 of its share in the next 5 s instead of
-	// 0.95.
+	// the requests take seven times as long, the mean then varies by 13 %. With a smaller
+	// weight, a target that started at half speed would be avoided for seconds after.
 	workWeight = 1.0 / 64
 	// maxGateOperations limits the operations of one gate.
 	maxGateOperations = 1024
--- a/core/route/leastwork.go
+++ b/core/route/leastwork.go
@@ -6,12 +6,11 @@
 	"github.com/primrosemount/primrosemount/core/cost"
 )
 
-// The weights were chosen by the loads of loads_test.go; docs/design/placement.md holds the
-// results.
+// docs/design/placement.md compares these weights with others.
 const (
 	// ownSamples and otherSamples are the numbers of targets of the node's own zone and
-	// of the other zones that are compared. With six targets of other zones, a fifth
-	// more of the requests leave their zone without being faster.
+	// of the other zones that are compared. The more targets of other zones are compared,
+	// the more requests leave their zone without being faster.
 	ownSamples   = 6
 	otherSamples = 3
 	// One in refreshDivisor requests goes to a random target of the node's own zone, unless
@@ -29,16 +28,15 @@
 	kneeOccupancy = 0.92
 	kneeWeight    = 10
 	// occupancyNoise bounds a random addition to the occupancy of a target, for what
-	// other senders have sent since the report. Without it, 398 of 400 senders with the
-	// same view chose the target of six whose occupancy was lower by 0.03; with it, 192.
+	// other senders have sent since the report. Without it, senders with the same view
+	// choose the same target.
 	occupancyNoise = 0.1
 	// zoneRoundTrip is the time by which a round trip to another zone is longer.
 	zoneRoundTrip = 2800 * time.Microsecond
 	// zoneShare and zonePerByte are the surcharge of another zone for the traffic: a
 	// multiple of the cost of a mean request, so that it is comparable with the price of
 	// a slot, and a time per byte, which is 15 ms at 60,000 bytes, the mean of large
-	// bodies. With a surcharge of a quarter of the mean cost, twice to six times as many
-	// requests left their zone, and the mean latency was higher by up to 1 ms.
+	// bodies. With a smaller share, requests leave their zone without being faster.
 	zoneShare   = 2
 	zonePerByte = 250 * time.Nanosecond
 	// The surcharge falls from its full value at an occupancy of shortageFrom of the
--- a/core/route/load.go
+++ b/core/route/load.go
@@ -21,8 +21,8 @@
 	// costs vary from request to request.
 	biasTolerance = 0.25
 	// longBiasWeight, longBiasPrior and longBiasTolerance are the same for the bias over
-	// about the latest 64 responses, which varies less. It lowers the load of a target
-	// that reports no work at all from 1.33 to 1.20 of the mean.
+	// about the latest 64 responses. It varies less, so it also shows a target that
+	// reports too little work.
 	longBiasWeight    = 1.0 / 64
 	longBiasPrior     = 32
 	longBiasTolerance = 0.1
--- a/node/relay/body.go
+++ b/node/relay/body.go
@@ -13,9 +13,8 @@
 	// initialBodyBytes is the initial buffer size for a body of unknown length.
 	// maxInitialBodyBytes limits the initial buffer size for a body of known
 	// length, so that a declared length reserves no further memory before its bytes
-	// arrive. It is above the largest uploads of 360 KB: with 256 KB, 205 of 300 such
-	// uploads over slow links were refused after 256 KB had arrived, because the rest of
-	// a body waited behind bodies of which nothing had been read.
+	// arrive. It is above the largest uploads of 360 KB: otherwise the rest of a body
+	// waits behind bodies of which nothing has been read, and may be refused late.
 	initialBodyBytes    = 16 << 10
 	maxInitialBodyBytes = 512 << 10
 	// unknownGrowth and knownGrowth are the factors by which a full buffer grows. A
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -286,8 +286,8 @@
 
 // closeExcess closes the connections that were idle for longest while too many
 // are open. Without it, requests that may not use a connection that was idle for long
-// open new ones beside those kept: 160 requests to a target of 20 slots opened 160, and a
-// target resets connections beyond its cap. The caller holds the mutex.
+// open new ones beside those kept, and a target resets connections beyond its cap. The
+// caller holds the mutex.
 func (c *targetClient) closeExcess() {
 	excess := min(int(c.open.Load())-c.bounds().keep, len(c.idle))
 	for i := range max(excess, 0) {
