Begin choices of targets, quota tasks and look-ups of routes in one place each

Place repeated how Pick finds the service and builds its query; both now call Router.query. The quota task was built in two steps, of which the first made rules and an entry that the second replaced; it has one constructor now. The look-up of a route's number repeated known. A comment that was too long for its line is wrapped. No behaviour changes.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -44,16 +44,9 @@
 // no_target, draining, target_down and doomed_downstream. Each call of Pick
 // returns a new error.
 func (r *Router) Pick(now time.Time, name string, level outcome.Level, exclude ...uint64) (*Endpoint, *outcome.Error) {
-	s := (*r.services.Load())[name]
-	if s == nil {
-		return nil, outcome.New(outcome.NotRun, outcome.NoTarget, "no target of the service is known")
-	}
-	q := query{
-		at:      r.clock.nanos(now),
-		level:   level,
-		exclude: exclude,
-		draw:    draw(s.random.next()),
-		panic:   s.panic.Load(),
+	s, q, unknown := r.query(now, name, level, exclude)
+	if unknown != nil {
+		return nil, unknown
 	}
 	v := s.view.Load()
 	switch r.config.Policy {
@@ -68,6 +61,21 @@
 	}
 }
 
+// query returns a service and a query for it, or an error if the service has no targets.
+func (r *Router) query(now time.Time, name string, level outcome.Level, exclude []uint64) (*service, query, *outcome.Error) {
+	s := (*r.services.Load())[name]
+	if s == nil {
+		return nil, query{}, outcome.New(outcome.NotRun, outcome.NoTarget, "no target of the service is known")
+	}
+	return s, query{
+		at:      r.clock.nanos(now),
+		level:   level,
+		exclude: exclude,
+		draw:    draw(s.random.next()),
+		panic:   s.panic.Load(),
+	}, nil
+}
+
 // result returns the endpoint, or the error if it is nil.
 func (v *view) result(q query, e *Endpoint) (*Endpoint, *outcome.Error) {
 	if e != nil {
--- a/core/route/placement.go
+++ b/core/route/placement.go
@@ -28,16 +28,9 @@
 // Place chooses a target by LeastWork, whatever the policy of the router is. Otherwise it
 // is like Pick.
 func (r *Router) Place(now time.Time, name string, level outcome.Level, request Request, exclude ...uint64) (Placement, *outcome.Error) {
-	s := (*r.services.Load())[name]
-	if s == nil {
-		return Placement{}, outcome.New(outcome.NotRun, outcome.NoTarget, "no target of the service is known")
-	}
-	q := query{
-		at:      r.clock.nanos(now),
-		level:   level,
-		exclude: exclude,
-		draw:    draw(s.random.next()),
-		panic:   s.panic.Load(),
+	s, q, unknown := r.query(now, name, level, exclude)
+	if unknown != nil {
+		return Placement{}, unknown
 	}
 	v := s.view.Load()
 	p := s.leastWork(v, q, s.needOf(request))
--- a/node/relay/events.go
+++ b/node/relay/events.go
@@ -49,8 +49,8 @@
 	return zap.String("account", name)
 }
 
-// rejected logs a request that the entry did not accept, its client account if known, and the staleness of the
-// configuration that the decision was based on.
+// rejected logs a request that the entry did not accept, its client account if known, and
+// the staleness of the configuration that the decision was based on.
 func (l *eventLog) rejected(r *http.Request, attemptID, account string, refused *outcome.Error, config *configuration) {
 	fields := []zap.Field{zap.String("request", attemptID), accountField(account), zap.String("host", r.Host), zap.String("path", r.URL.Path),
 		zap.String("reason", refused.Reason.String()), zap.String("detail", refused.Detail), zap.Uint64("config", config.version())}
--- a/node/relay/operations.go
+++ b/node/relay/operations.go
@@ -25,21 +25,18 @@
 
 // lookup returns the number of a route and assigns one if necessary.
 func (n *operationNumbers) lookup(route string) uint32 {
-	n.mu.RLock()
-	number, known := n.byRoute[route]
-	n.mu.RUnlock()
-	if known {
+	if number, known := n.known(route); known {
 		return number
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if number, known = n.byRoute[route]; known {
+	if number, known := n.byRoute[route]; known {
 		return number
 	}
 	if len(n.byRoute) >= maxNumbered {
 		return uint32(xxhash.Sum64String(route))
 	}
-	number = uint32(len(n.byRoute))
+	number := uint32(len(n.byRoute))
 	n.byRoute[route] = number
 	return number
 }
--- a/node/relay/quota.go
+++ b/node/relay/quota.go
@@ -67,26 +67,19 @@
 	rejoining bool
 }
 
-// newQuotaTask returns a task that admits nothing to accounts with a quota until it is
-// configured and runs.
-func newQuotaTask() *quotaTask {
-	return &quotaTask{
-		rules: quota.Rules{Window: quota.DefaultWindow, Overage: quota.DefaultOverage, Slack: quota.DefaultSlack},
-		entry: quota.NewEntry(quota.Rules{Window: quota.DefaultWindow}, 0), urgent: make(chan struct{}, 1), logger: zap.NewNop(),
-	}
-}
-
-// configure sets what the task needs to run. It must be called before the task is used.
-func (q *quotaTask) configure(o Options, incarnation uint64, started time.Time, exchange quotaExchange, table func() *ingress.Table) {
-	q.vm, q.incarnation, q.started = o.VM, incarnation, started
-	q.rules = quota.Rules{
+// newQuotaTask returns a task that admits nothing to accounts with a quota until it runs.
+func newQuotaTask(o Options, incarnation uint64, started time.Time, exchange quotaExchange, table func() *ingress.Table) *quotaTask {
+	rules := quota.Rules{
 		Window:  cmp.Or(o.QuotaWindow, quota.DefaultWindow),
 		Overage: cmp.Or(o.QuotaOverage, quota.DefaultOverage),
 		Slack:   cmp.Or(o.QuotaSlack, quota.DefaultSlack),
 	}
-	q.entry = quota.NewEntry(q.rules, roster.Identity(o.VM, incarnation))
-	q.exchange, q.table = exchange, table
-	q.logger = telemetry.Named(o.Logger, telemetry.PartEntry)
+	return &quotaTask{
+		vm: o.VM, incarnation: incarnation, started: started, rules: rules, exchange: exchange, table: table,
+		logger: telemetry.Named(o.Logger, telemetry.PartEntry),
+		entry:  quota.NewEntry(rules, roster.Identity(o.VM, incarnation)),
+		urgent: make(chan struct{}, 1),
+	}
 }
 
 // setMembers replaces the members.
--- a/node/relay/quota_test.go
+++ b/node/relay/quota_test.go
@@ -46,8 +46,7 @@
 		vm := "vm-" + strconv.Itoa(i)
 		members.vms = append(members.vms, vm)
 		members.addresses[vm] = strconv.Itoa(i)
-		task := newQuotaTask()
-		task.configure(Options{VM: vm, Logger: zap.New(core)}, uint64(time.Now().UnixNano()), time.Now(), f.exchange, func() *ingress.Table { return f.table })
+		task := newQuotaTask(Options{VM: vm, Logger: zap.New(core)}, uint64(time.Now().UnixNano()), time.Now(), f.exchange, func() *ingress.Table { return f.table })
 		f.tasks = append(f.tasks, task)
 	}
 	for _, task := range f.tasks {
--- a/node/relay/quotabench_test.go
+++ b/node/relay/quotabench_test.go
@@ -20,8 +20,7 @@
 // the processor time of both sides together.
 func BenchmarkExchangeQuota(b *testing.B) {
 	const demands, loopbackBodyBytes = 4, 1 << 20
-	owner := newQuotaTask()
-	owner.configure(Options{VM: "vm-0", Logger: zap.NewNop()}, 1, time.Now().Add(-time.Minute), nil, newConfiguration(nil, time.Now(), nil).table.Load)
+	owner := newQuotaTask(Options{VM: "vm-0", Logger: zap.NewNop()}, 1, time.Now().Add(-time.Minute), nil, newConfiguration(nil, time.Now(), nil).table.Load)
 	limited := limitedAccount(723)
 	part := quota.NewOwner("vm-0", 1, time.Now().Add(-time.Minute), true)
 	part.SetView(time.Now(), quota.NewView("vm-0", []string{"vm-0"}, []*account.Account{&limited}, owner.rules))
