Sum the work left of a gate only where reports carry it

The gate task summed the work left over all requests that are present with each change, also in deployments whose configuration does not call for placement by cost, where nothing reads the sum. It is now left out there. A view from before the configuration called for it carries no work, so the report leaves it out until the next change of the gate; the reader then uses the occupancy, as with nodes of earlier versions.

--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -43,7 +43,7 @@
 	inFlight  int
 	queued    int
 	limit     int
-	// work is the work that the target has left.
+	// work is the work that the target has left. It is zero unless reports carry it.
 	work gate.Work
 }
 
@@ -69,6 +69,9 @@
 	// maxConnections returns the number of connections that a target of a service
 	// accepts, or 0 if it is unknown.
 	maxConnections func(service string) int
+	// reportsWork reports whether reports carry the work left. Its sum takes time with
+	// each change of the gate.
+	reportsWork func() bool
 
 	gate  *gate.Gate
 	state *targetstate.State
@@ -93,6 +96,8 @@
 		events:         make(chan func(time.Time), gateQueueSize),
 		changed:        changed,
 		maxConnections: maxConnections,
+		// The caller replaces this function.
+		reportsWork: func() bool { return false },
 		gate: gate.New(gate.Config{
 			Slots: defaultSlots,
 			// The limit is fixed at the announced slots, which are reliable. An
@@ -191,7 +196,7 @@
 
 // publish updates the snapshot of the gate's state for other goroutines.
 func (t *gateTask) publish() {
-	t.view.Store(&gateView{
+	view := &gateView{
 		target:         t.target,
 		serving:        t.state.Serving() && !t.stopping,
 		draining:       t.state.IsDraining() || t.stopping,
@@ -201,8 +206,11 @@
 		inFlight:       t.gate.InFlight(),
 		queued:         t.gate.Queued(),
 		limit:          t.gate.Limit(),
-		work:           t.gate.Work(),
-	})
+	}
+	if t.reportsWork() {
+		view.work = t.gate.Work()
+	}
+	t.view.Store(view)
 }
 
 // offer requests admission and waits for the decision. A request whose context ends
--- a/node/relay/placement.go
+++ b/node/relay/placement.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/primrosemount/primrosemount/core/gate"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/route"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
@@ -79,9 +80,10 @@
 }
 
 // reportWork adds the work that the target has left, and the own work of a route, to a
-// report if the configuration calls for placement by cost.
+// report if the configuration calls for placement by cost. A view from before that has no
+// work.
 func (r *receiver) reportWork(report *pb.GateReport, route string, view *gateView) {
-	if !r.config.placesByCost() {
+	if !r.config.placesByCost() || view.work == (gate.Work{}) {
 		return
 	}
 	report.Slots = uint32(view.limit)
--- a/node/relay/placement_test.go
+++ b/node/relay/placement_test.go
@@ -36,7 +36,9 @@
 		now := time.Now()
 		task := newGateTask("a", "s", func(string) int { return 0 }, zap.NewNop(), func(gateView) {})
 		task.gate.SetDown(false)
-		r := &receiver{gate: task, config: placingConfiguration(byCost), numbering: newOperationNumbers(), operations: threshold.NewOperations(threshold.NewDownstream(now))}
+		config := placingConfiguration(byCost)
+		task.reportsWork = config.placesByCost
+		r := &receiver{gate: task, config: config, numbering: newOperationNumbers(), operations: threshold.NewOperations(threshold.NewDownstream(now))}
 		for id := range uint64(20) {
 			require.Equal(t, gate.Start, task.gate.Offer(now, gate.Request{ID: id, Operation: r.numbering.lookup("get")}).Kind)
 			now = now.Add(10 * time.Millisecond)
@@ -47,6 +49,7 @@
 		report := r.gateReport("get")
 		require.Equal(t, uint32(1), report.GetInFlight())
 		if !byCost {
+			require.Zero(t, task.view.Load().work, "nothing reads the sum")
 			require.Zero(t, report.GetWorkLeftMicros()+uint64(report.GetSlots())+report.GetServiceTimeMicros()+uint64(report.GetSpeedPermille()))
 			continue
 		}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -235,6 +235,7 @@
 		view := r.gate.view.Load()
 		return connectionBoundsOf(view.limit, r.config.maxConnections(view.target.Service))
 	}
+	r.gate.reportsWork = r.config.placesByCost
 	r.quotas = newQuotaTask(o, incarnation, start, r.pool.ExchangeQuota, r.config.table.Load)
 	r.members.membersChanged = r.quotas.setMembers
 	budgets := newBudgets(o.RetryRatio, o.RetrySlack)
