--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -56,7 +56,9 @@
 
 // answer is what a client received.
 type answer struct {
+	id     string
 	status int
+	body   string
 	// whole is set if the answer is complete.
 	whole bool
 	bytes int
@@ -68,11 +70,11 @@
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		c.machine.fleet.history.printf("%s: client gets no answer to %s: %v", c.machine.name, id, err)
-		return answer{err: err}
+		return answer{id: id, err: err}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	a := answer{status: response.StatusCode, whole: err == nil, bytes: len(body), err: err}
+	a := answer{id: id, status: response.StatusCode, body: string(body), whole: err == nil, bytes: len(body), err: err}
 	c.machine.fleet.history.printf("%s: client gets status %d to %s, %d of %d bytes, error %v", c.machine.name, a.status, id, a.bytes, response.ContentLength, err)
 	return a
 }
--- a/review/rig2/strangebeat.go
+++ b/review/rig2/strangebeat.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return err
 		}
-		t, err := m.startTarget("i-"+m.name, rotaWork, func(string) string { return "entered" })
+		t, err := m.startTarget("i-"+m.name, rotaWork, func(string) string { return rotaBody })
 		if err != nil {
 			return err
 		}
@@ -47,9 +47,14 @@
 	return nil
 }
 
-// load sends requests from all machines until the returned function is called, which
-// returns the answers by status.
+// load is loadChecked without a check.
 func (f *fleet) load(method, path string) (stop func() map[int]int) {
+	return f.loadChecked(method, path, func(answer) {})
+}
+
+// loadChecked sends requests from all machines until the returned function is called,
+// which returns the answers by status. It calls check with each answer.
+func (f *fleet) loadChecked(method, path string, check func(answer)) (stop func() map[int]int) {
 	done := make(chan struct{})
 	var clients sync.WaitGroup
 	var mu sync.Mutex
@@ -64,6 +69,7 @@
 					case <-time.After(requestPause):
 					}
 					a := m.request(method, path, 5*time.Second, "lawn")
+					check(a)
 					mu.Lock()
 					answers[a.status]++
 					mu.Unlock()
--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -26,6 +26,8 @@
 	work     time.Duration
 	answer   func(path string) string
 	listener net.Listener
+	// raw returns the bytes of a spoiled answer, or an empty string for a sound one.
+	raw func(id string) string
 
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
@@ -59,6 +61,13 @@
 	t.answer = answer
 }
 
+// setRaw replaces the function that returns spoiled answers.
+func (t *target) setRaw(raw func(id string) string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.raw = raw
+}
+
 func (t *target) accept() {
 	for {
 		conn, err := t.listener.Accept()
@@ -88,17 +97,19 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if _, err := io.WriteString(conn, t.handle(r)); err != nil {
+		response, last := t.handle(r)
+		if _, err := io.WriteString(conn, response); err != nil || last {
 			return
 		}
 	}
 }
 
-// handle runs one request and returns the response.
-func (t *target) handle(r *http.Request) string {
+// handle runs one request and returns the response, and whether the connection ends after
+// it.
+func (t *target) handle(r *http.Request) (response string, last bool) {
 	id := r.Header.Get("X-Attempt-Id")
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != t.id {
-		return fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, t.id)
+		return fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, t.id), false
 	}
 	t.mu.Lock()
 	t.runs = append(t.runs, run{id: id, path: r.RequestURI, at: time.Now()})
@@ -108,9 +119,14 @@
 	time.Sleep(t.work)
 	t.mu.Lock()
 	delete(t.working, id)
-	body := t.answer(r.RequestURI)
+	body, raw := t.answer(r.RequestURI), t.raw
 	t.mu.Unlock()
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+	if raw != nil {
+		if spoiled := raw(id); spoiled != "" {
+			return spoiled, true
+		}
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body), false
 }
 
 // end ends the target, as its process does when it exits.
