--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -58,7 +59,9 @@
 	// network holds the first three numbers of the loopback addresses of the machines.
 	network string
 	store   *store
-	mu      sync.Mutex
+	// longGrace is set if the settings have a grace period of 10 s.
+	longGrace bool
+	mu        sync.Mutex
 	// machines holds all machines. ended is set once close was called.
 	machines []*machine
 	ended    bool
@@ -114,6 +117,9 @@
 	f.machines = append(f.machines, m)
 	f.mu.Unlock()
 	text := fmt.Sprintf(settingsText, m.name, zone, m.ip, f.store.address, service)
+	if f.longGrace {
+		text = strings.ReplaceAll(text, "grace_period=6s", "grace_period=10s")
+	}
 	if err := os.WriteFile(m.settingsPath(), []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -158,6 +164,15 @@
 	}
 }
 
+// signal sends a signal to the process of the node.
+func (m *machine) signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process != nil {
+		_ = m.process.Process.Signal(s)
+	}
+}
+
 // awaitReady waits until a node says that it is ready.
 func (m *machine) awaitReady() error {
 	for range 200 {
--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -61,6 +61,13 @@
 	t.answer = answer
 }
 
+// setWork changes how long a request takes.
+func (t *target) setWork(work time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.work = work
+}
+
 // setRaw replaces the function that returns spoiled answers.
 func (t *target) setRaw(raw func(id string) string) {
 	t.mu.Lock()
@@ -114,9 +121,10 @@
 	t.mu.Lock()
 	t.runs = append(t.runs, run{id: id, path: r.RequestURI, at: time.Now()})
 	t.working[id] = true
+	work := t.work
 	t.mu.Unlock()
 	t.machine.fleet.history.printf("%s: target %s runs %s %s %s", t.machine.name, t.id, r.Method, r.RequestURI, id)
-	time.Sleep(t.work)
+	time.Sleep(work)
 	t.mu.Lock()
 	delete(t.working, id)
 	body, raw := t.answer(r.RequestURI), t.raw
