--- a/review/rig2/latebeats.go
+++ b/review/rig2/latebeats.go
@@ -6,8 +6,12 @@
 
 func init() { cases["late-beats"] = playLateBeats }
 
-// lateBeats is the number of heartbeats that are delayed.
-const lateBeats = 3
+const (
+	// lateBeats is the number of heartbeats that are delayed.
+	lateBeats = 3
+	// secondWork is how long a request takes at the second incarnation.
+	secondWork = 400 * time.Millisecond
+)
 
 // playLateBeats delays the last heartbeats of a target that crashes and starts again under
 // its id, until the new incarnation has left.
@@ -30,7 +34,7 @@
 	}
 	first.end()
 	time.Sleep(500 * time.Millisecond)
-	second, err := m.startTarget(first.id, rotaWork, func(string) string { return "entered" })
+	second, err := m.startTarget(first.id, secondWork, func(string) string { return "entered" })
 	if err != nil {
 		return verdict{}, err
 	}
