--- a/review/rig2/firstreturn.go
+++ b/review/rig2/firstreturn.go
@@ -6,9 +6,8 @@
 
 func init() { cases["first-return"] = playFirstReturn }
 
-// moveConfig routes requests to one service, or from the version after lastOld on to
-// another one.
 const (
+	// oldConfig sends requests to one service, and newConfig to another one.
 	oldConfig = `{"version":"%08x","resources":[
 {"type":"routes","metadata":{"name":"r-entry"},"spec":{"hostname":"club.example","path_prefix":"/entry/","kind":"unsafe","timeout":"5000ms","target_latency":"1500ms","priority":0,"service":"rota","attempts":2}},
 {"type":"services","metadata":{"name":"rota"},"spec":{"health_path":"/healthz","max_connections":1228,"protocol":"h1","tls":false}},
@@ -19,8 +18,10 @@
 {"type":"services","metadata":{"name":"rota"},"spec":{"health_path":"/healthz","max_connections":1228,"protocol":"h1","tls":false}},
 {"type":"services","metadata":{"name":"annex"},"spec":{"health_path":"/healthz","max_connections":1228,"protocol":"h1","tls":false}},
 {"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}]}`
+	// storeAnswer is how long a call of the operator takes.
+	storeAnswer = 4 * time.Millisecond
 	// awayTime is how long the store is away.
-	awayTime = 1200 * time.Millisecond
+	awayTime = 1540 * time.Millisecond
 	// watchTime is how long the case watches where requests run.
 	watchTime = 20 * time.Second
 )
@@ -58,15 +59,17 @@
 		f.history.printf("the store is away")
 		time.Sleep(awayTime)
 		f.store.returnFrom(saved)
-		// The operator has waited for the store: it writes again what is gone, and the next
-		// change.
 		if err := f.store.start(); err != nil {
 			return verdict{}, err
 		}
-		f.putConfig(3, oldConfig)
 		f.history.printf("the store is back, era %d", f.store.currentEra())
+		// The operator has waited for the store. It writes what is gone again, and the next
+		// change behind it, with one call.
+		time.Sleep(storeAnswer)
+		f.putConfigs(3, oldConfig, newConfig)
+	} else {
+		f.putConfig(4, newConfig)
 	}
-	f.putConfig(4, newConfig)
 	acked := time.Now()
 	stop := f.load("POST", "/entry/a")
 	time.Sleep(watchTime)
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -108,13 +108,6 @@
 	return s.topics[name]
 }
 
-// put appends a record of a key and returns its offset.
-func (s *store) put(name, key string, value []byte) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.append(name, append(append([]byte{byte(len(key))}, key...), value...))
-}
-
 // append appends a record. The mutex must be held.
 func (s *store) append(name string, record []byte) int {
 	t := s.topic(name)
@@ -224,10 +217,17 @@
 }
 
 // putConfig writes a configuration as the operator.
-func (f *fleet) putConfig(version int, document string) {
-	text := fmt.Sprintf(document, version)
-	offset := f.store.put(topicOperator, keyConfig, []byte(text))
-	f.history.printf("the store has acknowledged configuration %08x at offset %d", version, offset)
+func (f *fleet) putConfig(version int, document string) { f.putConfigs(version, document) }
+
+// putConfigs writes several versions, the first with the given number, with one call.
+func (f *fleet) putConfigs(version int, documents ...string) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	for i, document := range documents {
+		record := append([]byte{byte(len(keyConfig))}, keyConfig...)
+		offset := f.store.append(topicOperator, fmt.Appendf(record, document, version+i))
+		f.history.printf("the store has acknowledged configuration %08x at offset %d", version+i, offset)
+	}
 }
 
 // setEra sets the number in the header Store-Era.
