socket: report a reset that a write has learned of to reads too

Callers saw 200 with a part of the body of the target: the target answered a long upload at once with a response that has no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the error with which a connection ends once, to whichever system call asks first. Uploads above 32 KB are written while the response is read. If the write got ECONNRESET, the read saw the end of the stream, which ends a response without a length properly. The same happens if the connection ends by TCP_USER_TIMEOUT, because the target has fallen silent.

Ruled out: bodies with a length or in chunks, which net/http reports as incomplete, and writes that end before the reset, after which the read gets the error itself.

socket.Stream remembers the error that a write got. At the end of the stream it asks TCP_INFO: if the connection is still open, the peer has ended the stream. Otherwise the write in progress fails at once, and its error decides.

All connections of the relay are of this kind: to targets, to other nodes, to the store, and those that it accepts.

--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -5,11 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -20,17 +16,10 @@
 	checkInterval = 250 * time.Millisecond
 )
 
-// tcpClose is the state of a connection that has ended (TCP_CLOSE).
-const tcpClose = 7
-
-// errNotTCP is returned for a connection that is not a plain TCP connection.
-var errNotTCP = errors.New("socket: the connection is not TCP; use a TCP address")
-
 // A Conn is a TCP connection. It is safe for concurrent use. While written data is not
 // acknowledged, a timer looks at the state of the connection and adapts its limits.
 type Conn struct {
-	*net.TCPConn
-	raw syscall.RawConn
+	*Stream
 	// writers is the number of writes in progress.
 	writers atomic.Int32
 	// checking is set while a check is scheduled.
@@ -51,29 +40,25 @@
 
 // watched returns a connection whose limits are adapted.
 func watched(conn net.Conn) (net.Conn, error) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil, errors.CombineErrors(errNotTCP, conn.Close())
-	}
-	raw, err := tcp.SyscallConn()
+	stream, err := NewStream(conn)
 	if err != nil {
-		return nil, errors.CombineErrors(err, conn.Close())
+		return nil, err
 	}
-	return &Conn{TCPConn: tcp, raw: raw, timeout: silenceTimeout}, nil
+	return &Conn{Stream: stream, timeout: silenceTimeout}, nil
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.beginWrite()
 	defer c.endWrite()
-	return c.TCPConn.Write(data)
+	return c.Stream.Write(data)
 }
 
 // ReadFrom implements io.ReaderFrom.
 func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
 	c.beginWrite()
 	defer c.endWrite()
-	return c.TCPConn.ReadFrom(r)
+	return c.Stream.ReadFrom(r)
 }
 
 // WriteBuffers writes buffers to a connection, with one system call if the connection
@@ -82,7 +67,7 @@
 	if c, ok := conn.(*Conn); ok {
 		c.beginWrite()
 		defer c.endWrite()
-		conn = c.TCPConn
+		return c.writeBuffers(buffers)
 	}
 	_, err := buffers.WriteTo(conn)
 	return err
@@ -187,11 +172,7 @@
 
 // sendState returns the state of the data that is being sent.
 func (c *Conn) sendState() (sendState, error) {
-	var info *unix.TCPInfo
-	err := control(c.raw, func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return err
-	})
+	info, err := c.info()
 	if err != nil {
 		return sendState{}, err
 	}
--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -62,6 +62,9 @@
 	RespondAndReadOn
 	// ResetInBody runs the request and resets the connection within the body.
 	ResetInBody
+	// RespondInPartAndReset runs the request, sends part of a response without a length and
+	// resets the connection while the body is still being sent.
+	RespondInPartAndReset
 )
 
 // Run is one request that the target ran.
@@ -226,9 +229,14 @@
 	case ResetInBody:
 		t.recordRun(Run{AttemptID: id, At: time.Now()})
 		_, _ = io.CopyN(io.Discard, buffer, r.ContentLength/2)
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(conn)
+		return
+	case RespondInPartAndReset:
+		run := Run{AttemptID: id, Method: r.Method, Target: r.RequestURI, At: time.Now()}
+		t.recordRun(run)
+		writeResponse(buffer.Writer, id, t.responseBody(run)[:1], false)
+		_ = buffer.Flush()
+		resetOnClose(conn)
 		return
 	}
 	run := Run{AttemptID: id, Method: r.Method, Target: r.RequestURI, At: time.Now()}
@@ -237,6 +245,13 @@
 	_ = buffer.Flush()
 }
 
+// resetOnClose makes the next Close of a connection reset it.
+func resetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // respondAndReadOn runs a request and reads its body after the response.
 func (t *Target) respondAndReadOn(w http.ResponseWriter, r *http.Request) {
 	run := Run{AttemptID: r.Header.Get("X-Attempt-Id"), Method: r.Method, Target: r.RequestURI, At: time.Now()}
@@ -357,9 +372,7 @@
 	if fault == ResetUnframed {
 		writeResponse(buffer.Writer, run.AttemptID, t.responseBody(run), false)
 		_ = buffer.Flush()
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(conn)
 		_ = conn.Close()
 		return
 	}
--- a/node/relay/slowtarget_test.go
+++ b/node/relay/slowtarget_test.go
@@ -53,13 +53,13 @@
 	return listener.Addr().String()
 }
 
-// upload sends a large request that is not idempotent.
-func upload(t *testing.T, address string) targetResult {
+// upload sends a request with a body of the size, which is not idempotent.
+func upload(t *testing.T, address string, size int) targetResult {
 	client := newTargetClient(testCodec{}, responseBudget(16<<20))
 	defer client.closeIdle()
 	request := &pb.ForwardRequest{
 		Method: []byte(http.MethodPost), Target: []byte("/"), Host: []byte("h"), AttemptId: []byte("1"),
-		Body: []byte(strings.Repeat("x", uploadBytes)),
+		Body: []byte(strings.Repeat("x", size)),
 	}
 	account := client.budget.Open(memory.Responses)
 	defer account.Release()
@@ -70,7 +70,7 @@
 // read for longer than TCP_USER_TIMEOUT.
 func TestUploadReachesTargetThatReadsLate(t *testing.T) {
 	t.Parallel()
-	result := upload(t, startPausingTarget(t, func(net.Conn) { time.Sleep(3 * time.Second) }))
+	result := upload(t, startPausingTarget(t, func(net.Conn) { time.Sleep(3 * time.Second) }), uploadBytes)
 	require.NoError(t, result.err)
 	require.Equal(t, outcome.Completed, result.outcome)
 	require.Equal(t, "stored", string(result.body))
@@ -88,7 +88,7 @@
 				silent <- time.Now()
 				time.Sleep(uploadDeadline)
 			})
-			result := upload(t, address)
+			result := upload(t, address, uploadBytes)
 			require.Equal(t, outcome.Unknown, result.outcome)
 			require.ErrorIs(t, result.err, syscall.ETIMEDOUT)
 			require.Less(t, time.Since(<-silent), targetSilenceBound)
