executor: report a reset that a write has learned of to reads too

Connections to targets are socket.Streams now. They keep their limits, as only socket.Conn sets TCP_USER_TIMEOUT.

Not affected: frames between nodes have a length, the package client rejects responses without framing, and the operators' commands decode JSON, which is not valid if it was cut.

--- a/node/executor/target_test.go
+++ b/node/executor/target_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -212,3 +213,58 @@
 	}()
 	return listener.Addr().String()
 }
+
+// Guards against taking part of a response that has no length for the whole one when the
+// target resets the connection while the call is still being written.
+func TestResponseThatIsResetIsIncomplete(t *testing.T) {
+	const rounds, bodyBytes = 50, 8 << 20
+	for name, reset := range map[string]bool{"reset": true, "ended": false} {
+		t.Run(name, func(t *testing.T) {
+			address := startUnframedTarget(t, reset)
+			client := newTargetClient()
+			defer client.close()
+			for range rounds {
+				running := runningCall(t, strings.Repeat("x", bodyBytes))
+				got := client.send(running.ctx, address, running)
+				if reset {
+					require.Equal(t, outcome.Unknown, got.result.Outcome, "body %q", got.result.Body)
+					continue
+				}
+				require.Equal(t, outcome.Completed, got.result.Outcome)
+				require.Equal(t, "whole", string(got.result.Body))
+			}
+		})
+	}
+}
+
+// startUnframedTarget starts a target that responds without a length before it has read
+// the body of a request, and then resets the connection, or ends its stream and reads on.
+func startUnframedTarget(t *testing.T, reset bool) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go respondUnframed(conn.(*net.TCPConn), reset)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func respondUnframed(conn *net.TCPConn, reset bool) {
+	defer conn.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+	if reset {
+		_ = conn.SetLinger(0)
+		return
+	}
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+}
--- a/node/executor/trackedconn.go
+++ b/node/executor/trackedconn.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/primrosemount/primrosemount/internal/socket"
 )
 
 // trackedConn counts the bytes written to a target. After a request has failed
@@ -26,7 +28,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: conn}, nil
+	stream, err := socket.NewStream(conn)
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: stream}, nil
 }
 
 // Write counts the bytes before writing them, so that the count is never too
