executor: reject malformed heads of targets

A target of the product's own interface in trouble sent a response in whose head the name of a field held a space. The caller got it as an answer: with that line among its headers, or with a body that was cut ("Content-Length : 7") or held the sizes of its chunks ("Transfer-Encoding : chunked"). Names with other control bytes were rejected by net/http, as answer_lost.

The check is in internal/responsehead now, and responsehead.Conn applies it to a connection of http.Transport: the read that completes a malformed head fails, so that no response is made of it. The status line needs a status of three digits behind one space, because the parser skips further spaces, and the head of an interim response would pass for that of the final one.

--- a/node/executor/target.go
+++ b/node/executor/target.go
@@ -14,6 +14,7 @@
 	"github.com/primrosemount/primrosemount/core/once"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/internal/responsehead"
 	"github.com/primrosemount/primrosemount/wire"
 )
 
@@ -67,12 +68,15 @@
 func (c *targetClient) sendOnce(ctx context.Context, address string, running *RunningCall) (received targetResponse, repeat bool) {
 	var use connectionUse
 	trace := &httptrace.ClientTrace{GotConn: use.recordConn}
-	request, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), address, running)
+	request, err := c.newRequest(httptrace.WithClientTrace(responsehead.Trace(ctx), trace), address, running)
 	if err != nil {
 		return targetResponse{result: failure(outcome.NotRun, outcome.BadRequest)}, false
 	}
 	// RoundTrip is used because an http.Client would follow redirects.
 	response, err := c.transport.RoundTrip(request)
+	if errors.Is(err, responsehead.ErrMalformed) {
+		return targetResponse{result: failure(outcome.Unknown, outcome.AnswerTruncated)}, false
+	}
 	if err != nil {
 		sent := use.sent()
 		return sendFailure(ctx, sent, use.connected()), !sent && use.retired() && ctx.Err() == nil
--- a/node/executor/target_test.go
+++ b/node/executor/target_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -268,3 +270,84 @@
 	_ = conn.CloseWrite()
 	_, _ = io.Copy(io.Discard, conn)
 }
+
+// Guards against a malformed head that is taken for a complete response: with a space in
+// the name of its framing header, callers got a truncated body, or one with the sizes of its
+// chunks, as a success.
+func TestMalformedHeadIsBrokenResponse(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, response := range map[string]string{
+		"space before the colon of the length": ok + "Content-Length : 7\r\n\r\nente",
+		"space before the colon of the coding": ok + "Transfer-Encoding : chunked\r\n\r\n7\r\nentered\r\n0\r\n\r\n",
+		"name with a space":                    ok + "Bad name: 1\r\nContent-Length: 7\r\n\r\nentered",
+		"name with a tab":                      ok + "Content-Length\t: 7\r\n\r\nente",
+		"name with a control byte":             ok + "Content-Len\x01gth: 7\r\n\r\nente",
+		"name with DEL":                        ok + "Content-Length\x7f: 7\r\n\r\nente",
+		"folded framing":                       ok + "Folded: a\r\n Content-Length: 7\r\n\r\nente",
+		"length beside a coding":               ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nentered\r\n0\r\n\r\n",
+		"two lengths that differ":              ok + "Content-Length: 7\r\nContent-Length: 4\r\n\r\nentered",
+		"coding in HTTP/1.0":                   "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nentered\r\n0\r\n\r\n",
+		"after an interim response":            "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "Content-Length : 7\r\n\r\nente",
+		"interim response":                     "HTTP/1.1 103 Early Hints\r\nBad name: 1\r\n\r\n" + ok + "Content-Length: 7\r\n\r\nentered",
+		"head beyond one read":                 ok + "Long: " + strings.Repeat("x", 20<<10) + "\r\nContent-Length : 7\r\n\r\nente",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := startRawTarget(t, response, 1, true)
+			client := newTargetClient()
+			defer client.close()
+			running := runningCall(t, "x")
+			got := client.send(running.ctx, target.address, running)
+			require.Equal(t, outcome.Unknown, got.result.Outcome, "headers %v, body %q", got.result.Headers, got.result.Body)
+			require.Equal(t, outcome.AnswerTruncated, got.result.Reason)
+		})
+	}
+}
+
+// Guards against a check of heads that takes the body of a response, or the response to
+// the next call on the connection, for a head, and against one that does not check the
+// heads of later responses.
+func TestEachHeadOfConnectionIsChecked(t *testing.T) {
+	const calls = 4
+	const body = "no: head\r\nno head : 1\r\n\r\n"
+	well := fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nNote: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	const malformed = "HTTP/1.1 200 OK\r\nBad name: 1\r\nContent-Length: 0\r\n\r\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for n := 1; ; n++ {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			response := well
+			if n == calls {
+				response = malformed
+			}
+			// The bytes arrive in small pieces.
+			for piece := range slices.Chunk([]byte(response), 5) {
+				_, _ = conn.Write(piece)
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+	}()
+	client := newTargetClient()
+	defer client.close()
+	for n := 1; n <= calls; n++ {
+		running := runningCall(t, "x")
+		got := client.send(running.ctx, listener.Addr().String(), running)
+		if n == calls {
+			require.Equal(t, outcome.Unknown, got.result.Outcome)
+			return
+		}
+		require.Equal(t, outcome.Completed, got.result.Outcome, "call %d", n)
+		require.Equal(t, body, string(got.result.Body))
+	}
+}
--- a/node/executor/trackedconn.go
+++ b/node/executor/trackedconn.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 	"sync"
 
+	"github.com/primrosemount/primrosemount/internal/responsehead"
 	"github.com/primrosemount/primrosemount/internal/socket"
 )
 
@@ -13,7 +14,7 @@
 // on a stale keep-alive connection, the count can prove that no byte of the
 // request was sent.
 type trackedConn struct {
-	net.Conn
+	*responsehead.Conn
 	mutex         sync.Mutex
 	written       int64
 	writesBlocked bool
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: stream}, nil
+	return &trackedConn{Conn: responsehead.NewConn(stream)}, nil
 }
 
 // Write counts the bytes before writing them, so that the count is never too
--- a/node/relay/targetclient.go
+++ b/node/relay/targetclient.go
@@ -17,6 +17,7 @@
 	"github.com/primrosemount/primrosemount/core/memory"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/internal/responsehead"
 	"github.com/primrosemount/primrosemount/internal/socket"
 )
 
@@ -383,7 +384,7 @@
 		result.reason = outcome.DeadlineExceeded
 	case ctx.Err() != nil:
 		result.reason = outcome.Cancelled
-	case errors.Is(err, errInvalidStatus), errors.Is(err, errMalformedHead):
+	case errors.Is(err, errInvalidStatus), errors.Is(err, responsehead.ErrMalformed):
 		result.reason = outcome.AnswerTruncated
 	}
 	return result
