client: reject undefined statuses and names with spaces

The package took a response with the status 000, or with a space in the name of a header, for the answer of the operation, with that line among its headers. No node sends one; something between the caller and the node may. Found by looking wherever answers are read; both cases that TestUnknownIsRetriedWithSameKey has now failed before.

The outcome of such a response is unknown, and the call is retried with its key. Other malformed heads need no check here: a response without framing is rejected already.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/primrosemount/primrosemount/core/outcome"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
@@ -70,6 +72,9 @@
 		return nil, k.noResponseFailure(callCtx, err, sent.Load())
 	}
 	defer response.Body.Close()
+	if !wellFormed(response) {
+		return nil, k.incompleteFailure(callCtx, response, errMalformed)
+	}
 	k.updateFromHeaders(response.Header)
 	body, err := readComplete(response, c.maxBodyBytes(response))
 	if err != nil {
@@ -147,6 +152,7 @@
 var (
 	errTooLarge    = errors.New("the answer is larger than MaxAnswerBytes")
 	errNoFraming   = errors.New("the response has neither a Content-Length nor chunked encoding")
+	errMalformed   = errors.New("the head of the response is malformed")
 	errNotFromNode = errors.New("the response is not from a node")
 )
 
@@ -169,6 +175,17 @@
 	return body, nil
 }
 
+// wellFormed reports whether the status and the header names are what HTTP permits.
+// net/http accepts any status of three digits, and names with spaces.
+func wellFormed(response *http.Response) bool {
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	return outcome.IsFinalStatus(response.StatusCode)
+}
+
 // noResponseFailure returns the failure of an attempt that received no response.
 // sent states whether any byte of the request may have left the client.
 func (k *call) noResponseFailure(callCtx context.Context, err error, sent bool) *failure {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -148,6 +148,8 @@
 	truncatedBody   = rawResponse("HTTP/1.1 200 OK\r\nPrimrosemount-Root: 00\r\nContent-Length: 10\r\n\r\nshort")
 	truncatedChunks = rawResponse("HTTP/1.1 200 OK\r\nPrimrosemount-Root: 00\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n")
 	noFraming       = rawResponse("HTTP/1.1 200 OK\r\nPrimrosemount-Root: 00\r\n\r\nshort")
+	malformedName   = rawResponse("HTTP/1.1 200 OK\r\nPrimrosemount-Root: 00\r\nBad name: 1\r\nContent-Length: 5\r\n\r\nshort")
+	invalidStatus   = rawResponse("HTTP/1.1 000 Status\r\nPrimrosemount-Root: 00\r\nContent-Length: 5\r\n\r\nshort")
 	notFromNode     = rawResponse("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
 )
 
@@ -209,6 +211,7 @@
 func TestUnknownIsRetriedWithSameKey(t *testing.T) {
 	for name, fault := range map[string]http.HandlerFunc{
 		"lost": dropConnection, "length": truncatedBody, "chunks": truncatedChunks, "no length": noFraming, "not from node": notFromNode,
+		"malformed name": malformedName, "invalid status": invalidStatus,
 		"in progress": respondProblem("unknown", "in_progress"), "unknown reason": respondProblem("unknown", "new_reason"),
 	} {
 		t.Run(name, func(t *testing.T) {
