relay, dispatch: reject malformed headers that another node passes on

A node that runs a version before the check of heads still passes the response of a target in trouble on, with a header whose name holds a space and with the body that the parser made of it. An entry of this version wrote both to its client, as long as the versions are mixed.

Evidence: TestMalformedHeadersFromNodeAreBrokenResponse (node/relay and node/dispatch) got a completed response for "Bad name: 1" before. Statuses were checked there already; the check covers the names now, and such a response counts as a broken one of the target, with the report of the gate.

Errors quote at most 200 bytes of a head, which may have 64 KB.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -23,6 +23,14 @@
 // statusDigits is the length of a status.
 const statusDigits = 3
 
+// maxQuotedBytes is the maximum length of the part of a head that is quoted in an error.
+const maxQuotedBytes = 200
+
+// malformed returns an error that quotes the part of a head.
+func malformed(part, text string) error {
+	return errors.Wrapf(ErrMalformed, "%s %q", part, text[:min(len(text), maxQuotedBytes)])
+}
+
 // framing is what the head of a response says about its body.
 type framing struct {
 	status int
@@ -44,18 +52,18 @@
 	if err != nil {
 		return 0, err
 	}
-	for len(head) > 0 {
-		line, head = cutLine(head)
-		if len(line) == 0 {
-			break
-		}
-		if err := f.readField(line); err != nil {
-			return 0, err
-		}
+	if err := f.readFields(head); err != nil {
+		return 0, err
 	}
 	return f.status, f.check()
 }
 
+// CheckFields checks header lines that do not frame the body.
+func CheckFields(lines []byte) error {
+	var f framing
+	return f.readFields(lines)
+}
+
 // cutLine returns the first line, without its line break, and what follows it.
 func cutLine(head []byte) (line, rest []byte) {
 	line, rest, _ = bytes.Cut(head, []byte("\n"))
@@ -68,7 +76,7 @@
 	digits, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(digits, 10, 16)
 	if err != nil || len(digits) != statusDigits || !strings.HasPrefix(version, "HTTP/1.") || strings.ContainsRune(line, '\r') {
-		return framing{}, errors.Wrapf(ErrMalformed, "status line %q", line)
+		return framing{}, malformed("status line", line)
 	}
 	return framing{
 		status:   int(status),
@@ -77,11 +85,26 @@
 	}, nil
 }
 
+// readFields reads header lines, up to an empty line.
+func (f *framing) readFields(lines []byte) error {
+	for len(lines) > 0 {
+		line, rest := cutLine(lines)
+		if len(line) == 0 {
+			return nil
+		}
+		if err := f.readField(line); err != nil {
+			return err
+		}
+		lines = rest
+	}
+	return nil
+}
+
 // readField reads one header line.
 func (f *framing) readField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
-		return errors.Wrapf(ErrMalformed, "header line %q", line)
+		return malformed("header line", string(line))
 	}
 	switch {
 	case strings.EqualFold(string(name), "Content-Length"):
@@ -94,7 +117,7 @@
 
 func (f *framing) readLength(value string) error {
 	if value == "" || strings.Trim(value, "0123456789") != "" || f.length != "" && f.length != value {
-		return errors.Wrapf(ErrMalformed, "Content-Length %q", value)
+		return malformed("Content-Length", value)
 	}
 	f.length = value
 	return nil
@@ -102,7 +125,7 @@
 
 func (f *framing) readCoding(value string) error {
 	if f.chunked || !strings.EqualFold(value, "chunked") {
-		return errors.Wrapf(ErrMalformed, "Transfer-Encoding %q", value)
+		return malformed("Transfer-Encoding", value)
 	}
 	f.chunked = true
 	return nil
--- a/node/dispatch/dispatch_test.go
+++ b/node/dispatch/dispatch_test.go
@@ -171,6 +171,23 @@
 	}
 }
 
+// Guards against passing on the response of a node that runs an earlier version, which has
+// not checked the head of its target, with a body that may have another framing than the
+// target meant.
+func TestMalformedHeadersFromNodeAreBrokenResponse(t *testing.T) {
+	for _, name := range []string{"Bad name", "Content-Length ", "Tab\t", "Bad\x01name", ""} {
+		malformed := func(request *pb.CallRequest) (*pb.CallResponse, error) {
+			response, err := respond(outcome.Completed, 0)(request)
+			response.Headers = []*pb.Header{{Name: "Note", Value: "1"}, {Name: name, Value: "1"}}
+			return response, err
+		}
+		result, _ := call([]reply{malformed}, false, "")
+		require.Equal(t, outcome.Unknown.Proto(), result.Response.GetOutcome(), "%q", name)
+		require.Equal(t, outcome.AnswerTruncated.Proto(), result.Response.GetReason())
+		require.Empty(t, result.Response.GetHeaders())
+	}
+}
+
 // Guards against taking the omitted response of a completed call, which has no status,
 // for a broken one.
 func TestOmittedResponseOfNodeIsComplete(t *testing.T) {
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosemount/primrosemount/core/once"
@@ -154,7 +155,7 @@
 	started := time.Now()
 	s.endpoint.Begin()
 	response := s.send(ctx, s.newCallRequest(allowance, started))
-	checkStatus(response)
+	checkResponse(response)
 	s.correctOutcome(response)
 	now := time.Now()
 	// The gate report is applied first, because it affects how the endpoint
@@ -227,20 +228,36 @@
 	return lost
 }
 
-// checkStatus makes a completed response whose status no target may send a broken
-// response. A node that runs an earlier version passes such a status on, and may have
-// handed over one that it has stored. A response that is no longer stored need not have a
-// status.
-func checkStatus(response *pb.CallResponse) {
-	omitted := response.GetBodyOmitted() || response.GetReason() == pb.Reason_REASON_TOO_LARGE
-	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED || omitted || outcome.IsFinalStatus(int(response.GetStatus())) {
+// checkResponse makes a completed response that no target may send a broken one. A node that
+// runs an earlier version passes it on, and may have handed over one that it has stored.
+func checkResponse(response *pb.CallResponse) {
+	fault := invalidity(response)
+	if fault == "" {
 		return
 	}
-	response.Detail = fmt.Sprintf("the target sent status %d, which no target may send", response.GetStatus())
+	response.Detail = fault
 	response.Outcome, response.Reason = outcome.Unknown.Proto(), outcome.AnswerTruncated.Proto()
 	response.Status, response.Headers, response.Body, response.BodyLength = 0, nil, nil, 0
 }
 
+// invalidity describes what HTTP does not permit in a completed response, or returns "". A
+// response that is no longer stored need not have a status.
+func invalidity(response *pb.CallResponse) string {
+	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED {
+		return ""
+	}
+	for _, header := range response.GetHeaders() {
+		if !httpguts.ValidHeaderFieldName(header.GetName()) {
+			return fmt.Sprintf("the target sent the header name %q, which no target may send", header.GetName())
+		}
+	}
+	omitted := response.GetBodyOmitted() || response.GetReason() == pb.Reason_REASON_TOO_LARGE
+	if !omitted && !outcome.IsFinalStatus(int(response.GetStatus())) {
+		return fmt.Sprintf("the target sent status %d, which no target may send", response.GetStatus())
+	}
+	return ""
+}
+
 // correctOutcome corrects the outcome of an attempt with a key according to the
 // earlier attempts with the same key, and records whether an attempt may have
 // run.
--- a/node/relay/dispatch.go
+++ b/node/relay/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/primrosemount/primrosemount/core/route"
 	"github.com/primrosemount/primrosemount/core/threshold"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
+	"github.com/primrosemount/primrosemount/internal/responsehead"
 	"github.com/primrosemount/primrosemount/transport"
 )
 
@@ -304,7 +305,7 @@
 		if len(response.GetHeaders()) > 0 {
 			response.HeaderLines = linesOf(response.GetHeaders())
 		}
-		d.checkStatus(request, address, response)
+		d.checkResponse(request, address, response)
 		return response
 	}
 	d.events.peerFailed(request, address, err)
@@ -314,17 +315,30 @@
 	return unknown(lostReason(ctx))
 }
 
-// checkStatus makes a completed response whose status no target may send a broken
-// response. A node that runs an earlier version passes such a status on.
-func (d *dispatcher) checkStatus(request *pb.ForwardRequest, address string, response *pb.ForwardResponse) {
-	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED || outcome.IsFinalStatus(int(response.GetStatus())) {
+// checkResponse makes a completed response that no target may send a broken one. A node
+// that runs an earlier version passes it on.
+func (d *dispatcher) checkResponse(request *pb.ForwardRequest, address string, response *pb.ForwardResponse) {
+	err := invalidResponse(response)
+	if err == nil {
 		return
 	}
-	d.events.peerFailed(request, address, errors.Wrapf(errInvalidStatus, "status %d", response.GetStatus()))
+	d.events.peerFailed(request, address, err)
 	response.Outcome, response.Reason = outcome.Unknown.Proto(), outcome.AnswerTruncated.Proto()
 	response.Status, response.HeaderLines, response.Body = 0, nil, nil
 }
 
+// invalidResponse returns an error if a response is completed and its status or its headers
+// are not what HTTP permits.
+func invalidResponse(response *pb.ForwardResponse) error {
+	switch {
+	case response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED:
+		return nil
+	case !outcome.IsFinalStatus(int(response.GetStatus())):
+		return errors.Wrapf(errInvalidStatus, "status %d", response.GetStatus())
+	}
+	return responsehead.CheckFields(response.GetHeaderLines())
+}
+
 func notSentReason(ctx context.Context) outcome.Reason {
 	if ctx.Err() != nil {
 		return outcome.DeadlineExceeded
--- a/node/relay/status_test.go
+++ b/node/relay/status_test.go
@@ -82,38 +82,71 @@
 func (n fixedNode) Forward(_ context.Context, request *pb.ForwardRequest, response *pb.ForwardResponse) {
 	response.Id = request.GetId()
 	response.Outcome, response.Status = n.response.GetOutcome(), n.response.GetStatus()
-	response.Body, response.HeaderLines = n.response.GetBody(), n.response.GetHeaderLines()
+	response.Body, response.HeaderLines, response.Headers = n.response.GetBody(), n.response.GetHeaderLines(), n.response.GetHeaders()
 	response.Gate, response.ReachedTarget = n.response.GetGate(), n.response.GetReachedTarget()
 }
 func (fixedNode) CancelForward(*pb.CancelRequest, *pb.CancelResponse) {}
 func (fixedNode) Sync(*pb.SyncRequest, *pb.SyncResponse)              {}
 func (fixedNode) ExchangeQuota(*pb.QuotaRequest, *pb.QuotaResponse)   {}
 
+// exchangeWithNode returns what a dispatcher makes of a response of another node.
+func exchangeWithNode(t *testing.T, response *pb.ForwardResponse) *pb.ForwardResponse {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := transport.NewServer(transport.ServerConfig{MaxBodyBytes: 1 << 20, MaxConnections: 4, Relay: fixedNode{response}})
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	defer listener.Close()
+	d := &dispatcher{pool: transport.NewPool(transport.ClientConfig{MaxBodyBytes: 1 << 20, IdleTimeout: time.Minute}), self: func() string { return "self" }, events: newEventLog(zap.NewNop())}
+	defer d.pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	o := &outgoing{responseMemory: memory.NewBudget(1 << 20).Open(memory.Responses)}
+	return d.exchange(ctx, listener.Addr().String(), &pb.ForwardRequest{Id: &pb.CallId{Sender: 1, Sequence: 1}, RemainingNanos: int64(time.Second)}, o)
+}
+
+// requireBroken requires that a response counts as a broken one of the target, and that the
+// report of the gate is kept.
+func requireBroken(t *testing.T, got *pb.ForwardResponse, message any) {
+	t.Helper()
+	require.Equal(t, pb.Outcome_OUTCOME_UNKNOWN, got.GetOutcome(), message)
+	require.Equal(t, pb.Reason_REASON_ANSWER_TRUNCATED, got.GetReason(), message)
+	require.Zero(t, got.GetStatus())
+	require.Empty(t, got.GetBody())
+	require.Empty(t, got.GetHeaderLines())
+	require.True(t, got.GetReachedTarget())
+	require.Equal(t, uint32(7), got.GetGate().GetLimit())
+}
+
 // Guards against a response of another node, which may run an earlier version, whose
 // status the entry would write to its client.
 func TestInvalidStatusFromNodeIsBrokenResponse(t *testing.T) {
 	for _, status := range []uint32{0, 99, 100, 101, 199, 600, 999, 1 << 31} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		server := transport.NewServer(transport.ServerConfig{MaxBodyBytes: 1 << 20, MaxConnections: 4, Relay: fixedNode{&pb.ForwardResponse{
+		requireBroken(t, exchangeWithNode(t, &pb.ForwardResponse{
 			Outcome: pb.Outcome_OUTCOME_COMPLETED, Status: status, Body: []byte("forged"), HeaderLines: []byte("Seal: s\r\n"),
 			Gate: &pb.GateReport{Limit: 7}, ReachedTarget: true,
-		}}})
-		go func() { _ = server.Serve(listener) }()
-		d := &dispatcher{pool: transport.NewPool(transport.ClientConfig{MaxBodyBytes: 1 << 20, IdleTimeout: time.Minute}), self: func() string { return "self" }, events: newEventLog(zap.NewNop())}
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		o := &outgoing{responseMemory: memory.NewBudget(1 << 20).Open(memory.Responses)}
-		got := d.exchange(ctx, listener.Addr().String(), &pb.ForwardRequest{Id: &pb.CallId{Sender: 1, Sequence: 1}, RemainingNanos: int64(time.Second)}, o)
-		cancel()
-		d.pool.Close()
-		require.NoError(t, listener.Close())
-		server.Close()
-		require.Equal(t, pb.Outcome_OUTCOME_UNKNOWN, got.GetOutcome(), status)
-		require.Equal(t, pb.Reason_REASON_ANSWER_TRUNCATED, got.GetReason(), status)
-		require.Zero(t, got.GetStatus())
-		require.Empty(t, got.GetBody())
-		require.Empty(t, got.GetHeaderLines())
-		require.True(t, got.GetReachedTarget())
-		require.Equal(t, uint32(7), got.GetGate().GetLimit(), "the report of the gate is kept")
+		}), status)
 	}
 }
+
+// Guards against a response of a node that runs an earlier version, which has not checked
+// the head of its target: the entry would write the malformed line to its client, and the
+// body may have another framing than the target meant.
+func TestMalformedHeadersFromNodeAreBrokenResponse(t *testing.T) {
+	for _, line := range []string{"Bad name: 1\r\n", "Content-Length : 7\r\n", "Tab\t: 1\r\n", "Bad\x01name: 1\r\n", " Folded: 1\r\n", ": 1\r\n", "No colon\r\n"} {
+		requireBroken(t, exchangeWithNode(t, &pb.ForwardResponse{
+			Outcome: pb.Outcome_OUTCOME_COMPLETED, Status: http.StatusOK, Body: []byte("ente"), HeaderLines: []byte("Seal: s\r\n" + line + "Note: 1\r\n"),
+			Gate: &pb.GateReport{Limit: 7}, ReachedTarget: true,
+		}), line)
+	}
+	requireBroken(t, exchangeWithNode(t, &pb.ForwardResponse{
+		Outcome: pb.Outcome_OUTCOME_COMPLETED, Status: http.StatusOK, Body: []byte("ente"), Headers: []*pb.Header{{Name: "Bad name", Value: "1"}},
+		Gate: &pb.GateReport{Limit: 7}, ReachedTarget: true,
+	}), "a message for each header")
+	got := exchangeWithNode(t, &pb.ForwardResponse{
+		Outcome: pb.Outcome_OUTCOME_COMPLETED, Status: http.StatusOK, Body: []byte("entered"), HeaderLines: []byte("Seal: s\r\nNote: \xe4 b\r\nEmpty:\r\n"),
+		Gate: &pb.GateReport{Limit: 7}, ReachedTarget: true,
+	})
+	require.Equal(t, pb.Outcome_OUTCOME_COMPLETED, got.GetOutcome())
+	require.Equal(t, "Seal: s\r\nNote: \xe4 b\r\nEmpty:\r\n", string(got.GetHeaderLines()))
+}
