--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -33,6 +33,7 @@
 var targetFaults = []plaintarget.Fault{
 	plaintarget.Refuse, plaintarget.LoseResponse, plaintarget.Truncate, plaintarget.MissingSeal,
 	plaintarget.ExtraResponse, plaintarget.Fail, plaintarget.ResetUnframed,
+	plaintarget.MalformedHead, plaintarget.UndefinedStatus,
 }
 
 // target is the stand-in target of one VM across its incarnations.
--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -38,6 +38,11 @@
 	Fail
 	// ResetUnframed sends a response without a length and resets the connection.
 	ResetUnframed
+	// MalformedHead sends a part of a response whose framing header has a space before its
+	// colon, and closes the connection.
+	MalformedHead
+	// UndefinedStatus sends a response with the status 000 and closes the connection.
+	UndefinedStatus
 	// RepeatRefusal refuses the request. It runs each request that follows on the
 	// connection, but writes the refusal again before each response.
 	RepeatRefusal
@@ -345,6 +350,11 @@
 		panic(http.ErrAbortHandler)
 	case Fail:
 		w.WriteHeader(http.StatusInternalServerError)
+	case MalformedHead:
+		body := t.responseBody(run)
+		writeBytes(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length : %d\r\n\r\n%s", identity(run.AttemptID), len(body), body[:len(body)/2]))
+	case UndefinedStatus:
+		writeBytes(w, "HTTP/1.1 000 Status\r\n"+identity(run.AttemptID)+"Content-Length: 0\r\n\r\n")
 	case ExtraResponse, ResetUnframed:
 		t.writeRaw(w, run, fault)
 	default:
@@ -408,13 +418,18 @@
 // writeResponse writes a successful response with its seal. framed adds the
 // Content-Length header.
 func writeResponse(w *bufio.Writer, id, body string, framed bool) {
-	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\n", id, id)
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s", identity(id))
 	if framed {
 		fmt.Fprintf(w, "Content-Length: %d\r\n", len(body))
 	}
 	fmt.Fprintf(w, "\r\n%s", body)
 }
 
+// identity returns the header lines with the ID and the seal of a response.
+func identity(id string) string {
+	return fmt.Sprintf("X-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\n", id, id)
+}
+
 func (t *Target) responseBody(run Run) string {
 	if t.config.ResponseTo != nil {
 		return t.config.ResponseTo(run)
