--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -9,9 +9,8 @@
 )
 
 // A Conn is a connection that an http.Transport uses without TLS, for requests with a
-// context of Trace and other methods than HEAD. A read that completes a malformed head
-// returns ErrMalformed in its place, so that the transport neither returns the response nor
-// uses the connection again.
+// context of Trace. A read that completes a malformed head returns ErrMalformed in its
+// place, so that the transport neither returns the response nor uses the connection again.
 type Conn struct {
 	net.Conn
 	// head holds the beginning of a head. It is not used while inBody is set.
--- a/node/dispatch/series.go
+++ b/node/dispatch/series.go
@@ -231,18 +231,18 @@
 // checkResponse makes a completed response that no target may send a broken one. A node that
 // runs an earlier version passes it on, and may have handed over one that it has stored.
 func checkResponse(response *pb.CallResponse) {
-	fault := invalidity(response)
-	if fault == "" {
+	detail := invalidDetail(response)
+	if detail == "" {
 		return
 	}
-	response.Detail = fault
+	response.Detail = detail
 	response.Outcome, response.Reason = outcome.Unknown.Proto(), outcome.AnswerTruncated.Proto()
 	response.Status, response.Headers, response.Body, response.BodyLength = 0, nil, nil, 0
 }
 
-// invalidity describes what HTTP does not permit in a completed response, or returns "". A
+// invalidDetail describes what HTTP does not permit in a completed response, or returns "". A
 // response that is no longer stored need not have a status.
-func invalidity(response *pb.CallResponse) string {
+func invalidDetail(response *pb.CallResponse) string {
 	if response.GetOutcome() != pb.Outcome_OUTCOME_COMPLETED {
 		return ""
 	}
--- a/node/relay/responsehead_test.go
+++ b/node/relay/nexthead_test.go
@@ -174,6 +174,7 @@
 var (
 	wellFormedHead  = regexp.MustCompile("^HTTP/1\\.[0-9] [2-5][0-9][0-9] [\\t -~\\x80-\\xff]*\r?\n(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t -~\\x80-\\xff]*\r?\n)*\r?\n")
 	framingLines    = regexp.MustCompile("(?im)^(content-length|transfer-encoding):[ \\t]*(.*?)[ \\t]*\r?$")
+	number          = regexp.MustCompile("^[0-9]+$")
 	statusOfTheText = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})`)
 )
 
@@ -195,7 +196,7 @@
 	case len(framing) > 1:
 		return false
 	}
-	return !sameStatus || framing[0][2] != was[0][2] && regexp.MustCompile("^[0-9]+$").MatchString(framing[0][2])
+	return !sameStatus || framing[0][2] != was[0][2] && number.MatchString(framing[0][2])
 }
 
 // Guards against taking a spoiled response for a complete one, and against giving a later
