--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -4,11 +4,7 @@
 package plaintarget
 
 import (
-	"bufio"
-	"errors"
-	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -48,30 +44,6 @@
 	RepeatRefusal
 )
 
-// Early is what a target does before it has read the body of a request.
-type Early uint8
-
-// Ways to treat an unread body.
-const (
-	// ReadBody reads the body.
-	ReadBody Early = iota
-	// RefuseAndClose responds that the request was not executed, without reading the
-	// body, and closes the connection.
-	RefuseAndClose
-	// RefuseAndStall responds that the request was not executed, and neither reads the
-	// body nor closes the connection.
-	RefuseAndStall
-	// RespondAndClose runs the request, responds and closes the connection.
-	RespondAndClose
-	// RespondAndReadOn runs the request, responds and reads the body slowly.
-	RespondAndReadOn
-	// ResetInBody runs the request and resets the connection within the body.
-	ResetInBody
-	// RespondInPartAndReset runs the request, sends part of a response without a length and
-	// resets the connection while the body is still being sent.
-	RespondInPartAndReset
-)
-
 // Run is one request that the target ran.
 type Run struct {
 	AttemptID string
@@ -202,92 +174,6 @@
 	t.respond(w, run, fault)
 }
 
-const (
-	// stallTime is how long RefuseAndStall keeps a connection.
-	stallTime = 5 * time.Second
-	// lateReadBytes and lateReadPause are the steps in which RespondAndReadOn reads.
-	lateReadBytes = 64 << 10
-	lateReadPause = 10 * time.Millisecond
-)
-
-// serveEarly treats a request whose body has not been read.
-func (t *Target) serveEarly(w http.ResponseWriter, r *http.Request, early Early) {
-	id := r.Header.Get("X-Attempt-Id")
-	if early == RespondAndReadOn {
-		t.respondAndReadOn(w, r)
-		return
-	}
-	conn, buffer, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-	switch early {
-	case RefuseAndClose, RefuseAndStall:
-		_, _ = buffer.WriteString(refusal)
-		_ = buffer.Flush()
-		if early == RefuseAndStall {
-			time.Sleep(stallTime)
-		}
-		return
-	case ResetInBody:
-		t.recordRun(Run{AttemptID: id, At: time.Now()})
-		_, _ = io.CopyN(io.Discard, buffer, r.ContentLength/2)
-		resetOnClose(conn)
-		return
-	case RespondInPartAndReset:
-		run := Run{AttemptID: id, Method: r.Method, Target: r.RequestURI, At: time.Now()}
-		t.recordRun(run)
-		writeResponse(buffer.Writer, id, t.responseBody(run)[:1], false)
-		_ = buffer.Flush()
-		resetOnClose(conn)
-		return
-	}
-	run := Run{AttemptID: id, Method: r.Method, Target: r.RequestURI, At: time.Now()}
-	t.recordRun(run)
-	writeResponse(buffer.Writer, id, t.responseBody(run), true)
-	_ = buffer.Flush()
-}
-
-// resetOnClose makes the next Close of a connection reset it.
-func resetOnClose(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
-
-// respondAndReadOn runs a request and reads its body after the response.
-func (t *Target) respondAndReadOn(w http.ResponseWriter, r *http.Request) {
-	run := Run{AttemptID: r.Header.Get("X-Attempt-Id"), Method: r.Method, Target: r.RequestURI, At: time.Now()}
-	t.recordRun(run)
-	control := http.NewResponseController(w)
-	if err := control.EnableFullDuplex(); err != nil {
-		return
-	}
-	body := t.responseBody(run)
-	w.Header().Set("X-Attempt-Id", run.AttemptID)
-	w.Header().Set("X-Response-Seal", "seal."+run.AttemptID)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = io.WriteString(w, body)
-	if err := control.Flush(); err != nil {
-		return
-	}
-	for {
-		_, err := io.CopyN(io.Discard, r.Body, lateReadBytes)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return
-		}
-		time.Sleep(lateReadPause)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.bodies++
-}
-
 // accept reads a request. It rejects a request that is meant for another target.
 func (t *Target) accept(w http.ResponseWriter, r *http.Request) (Run, bool) {
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != t.config.ID {
@@ -328,111 +214,3 @@
 		return false
 	}
 }
-
-// respond sends the response to a request that was run, with the given fault.
-func (t *Target) respond(w http.ResponseWriter, run Run, fault Fault) {
-	if fault != MissingSeal {
-		w.Header().Set("X-Response-Seal", "seal."+run.AttemptID)
-	}
-	maps.Copy(w.Header(), t.config.Header)
-	if t.config.Raw != nil {
-		if raw := t.config.Raw(run); raw != "" {
-			writeBytes(w, raw)
-			return
-		}
-	}
-	switch fault {
-	case LoseResponse:
-		panic(http.ErrAbortHandler)
-	case Truncate:
-		w.Header().Set("Content-Length", strconv.Itoa(len(t.responseBody(run))+10))
-		_, _ = io.WriteString(w, t.responseBody(run))
-		panic(http.ErrAbortHandler)
-	case Fail:
-		w.WriteHeader(http.StatusInternalServerError)
-	case MalformedHead:
-		body := t.responseBody(run)
-		writeBytes(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length : %d\r\n\r\n%s", identity(run.AttemptID), len(body), body[:len(body)/2]))
-	case UndefinedStatus:
-		writeBytes(w, "HTTP/1.1 000 Status\r\n"+identity(run.AttemptID)+"Content-Length: 0\r\n\r\n")
-	case ExtraResponse, ResetUnframed:
-		t.writeRaw(w, run, fault)
-	default:
-		_, _ = io.WriteString(w, t.responseBody(run))
-	}
-}
-
-// writeBytes sends the bytes as they are and closes the connection.
-func writeBytes(w http.ResponseWriter, raw string) {
-	conn, buffer, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	_, _ = buffer.WriteString(raw)
-	_ = buffer.Flush()
-	_ = conn.Close()
-}
-
-// writeRaw writes responses that violate HTTP, which net/http would not send.
-func (t *Target) writeRaw(w http.ResponseWriter, run Run, fault Fault) {
-	conn, buffer, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	if fault == ResetUnframed {
-		writeResponse(buffer.Writer, run.AttemptID, t.responseBody(run), false)
-		_ = buffer.Flush()
-		resetOnClose(conn)
-		_ = conn.Close()
-		return
-	}
-	writeResponse(buffer.Writer, run.AttemptID, t.responseBody(run), true)
-	writeResponse(buffer.Writer, "stale-"+run.AttemptID, "another request's answer", true)
-	_ = buffer.Flush()
-	_ = conn.Close()
-}
-
-// repeatRefusal serves the remaining requests of a connection as described at
-// RepeatRefusal.
-func (t *Target) repeatRefusal(w http.ResponseWriter, run Run) {
-	conn, buffer, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", run.AttemptID)
-	_, _ = buffer.WriteString(refusal)
-	for buffer.Flush() == nil {
-		request, err := http.ReadRequest(buffer.Reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		next := Run{AttemptID: request.Header.Get("X-Attempt-Id"), Method: request.Method, Target: request.RequestURI, At: time.Now()}
-		t.recordRun(next)
-		_, _ = buffer.WriteString(refusal)
-		writeResponse(buffer.Writer, next.AttemptID, t.responseBody(next), true)
-	}
-}
-
-// writeResponse writes a successful response with its seal. framed adds the
-// Content-Length header.
-func writeResponse(w *bufio.Writer, id, body string, framed bool) {
-	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s", identity(id))
-	if framed {
-		fmt.Fprintf(w, "Content-Length: %d\r\n", len(body))
-	}
-	fmt.Fprintf(w, "\r\n%s", body)
-}
-
-// identity returns the header lines with the ID and the seal of a response.
-func identity(id string) string {
-	return fmt.Sprintf("X-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\n", id, id)
-}
-
-func (t *Target) responseBody(run Run) string {
-	if t.config.ResponseTo != nil {
-		return t.config.ResponseTo(run)
-	}
-	return t.config.Response
-}
