--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -47,12 +47,12 @@
 // Check checks a head: its status line and header lines, up to the empty line. It returns
 // the status.
 func Check(head []byte) (status int, err error) {
-	line, head := cutLine(head)
-	f, err := readStatusLine(string(line))
+	line, fields := cutLine(string(head))
+	f, err := readStatusLine(line)
 	if err != nil {
 		return 0, err
 	}
-	if err := f.readFields(head); err != nil {
+	if err := f.readFields(fields); err != nil {
 		return 0, err
 	}
 	return f.status, f.check()
@@ -61,13 +61,13 @@
 // CheckFields checks header lines that do not frame the body.
 func CheckFields(lines []byte) error {
 	var f framing
-	return f.readFields(lines)
+	return f.readFields(string(lines))
 }
 
 // cutLine returns the first line, without its line break, and what follows it.
-func cutLine(head []byte) (line, rest []byte) {
-	line, rest, _ = bytes.Cut(head, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r")), rest
+func cutLine(text string) (line, rest string) {
+	line, rest, _ = strings.Cut(text, "\n")
+	return strings.TrimSuffix(line, "\r"), rest
 }
 
 // readStatusLine returns what the status line says about the framing.
@@ -86,7 +86,7 @@
 }
 
 // readFields reads header lines, up to an empty line.
-func (f *framing) readFields(lines []byte) error {
+func (f *framing) readFields(lines string) error {
 	for len(lines) > 0 {
 		line, rest := cutLine(lines)
 		if len(line) == 0 {
@@ -101,16 +101,17 @@
 }
 
 // readField reads one header line.
-func (f *framing) readField(line []byte) error {
-	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
-		return malformed("header line", string(line))
+func (f *framing) readField(line string) error {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return malformed("header line", line)
 	}
+	value = strings.Trim(value, " \t")
 	switch {
-	case strings.EqualFold(string(name), "Content-Length"):
-		return f.readLength(string(bytes.Trim(value, " \t")))
-	case strings.EqualFold(string(name), "Transfer-Encoding"):
-		return f.readCoding(string(bytes.Trim(value, " \t")))
+	case strings.EqualFold(name, "Content-Length"):
+		return f.readLength(value)
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		return f.readCoding(value)
 	}
 	return nil
 }
