plaintarget: close the listener of a target that stops right after its start

Cause: http.Server.Close knows a listener only once Serve has begun. Two drains of one target overlapped, so that it was stopped right after its start, and the listener stayed open until Serve ran.

--- a/internal/standin/plaintarget/plaintarget.go
+++ b/internal/standin/plaintarget/plaintarget.go
@@ -111,8 +111,12 @@
 // Address returns the address of the listener.
 func (t *Target) Address() string { return t.listener.Addr().String() }
 
-// Stop closes the listener and all connections.
-func (t *Target) Stop() { _ = t.server.Close() }
+// Stop closes the listener and all connections. The server knows the listener only from
+// the moment at which it begins to serve.
+func (t *Target) Stop() {
+	_ = t.listener.Close()
+	_ = t.server.Close()
+}
 
 // Runs returns the requests that the target ran.
 func (t *Target) Runs() []Run {
