executor: share the accept loop of the stand-in targets in tests

Five tests had a listener and an accept loop of their own. The assertions stay. TestEachHeadOfConnectionIsChecked now accepts more than one connection; it still fails if a call does not reuse the first one, because only the fourth request of a connection gets the malformed head.

--- a/node/executor/target_test.go
+++ b/node/executor/target_test.go
@@ -32,20 +32,26 @@
 	requests           atomic.Int64
 }
 
-func startRawTarget(t *testing.T, response string, maxResponses int, closeAfterResponse bool) *rawTarget {
+// serveConns serves each connection to the returned address.
+func serveConns(t *testing.T, serve func(conn net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	target := &rawTarget{address: listener.Addr().String(), closeAfterResponse: closeAfterResponse}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go target.serve(conn, response, maxResponses)
+			go serve(conn)
 		}
 	}()
+	return listener.Addr().String()
+}
+
+func startRawTarget(t *testing.T, response string, maxResponses int, closeAfterResponse bool) *rawTarget {
+	target := &rawTarget{closeAfterResponse: closeAfterResponse}
+	target.address = serveConns(t, func(conn net.Conn) { target.serve(conn, response, maxResponses) })
 	return target
 }
 
@@ -137,38 +143,27 @@
 // reported as not run although it runs.
 func TestDuplicateRefusalIsNotMatchedToNextCall(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nPrimrosemount-Refused: true\r\nContent-Length: 0\r\n\r\n"
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	var ran atomic.Int64
-	go func() {
-		for {
-			conn, err := listener.Accept()
+	address := serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					if n > 0 {
-						ran.Add(1)
-					}
-					_, _ = io.WriteString(conn, refusal)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			if n > 0 {
+				ran.Add(1)
+			}
+			_, _ = io.WriteString(conn, refusal)
 		}
-	}()
+	})
 	client := newTargetClient()
 	defer client.close()
 	for _, body := range []string{"x", "", "y", "z"} {
 		running := runningCall(t, body)
-		got := client.send(running.ctx, listener.Addr().String(), running)
+		got := client.send(running.ctx, address, running)
 		require.Equal(t, outcome.NotRun, got.result.Outcome)
 		require.True(t, got.refused)
 	}
@@ -199,21 +194,11 @@
 // countingTarget starts a target that sends fixed bytes in response to each request and
 // counts its connections.
 func countingTarget(t *testing.T, connections *atomic.Int64, response string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	target := &rawTarget{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			go target.serve(conn, response, math.MaxInt)
-		}
-	}()
-	return listener.Addr().String()
+	return serveConns(t, func(conn net.Conn) {
+		connections.Add(1)
+		target.serve(conn, response, math.MaxInt)
+	})
 }
 
 // Guards against taking part of a response that has no length for the whole one when the
@@ -242,19 +227,7 @@
 // startUnframedTarget starts a target that responds without a length before it has read
 // the body of a request, and then resets the connection, or ends its stream and reads on.
 func startUnframedTarget(t *testing.T, reset bool) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go respondUnframed(conn.(*net.TCPConn), reset)
-		}
-	}()
-	return listener.Addr().String()
+	return serveConns(t, func(conn net.Conn) { respondUnframed(conn.(*net.TCPConn), reset) })
 }
 
 func respondUnframed(conn *net.TCPConn, reset bool) {
@@ -311,14 +284,7 @@
 	const body = "no: head\r\nno head : 1\r\n\r\n"
 	well := fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nNote: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	const malformed = "HTTP/1.1 200 OK\r\nBad name: 1\r\nContent-Length: 0\r\n\r\n"
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
+	address := serveConns(t, func(conn net.Conn) {
 		defer conn.Close()
 		reader := bufio.NewReader(conn)
 		for n := 1; ; n++ {
@@ -337,12 +303,12 @@
 				time.Sleep(100 * time.Microsecond)
 			}
 		}
-	}()
+	})
 	client := newTargetClient()
 	defer client.close()
 	for n := 1; n <= calls; n++ {
 		running := runningCall(t, "x")
-		got := client.send(running.ctx, listener.Addr().String(), running)
+		got := client.send(running.ctx, address, running)
 		if n == calls {
 			require.Equal(t, outcome.Unknown, got.result.Outcome)
 			return
