--- a/review/rig3/backend.go
+++ b/review/rig3/backend.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// beatPause is the time between two heartbeats of a backend.
+const beatPause = 1500 * time.Millisecond
+
 // run is a request that a backend began to work on.
 type run struct {
 	id, tenant, caller string
@@ -29,6 +32,8 @@
 	server   *http.Server
 	mu       sync.Mutex
 	runs     []run
+	// ended is the number of runs that have ended with an answer.
+	ended    int
 	sequence int
 	stopBeat context.CancelFunc
 	// respond, if set, replaces the usual response.
@@ -75,11 +80,34 @@
 	case <-r.Context().Done():
 		return
 	}
+	b.mu.Lock()
+	b.ended++
+	b.mu.Unlock()
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Response-Seal", "seal."+id)
 	_, _ = io.WriteString(w, "answer of "+id)
 }
 
+// exit ends the backend at once, and returns the number of requests that were running.
+func (b *backend) exit() int {
+	_ = b.server.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.vm.rig.rec.line("backend %s: has ended, %d requests were running", b.id, len(b.runs)-b.ended)
+	return len(b.runs) - b.ended
+}
+
+// runsAfter returns the number of requests that the backend began to work on after a time.
+func (b *backend) runsAfter(after time.Time) int {
+	count := 0
+	for _, started := range b.allRuns() {
+		if started.at.After(after) {
+			count++
+		}
+	}
+	return count
+}
+
 // allRuns returns the runs of the backend.
 func (b *backend) allRuns() []run {
 	b.mu.Lock()
@@ -108,15 +136,30 @@
 }
 
 // beat sends one heartbeat.
-func (b *backend) beat(state string) int {
+func (b *backend) beat(state string) int { return b.deliver(b.newBeat(state)) }
+
+// A heartbeat is one that has been sent and may arrive later.
+type heartbeat struct {
+	body, state string
+	sequence    int
+	sent        time.Time
+}
+
+// newBeat returns the next heartbeat.
+func (b *backend) newBeat(state string) heartbeat {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.sequence++
-	sequence := b.sequence
-	b.mu.Unlock()
 	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
-		b.vm.at(portApp), b.born, b.vm.service, b.vm.zone, b.capacity, state, sequence)
-	status := b.post("/v1/Instances.Heartbeat/"+b.id, body)
-	b.vm.rig.rec.line("backend %s: heartbeat %s sequence %d: status %d", b.id, state, sequence, status)
+		b.vm.at(portApp), b.born, b.vm.service, b.vm.zone, b.capacity, state, b.sequence)
+	return heartbeat{body: body, state: state, sequence: b.sequence, sent: time.Now()}
+}
+
+// deliver lets a heartbeat arrive and returns the status of the answer.
+func (b *backend) deliver(h heartbeat) int {
+	status := b.post("/v1/Instances.Heartbeat/"+b.id, h.body)
+	b.vm.rig.rec.line("backend %s born %d: heartbeat %s sequence %d arrives %.1f s after it was sent: status %d",
+		b.id, b.born, h.state, h.sequence, time.Since(h.sent).Seconds(), status)
 	return status
 }
 
@@ -142,7 +185,7 @@
 			b.beat("ready")
 			select {
 			case <-ctx.Done():
-			case <-time.After(1500 * time.Millisecond):
+			case <-time.After(beatPause):
 			}
 		}
 	}()
--- a/review/rig3/drain.go
+++ b/review/rig3/drain.go
@@ -9,6 +9,8 @@
 const (
 	drainTimeout = 2 * time.Second
 	drainHost    = "rota.example"
+	// stayTime is how much longer than drainTimeout the backend serves.
+	stayTime = 4 * time.Second
 )
 
 const kvBounds = `  - "seed_staleness=3s"
@@ -31,11 +33,60 @@
 // after the leave was acknowledged. DRAIN is broken if a request reaches the backend later
 // than drain_timeout after the acknowledgement.
 func playDrain(r *rig, trouble bool) (bool, error) {
+	load, err := r.startRota()
+	if err != nil {
+		return false, err
+	}
+	leaving := r.vms[1].backend
+	leaving.stopBeats()
+	time.Sleep(300 * time.Millisecond)
+	before := len(leaving.allRuns())
+	acked, err := leaving.leave()
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(700 * time.Millisecond)
+	if trouble {
+		// A heartbeat of another writer: several fields are missing.
+		body := fmt.Sprintf(`{"address":%q,"info":{"service":%q,"capacity":%d},"status":{"state":"ready","sequence":%d}}`,
+			leaving.vm.at(portApp), leaving.vm.service, leaving.capacity, leaving.sequence+1)
+		status := leaving.post("/v1/Instances.Heartbeat/"+leaving.id, body)
+		r.rec.line("another writer: heartbeat with missing fields for %s: status %d", leaving.id, status)
+	}
+	// The backend serves for drain_timeout after the acknowledgement and a little longer.
+	time.Sleep(time.Until(acked.Add(drainTimeout + stayTime)))
+	lost := leaving.exit()
+	load.end()
+	late := leaving.runsAfter(acked.Add(drainTimeout))
+	r.verdict("DRAIN: the backend ran %d requests before it left; %d requests reached it later than %v after the acknowledgement; %d were running when it ended",
+		before, late, drainTimeout, lost)
+	if before == 0 {
+		return false, fmt.Errorf("the backend got no request before it left")
+	}
+	return late > 0, nil
+}
+
+// load is the clients of a test.
+type load struct {
+	stop    chan struct{}
+	clients sync.WaitGroup
+}
+
+// end ends the clients a while after the last event of the test.
+func (l *load) end() {
+	time.Sleep(2 * time.Second)
+	close(l.stop)
+	l.clients.Wait()
+}
+
+// startRota starts three machines, two of which have a backend of the service that the
+// clients at the first one use.
+func (r *rig) startRota() (*load, error) {
 	r.bounds = kvBounds
 	for i, service := range []string{"dues", "rota", "rota"} {
 		v := r.addVM(fmt.Sprintf("sidecar-hki-%d", i+1), "hki", service)
-		if err := v.startBackend(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), 50, 20*time.Millisecond); err != nil {
-			return false, err
+		if err := v.startBackend(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), 50, 200*time.Millisecond); err != nil {
+			return nil, err
 		}
 	}
 	r.configure(1, []route{
@@ -44,23 +95,22 @@
 	}, []string{"dues", "rota"}, nil)
 	for _, v := range r.vms {
 		if err := v.start(); err != nil {
-			return false, err
+			return nil, err
 		}
 		v.backend.startBeats()
 	}
 	if err := r.awaitReady(r.vms, 10*time.Second); err != nil {
-		return false, err
+		return nil, err
 	}
 	time.Sleep(6 * time.Second)
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for c := range 4 {
-		clients.Add(1)
+	l := &load{stop: make(chan struct{})}
+	for c := range 12 {
+		l.clients.Add(1)
 		go func() {
-			defer clients.Done()
+			defer l.clients.Done()
 			for n := 0; ; n++ {
 				select {
-				case <-stop:
+				case <-l.stop:
 					return
 				case <-time.After(40 * time.Millisecond):
 				}
@@ -75,34 +125,5 @@
 		}()
 	}
 	time.Sleep(4 * time.Second)
-	leaving := r.vms[1].backend
-	leaving.stopBeats()
-	time.Sleep(300 * time.Millisecond)
-	before := len(leaving.allRuns())
-	acked, err := leaving.leave()
-	if err != nil {
-		return false, err
-	}
-	time.Sleep(700 * time.Millisecond)
-	if trouble {
-		// A heartbeat of another writer: the field "born" is missing.
-		body := fmt.Sprintf(`{"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":"ready","sequence":%d,"cold_remaining":"0ms"}}`,
-			leaving.vm.at(portApp), leaving.vm.service, leaving.vm.zone, leaving.capacity, leaving.sequence+1)
-		status := leaving.post("/v1/Instances.Heartbeat/"+leaving.id, body)
-		r.rec.line("another writer: heartbeat without born for %s: status %d", leaving.id, status)
-	}
-	time.Sleep(7 * time.Second)
-	close(stop)
-	clients.Wait()
-	late := 0
-	for _, started := range leaving.allRuns() {
-		if started.at.Sub(acked) > drainTimeout {
-			late++
-		}
-	}
-	r.verdict("DRAIN: the backend ran %d requests before it left; %d requests reached it later than %v after the acknowledgement", before, late, drainTimeout)
-	if before == 0 {
-		return false, fmt.Errorf("the backend got no request before it left")
-	}
-	return late > 0, nil
+	return l, nil
 }
--- a/review/rig3/proxy.go
+++ b/review/rig3/proxy.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 )
@@ -44,7 +43,7 @@
 }
 
 func (p *proxy) serve(conn net.Conn) {
-	pid := ownerOf(conn.RemoteAddr().String())
+	pid := ownerOf(conn)
 	p.mu.Lock()
 	if p.isCut(pid) {
 		p.mu.Unlock()
@@ -80,19 +79,26 @@
 	_ = conn.Close()
 }
 
-// isCut reports whether a process is cut off. The caller holds the mutex.
-func (p *proxy) isCut(pid int) bool { return p.cutAll || p.cutPID != 0 && pid == p.cutPID }
+// isCut reports whether a process is cut off. A connection whose process could not be found
+// is reset too; its process opens another one. The caller holds the mutex.
+func (p *proxy) isCut(pid int) bool {
+	return p.cutAll || p.cutPID != 0 && (pid == p.cutPID || pid == 0)
+}
 
-// cut resets the connections of a process, or of all for 0, and refuses new ones.
-func (p *proxy) cut(pid int) {
+// cut resets the connections of a process, or of all for 0, and refuses new ones. It returns
+// the number of connections that it has reset.
+func (p *proxy) cut(pid int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cutAll, p.cutPID = pid == 0, pid
+	count := 0
 	for conn, owner := range p.open {
 		if p.isCut(owner) {
 			reset(conn)
+			count++
 		}
 	}
+	return count
 }
 
 // heal ends a cut.
@@ -110,10 +116,10 @@
 // pids holds the processes among which ownerOf searches.
 var pids sync.Map
 
-// ownerOf returns the process of the test that has opened the connection with a local
-// address, or 0.
-func ownerOf(address string) int {
-	inode := inodeOf(address)
+// ownerOf returns the process of the test that has opened a connection which was accepted, or
+// 0.
+func ownerOf(conn net.Conn) int {
+	inode := inodeOf(hexAddress(conn.RemoteAddr()), hexAddress(conn.LocalAddr()))
 	if inode == "" {
 		return 0
 	}
@@ -132,22 +138,22 @@
 	return found
 }
 
-// inodeOf returns the inode of the socket with a local address.
-func inodeOf(address string) string {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil {
-		return ""
-	}
-	ip := net.ParseIP(host).To4()
-	number, _ := strconv.Atoi(port)
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], number)
+// hexAddress returns an address as the system lists it.
+func hexAddress(address net.Addr) string {
+	tcp := address.(*net.TCPAddr)
+	ip := tcp.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+}
+
+// inodeOf returns the inode of the socket with a local and a remote address.
+func inodeOf(local, remote string) string {
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
 	defer file.Close()
 	for lines := bufio.NewScanner(file); lines.Scan(); {
-		if fields := strings.Fields(lines.Text()); len(fields) > 9 && fields[1] == local {
+		if fields := strings.Fields(lines.Text()); len(fields) > 9 && fields[1] == local && fields[2] == remote {
 			return fields[9]
 		}
 	}
--- a/review/rig3/quota.go
+++ b/review/rig3/quota.go
@@ -94,7 +94,7 @@
 	one.store.cut(0)
 	for _, l := range all {
 		if l != one {
-			l.peers.cut(one.vm.pid())
+			one.vm.rig.rec.line("machine %s: %d of its connections to %s are reset", one.vm.name, l.peers.cut(one.vm.pid()), l.vm.name)
 		}
 	}
 }
