--- a/review/rig3/quota.go
+++ b/review/rig3/quota.go
@@ -23,7 +23,7 @@
 	hotLoad   = 80
 	hotTime   = 8 * time.Second
 	// cutTime is the time for which one machine is cut off.
-	cutTime = 12 * time.Second
+	cutTime = 9 * time.Second
 )
 
 const lakesBounds = `  - "seed_staleness=3s"
@@ -159,13 +159,13 @@
 	}
 	r.rec.line("machine %s: added", added.vm.name)
 	links = append(links, added)
-	time.Sleep(3 * time.Second)
+	time.Sleep(400 * time.Millisecond)
 	r.rec.line("the tenant sends %d requests a second at each machine", hotLoad)
 	log.hot.Store(true)
 	time.Sleep(hotTime)
 	log.hot.Store(false)
 	r.rec.line("the tenant sends its usual again")
-	time.Sleep(cutTime - hotTime - 3500*time.Millisecond)
+	time.Sleep(cutTime - hotTime - 900*time.Millisecond)
 	if trouble {
 		rejoin(one, links)
 	}
