--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *rig, trouble bool) (broken bool, err error){
 	"drain": playDrain,
 	"late":  playLate,
+	"leave": playLeave,
 	"quota": playQuota,
 }
 
