--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,10 +17,11 @@
 
 // cases are the tests by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *rig, trouble bool) (broken bool, err error){
-	"drain": playDrain,
-	"late":  playLate,
-	"leave": playLeave,
-	"quota": playQuota,
+	"drain":  playDrain,
+	"freeze": playFreeze,
+	"late":   playLate,
+	"leave":  playLeave,
+	"quota":  playQuota,
 }
 
 func main() {
--- a/review/rig3/proxy.go
+++ b/review/rig3/proxy.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 )
 
 // A proxy passes connections on to one address. A cut resets the connections that one
@@ -15,6 +17,7 @@
 type proxy struct {
 	listener net.Listener
 	upstream string
+	dialer   net.Dialer
 	mu       sync.Mutex
 	open     map[net.Conn]int
 	// cutAll and cutPID say whose connections are cut off.
@@ -23,11 +26,35 @@
 }
 
 func startProxy(address, upstream string) (*proxy, error) {
-	listener, err := net.Listen("tcp", address)
+	return startProxyWith(address, upstream, nil)
+}
+
+// startNarrowProxy starts a proxy whose connections have small windows, as the links of the
+// platform have: a peer that does not read soon blocks the writer.
+func startNarrowProxy(address, upstream string) (*proxy, error) {
+	return startProxyWith(address, upstream, func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, windowBytes)
+		})
+	})
+}
+
+// The segments and windows of a narrow proxy.
+const (
+	segmentBytes = 1460
+	windowBytes  = 32 << 10
+)
+
+func startProxyWith(address, upstream string, control func(network, address string, raw syscall.RawConn) error) (*proxy, error) {
+	config := net.ListenConfig{Control: control}
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, upstream: upstream, open: map[net.Conn]int{}}
+	p := &proxy{listener: listener, upstream: upstream, dialer: net.Dialer{Control: control}, open: map[net.Conn]int{}}
 	go p.accept()
 	return p, nil
 }
@@ -57,7 +84,7 @@
 		delete(p.open, conn)
 		p.mu.Unlock()
 	}()
-	up, err := net.Dial("tcp", p.upstream)
+	up, err := p.dialer.Dial("tcp", p.upstream)
 	if err != nil {
 		reset(conn)
 		return
--- a/review/rig3/quota.go
+++ b/review/rig3/quota.go
@@ -62,10 +62,14 @@
 }
 
 func (r *rig) addLinked(name, zone, service string) (*link, error) {
+	return r.addLinkedWith(name, zone, service, startProxy)
+}
+
+func (r *rig) addLinkedWith(name, zone, service string, start func(address, upstream string) (*proxy, error)) (*link, error) {
 	v := r.addVM(name, zone, service)
 	l := &link{vm: v}
 	var err error
-	if l.peers, err = startProxy(v.at(portProxy), v.at(portPeer)); err != nil {
+	if l.peers, err = start(v.at(portProxy), v.at(portPeer)); err != nil {
 		return nil, err
 	}
 	if l.store, err = startProxy(v.at(portStore), r.store.address); err != nil {
