--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,7 +17,6 @@
 
 // cases are the tests by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *rig, trouble bool) (broken bool, err error){
-	"drain":  playDrain,
 	"freeze": playFreeze,
 	"leave":  playLeave,
 	"quota":  playQuota,
