--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,6 +18,7 @@
 // cases are the tests by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *rig, trouble bool) (broken bool, err error){
 	"freeze": playFreeze,
+	"grace":  playGrace,
 	"leave":  playLeave,
 	"quota":  playQuota,
 }
