--- a/review/rig3/freeze.go
+++ b/review/rig3/freeze.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -91,12 +92,16 @@
 	c.running.Add(1)
 	go c.send(r, stop)
 	time.Sleep(3 * time.Second)
+	suspended := true
 	if trouble {
-		r.suspend(r.vms[0])
+		suspended = r.suspend(r.vms[0])
 	}
 	time.Sleep(3 * time.Second)
 	close(stop)
 	c.running.Wait()
+	if !suspended {
+		return false, fmt.Errorf("the machine was continued by others before the end of the freeze")
+	}
 	r.verdict("MIXED: %d successes with a body that is not the backend's whole body for the request, %d of them with bytes of another answer; answers by status %v, without answer %d",
 		c.wrong, c.foreign, c.counts, c.failed)
 	if c.counts[http.StatusOK] < 3*stockLoad {
@@ -105,15 +110,18 @@
 	return c.wrong > 0, nil
 }
 
-// suspend suspends a machine for freezeTime.
-func (r *rig) suspend(v *vm) {
+// suspend suspends a machine for freezeTime. It reports whether the machine was suspended
+// until the end.
+func (r *rig) suspend(v *vm) bool {
 	v.signal(syscall.SIGSTOP)
 	time.Sleep(freezeTime - secondFreeze)
 	r.rec.line("node %s: the second freeze begins", v.name)
 	time.Sleep(firstFreeze - (freezeTime - secondFreeze))
 	r.rec.line("node %s: the first freeze ends, the second goes on", v.name)
 	time.Sleep(freezeTime - firstFreeze)
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", v.pid()))
 	v.signal(syscall.SIGCONT)
+	return err == nil && strings.Contains(string(stat), ") T ")
 }
 
 // stockClients are the clients at the first machine, and what they got.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,6 +17,7 @@
 
 // cases are the tests by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *rig, trouble bool) (broken bool, err error){
+	"forget": playForget,
 	"freeze": playFreeze,
 	"grace":  playGrace,
 	"leave":  playLeave,
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -68,7 +68,9 @@
 	command []string
 	bounds  string
 	store   *store
-	vms     []*vm
+	// storeAddress is the address of the store, or of a proxy before it.
+	storeAddress string
+	vms          []*vm
 }
 
 // vm is a machine with a node process and a backend.
@@ -108,6 +110,7 @@
 	for range 50 {
 		r.prefix = fmt.Sprintf("127.%d.%d", 20+rand.Intn(200), 1+rand.Intn(250))
 		if r.store, err = startStore(fmt.Sprintf("%s.250:%d", r.prefix, portStore)); err == nil {
+			r.storeAddress = r.store.address
 			return r, nil
 		}
 	}
@@ -131,7 +134,7 @@
 // addVM adds a VM. Nothing is started yet.
 func (r *rig) addVM(name, zone, service string) *vm {
 	v := &vm{rig: r, name: name, zone: zone, service: service, memory: 284,
-		ip: fmt.Sprintf("%s.%d", r.prefix, 10+len(r.vms)), storeAddress: r.store.address}
+		ip: fmt.Sprintf("%s.%d", r.prefix, 10+len(r.vms)), storeAddress: r.storeAddress}
 	r.vms = append(r.vms, v)
 	return v
 }
@@ -214,7 +217,9 @@
 	c.Dir = v.rig.root
 	c.Env = append(os.Environ(), "PRIMROSEMOUNT_SETTINGS="+path, "GOMAXPROCS=2")
 	c.Stdout, c.Stderr = log, log
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// A group of its own: the system continues the suspended processes of a group whose
+	// shell ends.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := c.Start(); err != nil {
 		return err
 	}
