transport: close the connection after a write that failed

What callers saw: a node was suspended for 5.4 s while answers of another node were on their way to it.

Cause: a response whose write ran into its timeout may have been written in part. net/rpc ignores the error of WriteResponse, and neither the codec nor connServer closed the connection, so that the next response followed the part and its bytes were read as the rest of the first one. The side that writes requests closed its connection already.

Change: writeFrames, through which both sides write, closes the connection when a write fails. Nothing can follow a part, and the end of the connection tells the calling node that its calls are lost and cancels the handlers that run for it.

Evidence: TestNoResponseFollowsPartOfAnother and TestSuspendedCallerReadsOnlyWholeResponses failed before; in the latter the body held the name of the method and the header of the next response. TestNoRequestFollowsPartOfAnother guards the other direction and passed before.

--- a/transport/codec.go
+++ b/transport/codec.go
@@ -105,13 +105,18 @@
 	return writeFrames(f.conn, frame)
 }
 
-// writeFrames writes encoded frames.
+// writeFrames writes encoded frames. A write that fails may end within a frame, and the
+// peer would take what follows for the rest of that frame. So it closes the connection,
+// which also ends the calls that are running for the peer.
 func writeFrames(conn net.Conn, encoded []byte) error {
-	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	err := conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err == nil {
+		_, err = conn.Write(encoded)
 	}
-	_, err := conn.Write(encoded)
-	return err
+	if err != nil {
+		return errors.CombineErrors(err, conn.Close())
+	}
+	return nil
 }
 
 // errNotEncoded marks a message that cannot be encoded, for example because a string
--- a/transport/requestwriter.go
+++ b/transport/requestwriter.go
@@ -115,9 +115,8 @@
 		}
 		batch = w.take(batch)
 		if err := w.write(batch); err != nil {
-			// The stream is unusable after a partly written frame.
+			// The connection is closed.
 			w.close()
-			_ = w.conn.Close()
 			return
 		}
 	}
