httpserver: close the connection after an interim response that failed

A client that waits for "100 Continue" and does not read for the write timeout may get a part of it. The body then counts as not received, and the response to the request followed the part, which the client reads as one message.

The connection is closed now. TestNothingFollowsPartOfResponse/interim response failed before; its other case, a final response that is written in part, passed before.

--- a/transport/httpserver/requestbody.go
+++ b/transport/httpserver/requestbody.go
@@ -33,6 +33,11 @@
 	_, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	c.mu.Lock()
 	c.writing = false
+	if err != nil {
+		// The client would read the response to the request as the rest of the interim
+		// response.
+		c.abortLocked()
+	}
 	return err
 }
 
