targetstate, relay: keep the drain of an incarnation that is not known yet

What callers saw: a target crashed and started again under a new ID. Its first two heartbeats were late. It sent Leave, which its node answered with 200.

Cause: the node still held the announcement of the incarnation before. MarkDraining ignored a Leave with another ID and remembered it nowhere, and the wait for the record ended at once, since nothing had changed. `born` in the body of a Leave was not read.

Change: a Leave names an incarnation, by ID and start time. If it has started later than the known one, it is the current one from then on, and drains. If it started earlier, or that is unknown, it is kept beside the current one, which goes on being used; its late announcements find it drained. The set is part of the announcement of the node (RelayMember.drained_targets), so that the acknowledgement waits until it is held outside the process like that of a known target, and the next incarnation of the node restores it from the store or from the nodes that hold it. A Leave with the ID of the current incarnation and an earlier start time gets 409, like such a heartbeat: it may be of a target that ended long ago, or of the present one after a restart with an earlier clock. A drained incarnation that was replaced never takes the place of the one after it.

--- a/core/roster/record.go
+++ b/core/roster/record.go
@@ -24,6 +24,8 @@
 	// announcement about itself with a higher incarnation switches to the next
 	// number, so a next number must exist.
 	maxCounter = 1 << 62
+	// maxDrainedTargets is the maximum number of other targets that have drained.
+	maxDrainedTargets = 64
 )
 
 // ErrInvalidRecord reports a record that does not hold a valid announcement.
@@ -67,6 +69,14 @@
 	if m.GetSlots() > maxSlots {
 		return errors.Newf("%d slots are more than %d", m.GetSlots(), maxSlots)
 	}
+	if len(m.GetDrainedTargets()) > maxDrainedTargets {
+		return errors.Newf("%d targets that have drained are more than %d", len(m.GetDrainedTargets()), maxDrainedTargets)
+	}
+	for _, d := range m.GetDrainedTargets() {
+		if len(d.GetTargetId()) > maxNameBytes {
+			return errors.Newf("the ID of a target that has drained is longer than %d bytes", maxNameBytes)
+		}
+	}
 	if m.GetIncarnation() >= maxCounter || m.GetRevision() >= maxCounter {
 		return errors.Newf("incarnation %d or revision %d is out of range", m.GetIncarnation(), m.GetRevision())
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -36,8 +36,8 @@
 	// holds, for each member, the value of changes at its latest change.
 	changes   uint64
 	changedAt map[string]uint64
-	// drained holds, by VM, the latest announcement that says that the target is
-	// draining, if a later one does not say so.
+	// drained holds, by VM, the latest announcement that tells of a drain of which a later
+	// one does not.
 	drained map[string]*pb.RelayMember
 	// zones caches the views of zones since the latest change.
 	zones map[string]zoneView
@@ -65,11 +65,11 @@
 	}
 	if ok {
 		r.digest -= AnnouncementHash(known)
-		if known.GetTargetLeaving() {
+		if lacksDrain(m, known) {
 			r.drained[m.GetVm()] = known
 		}
 	}
-	if m.GetTargetLeaving() || !mayBeTarget(m, r.drained[m.GetVm()]) {
+	if !lacksDrain(m, r.drained[m.GetVm()]) {
 		delete(r.drained, m.GetVm())
 	}
 	r.digest += AnnouncementHash(m)
@@ -80,11 +80,11 @@
 	return true
 }
 
-// mergeEarlierDrain keeps an announcement that is older than the known one if it says
-// that the target is draining and the known one does not. It reports whether the
-// members that may receive new requests may have changed.
+// mergeEarlierDrain keeps an announcement that is older than the known one if it tells of
+// a drain of which the known one does not. It reports whether the members that may receive
+// new requests may have changed.
 func (r *Roster) mergeEarlierDrain(m, known *pb.RelayMember) bool {
-	if !m.GetTargetLeaving() || known.GetTargetLeaving() || r.drained[m.GetVm()] != nil || !mayBeTarget(known, m) {
+	if r.drained[m.GetVm()] != nil || !lacksDrain(known, m) {
 		return false
 	}
 	r.drained[m.GetVm()] = m
@@ -118,18 +118,57 @@
 // none.
 func (r *Roster) Get(vm string) *pb.RelayMember { return r.members[vm] }
 
-// EarlierDrain returns the announcement of an earlier incarnation of the node on a VM
-// which says that the present target is draining, if the current announcement does not
-// say so. Draining is final for an incarnation of a target: a node that has been killed
+// EarlierDrain returns an announcement of an earlier incarnation of the node on a VM which
+// tells of a drain that the current announcement does not tell of, although it may concern
+// its target. Draining is final for an incarnation of a target: a node that has been killed
 // does not know what it had announced last. Otherwise it returns nil.
 func (r *Roster) EarlierDrain(vm string) *pb.RelayMember {
 	return r.drained[vm]
 }
 
-// mayBeTarget reports whether an announcement may be of the target of a draining one: it
-// is of the same incarnation of the target, or of a node that does not know its target yet.
-func mayBeTarget(m, drained *pb.RelayMember) bool {
-	return m.GetTargetId() == "" || m.GetTargetId() == drained.GetTargetId() && m.GetTargetBornMillis() == drained.GetTargetBornMillis()
+// targetDrained reports whether the target of the current announcement of a node is known
+// to be draining from an earlier announcement.
+func (r *Roster) targetDrained(m *pb.RelayMember) bool {
+	earlier := r.drained[m.GetVm()]
+	return earlier != nil && (leavingMayBeTarget(m, earlier) || slices.ContainsFunc(earlier.GetDrainedTargets(), func(d *pb.DrainedTarget) bool {
+		return isTarget(m, d)
+	}))
+}
+
+// lacksDrain reports whether an announcement does not tell of a drain that an earlier one
+// tells of, and that may concern its target.
+func lacksDrain(m, earlier *pb.RelayMember) bool {
+	return leavingMayBeTarget(m, earlier) && !m.GetTargetLeaving() || slices.ContainsFunc(earlier.GetDrainedTargets(), func(d *pb.DrainedTarget) bool {
+		return mayStillArrive(m, d) && !tellsOf(m, d)
+	})
+}
+
+// leavingMayBeTarget reports whether an earlier announcement says that its target is
+// draining, and that may be the target of a later one: it is the same incarnation of the
+// target, or the node does not know its target yet.
+func leavingMayBeTarget(m, earlier *pb.RelayMember) bool {
+	return earlier.GetTargetLeaving() &&
+		(m.GetTargetId() == "" || m.GetTargetId() == earlier.GetTargetId() && m.GetTargetBornMillis() == earlier.GetTargetBornMillis())
+}
+
+// mayStillArrive reports whether announcements of a target that has drained could make a
+// node use it. Those of a target that started before the present one are outdated.
+func mayStillArrive(m *pb.RelayMember, d *pb.DrainedTarget) bool {
+	later := m.GetTargetId() != "" && d.GetBornMillis() > 0 && m.GetTargetBornMillis() > d.GetBornMillis()
+	return !later
+}
+
+// tellsOf reports whether an announcement tells that a target has drained.
+func tellsOf(m *pb.RelayMember, d *pb.DrainedTarget) bool {
+	return m.GetTargetLeaving() && isTarget(m, d) || slices.ContainsFunc(m.GetDrainedTargets(), func(known *pb.DrainedTarget) bool {
+		return known.GetTargetId() == d.GetTargetId() && known.GetBornMillis() == d.GetBornMillis()
+	})
+}
+
+// isTarget reports whether a target that has drained is that of an announcement. A drain
+// without a start time applies to the target ID.
+func isTarget(m *pb.RelayMember, d *pb.DrainedTarget) bool {
+	return m.GetTargetId() == d.GetTargetId() && (d.GetBornMillis() == 0 || m.GetTargetBornMillis() == d.GetBornMillis())
 }
 
 // Len returns the number of members.
@@ -147,7 +186,7 @@
 func (r *Roster) ByService() map[string][]*pb.RelayMember {
 	services := make(map[string][]*pb.RelayMember)
 	for _, m := range r.Members() {
-		if m.GetTargetId() == "" || m.GetDraining() || r.EarlierDrain(m.GetVm()) != nil {
+		if m.GetTargetId() == "" || m.GetDraining() || r.targetDrained(m) {
 			continue
 		}
 		services[m.GetService()] = append(services[m.GetService()], m)
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -191,3 +191,33 @@
 		require.Nil(t, r.EarlierDrain("a"), "the drain of a target that was replaced is forgotten")
 	}
 }
+
+// Guards against a restarted node that is not told of another target that its earlier
+// incarnation knew to have left, and against requests to that target when its late
+// announcements make the node take it for its present one.
+func TestDrainOfOtherTargetIsKeptAcrossRestart(t *testing.T) {
+	left := &pb.DrainedTarget{TargetId: "u", BornMillis: 9}
+	told := &pb.RelayMember{Vm: "a", Address: "a:1", Service: "s", TargetId: "t", TargetBornMillis: 5, Incarnation: 1, Revision: 3, DrainedTargets: []*pb.DrainedTarget{left}}
+	restarted := &pb.RelayMember{Vm: "a", Address: "a:1", Service: "s", TargetId: "t", TargetBornMillis: 5, Incarnation: 2, Revision: 1}
+	for _, order := range [][]*pb.RelayMember{{told, restarted}, {restarted, told}} {
+		r := roster.New()
+		for _, m := range order {
+			require.True(t, r.Merge(m))
+		}
+		require.Equal(t, told, r.EarlierDrain("a"))
+		require.Len(t, r.ByService()["s"], 1, "the present target has not left")
+		mistaken := proto.CloneOf(restarted)
+		mistaken.Revision, mistaken.TargetId, mistaken.TargetBornMillis = 2, "u", 9
+		require.True(t, r.Merge(mistaken))
+		require.Empty(t, r.ByService()["s"])
+		confirmed := proto.CloneOf(restarted)
+		confirmed.Revision, confirmed.DrainedTargets = 3, told.DrainedTargets
+		require.True(t, r.Merge(confirmed))
+		require.Nil(t, r.EarlierDrain("a"))
+		require.Len(t, r.ByService()["s"], 1)
+		next := proto.CloneOf(restarted)
+		next.Revision, next.TargetId, next.TargetBornMillis = 4, "v", 10
+		require.True(t, r.Merge(next))
+		require.Nil(t, r.EarlierDrain("a"), "announcements of the target that left are outdated")
+	}
+}
--- /dev/null
+++ b/core/targetstate/drained_test.go
@@ -0,0 +1,104 @@
+package targetstate_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosemount/primrosemount/core/targetstate"
+)
+
+// Guards against a Leave that is acknowledged and has no effect, because the announcements
+// of its incarnation are late and the node still knows the one before.
+func TestLeaveBeforeFirstAnnouncementIsFinal(t *testing.T) {
+	for name, test := range map[string]struct {
+		id       string
+		leaveMs  int64
+		replaces bool
+	}{
+		"new ID":                         {"b", 2000, true},
+		"new ID, start time unknown":     {"b", 0, false},
+		"same ID, later start":           {"a", 2000, true},
+		"new ID, clock behind the first": {"b", 900, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := servingState(t)
+			changed, err := s.Leave(targetstate.Incarnation{TargetID: test.id, StartMillis: test.leaveMs})
+			require.NoError(t, err)
+			require.Equal(t, test.replaces, changed)
+			require.Equal(t, test.replaces, !s.Serving())
+			start := test.leaveMs
+			if start == 0 {
+				start = 2000
+			}
+			for sequence := range uint64(20) {
+				_, _ = s.Apply(announcement(test.id, start, sequence+1, targetstate.Ready))
+				require.False(t, s.Serving() && s.Current().Incarnation() == targetstate.Incarnation{TargetID: test.id, StartMillis: start})
+			}
+			_, err = s.Apply(announcement("c", 3000, 1, targetstate.Ready))
+			require.NoError(t, err)
+			require.True(t, s.Serving(), "the next incarnation is used")
+			_, err = s.Apply(announcement(test.id, start, 30, targetstate.Ready))
+			require.ErrorIs(t, err, targetstate.ErrOutdated)
+			require.True(t, s.Serving())
+		})
+	}
+}
+
+// Guards against a late Leave of an earlier incarnation that takes the present one out of
+// use, or is acknowledged although it may be the present one that leaves.
+func TestLateLeaveTakesNothingFromLaterIncarnation(t *testing.T) {
+	s := servingState(t)
+	for _, earlier := range []targetstate.Incarnation{{TargetID: "old", StartMillis: 900}, {TargetID: "older"}} {
+		changed, err := s.Leave(earlier)
+		require.NoError(t, err)
+		require.False(t, changed)
+		require.True(t, s.Serving())
+	}
+	changed, err := s.Leave(targetstate.Incarnation{TargetID: "a", StartMillis: 900})
+	require.ErrorIs(t, err, targetstate.ErrDrainIgnored)
+	require.False(t, changed)
+	require.True(t, s.Serving())
+}
+
+// Guards against an incarnation that has drained and whose late announcements, with the
+// start time of a clock that was ahead, take the present one out of use.
+func TestLateAnnouncementsOfReplacedIncarnationAreOutdated(t *testing.T) {
+	s := servingState(t)
+	requireLeft(t, s, "a", 1000)
+	for sequence := range uint64(3) {
+		_, _ = s.Apply(announcement("b", 500, sequence+1, targetstate.Ready))
+	}
+	require.True(t, s.Serving())
+	_, err := s.Apply(announcement("a", 1000, 9, targetstate.Ready))
+	require.ErrorIs(t, err, targetstate.ErrOutdated)
+	require.True(t, s.Serving())
+	require.Equal(t, []targetstate.Incarnation{{TargetID: "a", StartMillis: 1000}}, s.Drained())
+}
+
+// Guards against a restarted node that uses an incarnation whose Leave its earlier
+// incarnation acknowledged before the first announcement arrived.
+func TestRecordedDrainedIncarnationsAreNotUsed(t *testing.T) {
+	left := []targetstate.Incarnation{{TargetID: "b", StartMillis: 2000}}
+	for name, steps := range map[string][]func(*targetstate.State){
+		"record first": {
+			func(s *targetstate.State) { s.RecordDrained(left) },
+			func(s *targetstate.State) { s.Restore(announcement("a", 1000, 5, targetstate.Ready), true) },
+		},
+		"state first": {
+			func(s *targetstate.State) { s.Restore(announcement("a", 1000, 5, targetstate.Ready), true) },
+			func(s *targetstate.State) { s.RecordDrained(left) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := targetstate.New(address, service)
+			for _, step := range steps {
+				step(s)
+			}
+			for sequence := range uint64(5) {
+				_, _ = s.Apply(announcement("b", 2000, sequence+1, targetstate.Ready))
+				require.False(t, s.Serving())
+			}
+		})
+	}
+}
--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -8,6 +8,10 @@
 // announced that it is draining gets no new work, even if a delayed
 // announcement with state ready arrives afterward.
 //
+// The announcement of a drain may also come before any other of its incarnation, because
+// these are late. It is kept beside the current announcement: an incarnation that is known
+// to have drained is never used again, and takes nothing from a later one.
+//
 // A node that has just started may not have been notified that the target is
 // draining. It therefore does not use the target until one of two conditions
 // holds. Either [State.Restore] has provided what an earlier incarnation of the
@@ -60,6 +64,11 @@
 	ColdRemaining time.Duration
 }
 
+// Incarnation returns the incarnation that an announcement is of.
+func (a Announcement) Incarnation() Incarnation {
+	return Incarnation{TargetID: a.TargetID, StartMillis: a.StartMillis}
+}
+
 // Errors for announcements that are not applied. Match them with errors.Is.
 var (
 	// ErrWrongTarget marks an announcement for another address or service.
@@ -108,6 +117,8 @@
 	// incarnation.
 	earlier              Announcement
 	earlierAnnouncements int
+	// drained holds the other incarnations that are known to have drained.
+	drained drainedSet
 }
 
 // New returns the state of the target at the address, without an announcement.
@@ -123,6 +134,7 @@
 	}
 	s.address, s.service = address, service
 	s.current, s.confirmed, s.announcements, s.earlierAnnouncements = Announcement{}, false, 0, 0
+	s.drained = drainedSet{}
 }
 
 // Restore applies the announcement that an earlier incarnation of this node
@@ -135,11 +147,14 @@
 		return
 	}
 	if published.TargetID != "" && s.supersedes(published) {
-		if s.sameIncarnation(published) && s.current.Phase == Draining {
+		if s.sameIncarnation(published) && s.current.Phase == Draining || s.drained.find(published.Incarnation()) != nil {
 			// The target has begun to drain since the announcement was
 			// published.
 			published.Phase = Draining
 		}
+		if !s.sameIncarnation(published) {
+			s.keepDrained()
+		}
 		s.current = published
 		s.current.Address, s.current.Service = s.address, s.service
 		s.confirmed = final || published.Phase == Draining
@@ -156,7 +171,14 @@
 	if a.Address != s.address || a.Service != s.service {
 		return false, ErrWrongTarget
 	}
-	if !s.supersedes(a) && !s.isRestartWithEarlierClock(a) {
+	drained := s.drained.find(a.Incarnation())
+	switch {
+	case drained != nil && (drained.replaced || !s.supersedes(a)):
+		return false, ErrOutdated
+	case drained != nil:
+		drained.StartMillis = a.StartMillis
+		a.Phase = Draining
+	case !s.supersedes(a) && !s.isRestartWithEarlierClock(a):
 		if a.Phase == Draining && !(s.current.Phase == Draining && s.current.TargetID == a.TargetID) {
 			return false, ErrDrainIgnored
 		}
@@ -172,6 +194,9 @@
 	}
 	s.announcements++
 	before, confirmedBefore := s.current, s.confirmed
+	if !same {
+		s.keepDrained()
+	}
 	s.current = a
 	s.confirmed = s.confirmed && same || s.restored || a.Phase == Draining || s.announcements > 1
 	return !same || before.Phase != a.Phase || before.Slots != a.Slots || s.confirmed != confirmedBefore, nil
@@ -195,19 +220,39 @@
 	return s.earlierAnnouncements >= maxSilentAnnouncements
 }
 
-// MarkDraining records that the target is draining and reports whether the
-// state changed. If there is a current announcement, it ignores the ID of any
-// other target.
-func (s *State) MarkDraining(targetID string) bool {
-	if s.current.TargetID == "" {
-		// An earlier incarnation of the node received the announcements of this
-		// incarnation of the target. Those that may still arrive were sent
-		// before the target began to drain.
-		s.current = Announcement{TargetID: targetID, Address: s.address, Service: s.service, Phase: Draining}
-		s.confirmed = true
-		return true
+// Leave records that an incarnation of the target is draining and reports whether the
+// current announcement changed. A start time of 0 means that it is unknown.
+//
+// If the incarnation is the current one, or has started later, the target takes no new
+// work. Otherwise the current one is not affected, and the incarnation is not used when an
+// announcement of it arrives late. ErrDrainIgnored is returned if the incarnation has the
+// ID of the current one and an earlier start time: it may have ended long ago, or be the
+// target after a restart with an earlier clock, to which the requests would still be sent.
+func (s *State) Leave(left Incarnation) (bool, error) {
+	switch {
+	case s.current.TargetID == "", s.startedBefore(left):
+		s.replace(Announcement{TargetID: left.TargetID, StartMillis: left.StartMillis, Phase: Draining})
+		return true, nil
+	case s.drained.find(left) != nil:
+		return false, nil
+	case left.TargetID != s.current.TargetID:
+		s.drained.add(left, false)
+		return false, nil
+	case left.StartMillis != 0 && s.current.StartMillis != 0 && left.StartMillis < s.current.StartMillis:
+		return false, ErrDrainIgnored
 	}
-	if s.current.TargetID != targetID || s.current.Phase == Draining {
+	return s.markDraining(), nil
+}
+
+// startedBefore reports whether the current incarnation is known to have started before
+// another one.
+func (s *State) startedBefore(other Incarnation) bool {
+	return s.current.StartMillis > 0 && other.StartMillis > s.current.StartMillis
+}
+
+// markDraining makes the current incarnation draining and reports whether that is new.
+func (s *State) markDraining() bool {
+	if s.current.Phase == Draining {
 		return false
 	}
 	s.current.Phase = Draining
@@ -215,21 +260,47 @@
 	return true
 }
 
+// replace replaces the current incarnation by one that is draining.
+func (s *State) replace(a Announcement) {
+	s.keepDrained()
+	s.current = a
+	s.current.Address, s.current.Service, s.current.Phase = s.address, s.service, Draining
+	s.confirmed, s.announcements = true, 0
+}
+
+// keepDrained keeps the current incarnation, which is about to be replaced, if it drained.
+func (s *State) keepDrained() {
+	if s.current.Phase == Draining {
+		s.drained.add(s.current.Incarnation(), true)
+	}
+}
+
 // RecordDraining applies what an earlier incarnation of the node has recorded elsewhere:
 // that the target with this announcement is draining. It may be called at any time,
 // because draining is final for an incarnation of a target, and reports whether the
-// state changed. If the record has no start time, it applies to the target ID.
+// current announcement changed. If the record has no start time, it applies to the
+// target ID.
 func (s *State) RecordDraining(a Announcement) bool {
-	switch {
-	case s.current.TargetID == "":
-		s.current = a
-		s.current.Address, s.current.Service, s.current.Phase = s.address, s.service, Draining
-		s.confirmed = true
+	if s.current.TargetID == "" || s.startedBefore(a.Incarnation()) {
+		s.replace(a)
 		return true
-	case a.TargetID != s.current.TargetID, a.StartMillis != s.current.StartMillis && a.StartMillis != 0:
-		return false
 	}
-	return s.MarkDraining(a.TargetID)
+	changed, err := s.Leave(a.Incarnation())
+	return changed && err == nil
+}
+
+// Drained returns the incarnations, except the current one, that are known to have
+// drained, and the announcements of which may still arrive.
+func (s *State) Drained() []Incarnation { return s.drained.incarnations() }
+
+// RecordDrained applies what an earlier incarnation of the node has recorded as Drained.
+func (s *State) RecordDrained(drained []Incarnation) (changed bool) {
+	for _, d := range drained {
+		// An error means that the current incarnation is a later one.
+		became, err := s.Leave(d)
+		changed = changed || became && err == nil
+	}
+	return changed
 }
 
 // Current returns the latest applicable announcement.
@@ -249,7 +320,7 @@
 
 // sameIncarnation reports whether an announcement is of the current
 // incarnation. If that is draining and its start time is unknown, as after
-// MarkDraining without an earlier announcement, every announcement with its
+// Leave without an earlier announcement, every announcement with its
 // target ID is attributed to it.
 func (s *State) sameIncarnation(a Announcement) bool {
 	startUnknown := s.current.Phase == Draining && s.current.StartMillis == 0
--- a/core/targetstate/targetstate_test.go
+++ b/core/targetstate/targetstate_test.go
@@ -33,6 +33,16 @@
 	return s
 }
 
+// requireLeft requires that the current announcement becomes that of an incarnation which
+// leaves.
+func requireLeft(t *testing.T, s *targetstate.State, id string, startMillis int64) {
+	t.Helper()
+	changed, err := s.Leave(targetstate.Incarnation{TargetID: id, StartMillis: startMillis})
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.False(t, s.Serving())
+}
+
 // Guards against a delayed announcement that makes a draining target ready
 // again.
 func TestDrainingIsFinalWithinIncarnation(t *testing.T) {
@@ -59,7 +69,7 @@
 // that restarted with the same ID.
 func TestTargetRestartsWithSameID(t *testing.T) {
 	s := servingState(t)
-	require.True(t, s.MarkDraining("a"))
+	requireLeft(t, s, "a", 0)
 	changed, err := s.Apply(announcement("a", 2000, 1, targetstate.Ready))
 	require.NoError(t, err)
 	require.True(t, changed)
@@ -123,9 +133,11 @@
 // yet received an announcement of the target.
 func TestDrainingOfUnknownTargetIsFinal(t *testing.T) {
 	s := targetstate.New(address, service)
-	require.True(t, s.MarkDraining("a"))
+	requireLeft(t, s, "a", 0)
 	require.True(t, s.IsDraining())
-	require.False(t, s.MarkDraining("b"))
+	changed, err := s.Leave(targetstate.Incarnation{TargetID: "b"})
+	require.NoError(t, err)
+	require.False(t, changed)
 }
 
 // Guards against the use of the previous target after the service of the node
@@ -168,7 +180,7 @@
 		{restore, announce, announce}, {announce, restore, announce}, {announce, announce, restore},
 	} {
 		s := targetstate.New("a:1", "s")
-		require.True(t, s.MarkDraining("t"))
+		requireLeft(t, s, "t", 0)
 		for _, step := range order {
 			step(s)
 			require.True(t, s.IsDraining())
--- a/node/relay/drainrecord.go
+++ b/node/relay/drainrecord.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosemount/primrosemount/core/targetstate"
 	pb "github.com/primrosemount/primrosemount/gen/primrosemountv1"
 )
 
@@ -42,9 +43,9 @@
 	recorded      chan struct{}
 }
 
-// awaitDrainRecorded waits until the current announcement of this node is held outside
-// the process. It must not be called by the task.
-func (t *membersTask) awaitDrainRecorded() error {
+// awaitDrainRecorded waits until the current announcement of this node, which says that a
+// target is draining, is held outside the process. It must not be called by the task.
+func (t *membersTask) awaitDrainRecorded(targetID string) error {
 	started := time.Now()
 	waiter := drainWaiter{peerSuffices: started.Add(peerSufficesAfter), expires: started.Add(drainRecordWait), recorded: make(chan struct{})}
 	timeout := time.NewTimer(drainRecordWait)
@@ -52,7 +53,7 @@
 	select {
 	case t.events <- func() {
 		waiter.revision = t.self.GetRevision()
-		waiter.storeSuffices = t.firstDrainCall(started).Add(storeSufficesAfter)
+		waiter.storeSuffices = t.firstDrainCall(targetID, started).Add(storeSufficesAfter)
 		t.drainWaiters = append(t.drainWaiters, waiter)
 		t.drainUnsent = true
 	}:
@@ -86,11 +87,11 @@
 	return byStore && (byPeer || !t.hasOthers() || now.After(w.storeSuffices)) || byPeer && now.After(w.peerSuffices)
 }
 
-// firstDrainCall returns when the present target was first announced to be draining, for
-// a call at now.
-func (t *membersTask) firstDrainCall(now time.Time) time.Time {
-	if t.drainTarget != t.self.GetTargetId() || t.drainCalled.IsZero() {
-		t.drainTarget, t.drainCalled = t.self.GetTargetId(), now
+// firstDrainCall returns when a target was first announced to be draining, for a call at
+// now.
+func (t *membersTask) firstDrainCall(targetID string, now time.Time) time.Time {
+	if t.drainTarget != targetID || t.drainCalled.IsZero() {
+		t.drainTarget, t.drainCalled = targetID, now
 	}
 	return t.drainCalled
 }
@@ -115,12 +116,32 @@
 	}
 }
 
-// applyEarlierDrain applies an announcement of an earlier incarnation of this node if it
-// says that the target is draining. The store may hold an older one if it did not
+// applyEarlierDrain applies what an announcement of an earlier incarnation of this node
+// says about targets that are draining. The store may hold an older one if it did not
 // respond at the time.
 func (t *membersTask) applyEarlierDrain(m *pb.RelayMember) {
-	if !m.GetTargetLeaving() || m.GetTargetId() == "" {
-		return
+	if m.GetTargetLeaving() && m.GetTargetId() != "" {
+		t.recordDraining(announcementOf(m))
+	}
+	if drained := drainedOf(m); len(drained) > 0 {
+		t.recordDrained(drained)
+	}
+}
+
+// drainedOf returns the other targets that have drained according to an announcement.
+func drainedOf(m *pb.RelayMember) []targetstate.Incarnation {
+	var drained []targetstate.Incarnation
+	for _, d := range m.GetDrainedTargets() {
+		drained = append(drained, targetstate.Incarnation{TargetID: d.GetTargetId(), StartMillis: d.GetBornMillis()})
+	}
+	return drained
+}
+
+// drainedTargets is the inverse of drainedOf.
+func drainedTargets(drained []targetstate.Incarnation) []*pb.DrainedTarget {
+	var targets []*pb.DrainedTarget
+	for _, d := range drained {
+		targets = append(targets, &pb.DrainedTarget{TargetId: d.TargetID, BornMillis: d.StartMillis})
 	}
-	t.recordDraining(announcementOf(m))
+	return targets
 }
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,9 @@
 	draining bool
 	// targetDraining is set if the target has announced that it is draining.
 	targetDraining bool
+	// drained holds other incarnations of the target that have drained. It is replaced, not
+	// modified.
+	drained []targetstate.Incarnation
 	// down is set for downPeriod after the target refused a connection.
 	down      bool
 	threshold outcome.Level
@@ -75,8 +79,9 @@
 
 	gate  *gate.Gate
 	state *targetstate.State
-	// target is the announcement in the snapshots, as of the last change of state.
-	target *targetstate.Announcement
+	// target and drained are the values in the snapshots, as of the last change of state.
+	target  *targetstate.Announcement
+	drained []targetstate.Incarnation
 	// sequence is the number of the last request offered to the gate.
 	sequence uint64
 	// waiting holds the requests that wait for a decision, by number.
@@ -201,6 +206,7 @@
 		serving:        t.state.Serving() && !t.stopping,
 		draining:       t.state.IsDraining() || t.stopping,
 		targetDraining: t.state.IsDraining(),
+		drained:        t.drained,
 		down:           !t.downUntil.IsZero(),
 		threshold:      t.gate.Threshold(),
 		inFlight:       t.gate.InFlight(),
@@ -287,17 +293,25 @@
 	return <-result
 }
 
-// drainTarget marks the target as draining and returns once that is in effect.
-func (t *gateTask) drainTarget(targetID string) {
-	result := make(chan struct{})
+// drainTarget records that an incarnation of the target is draining and returns once that
+// is in effect. It returns targetstate.ErrDrainIgnored if it is not.
+func (t *gateTask) drainTarget(left targetstate.Incarnation) error {
+	result := make(chan error, 1)
 	t.events <- func(time.Time) {
-		if t.state.MarkDraining(targetID) {
-			t.applyState()
-			t.notify()
-		}
-		close(result)
+		changed, err := t.state.Leave(left)
+		t.stateChanged(changed)
+		result <- err
+	}
+	return <-result
+}
+
+// stateChanged passes on a change of the current announcement of the target, or of the
+// incarnations that have drained.
+func (t *gateTask) stateChanged(changed bool) {
+	if changed || !slices.Equal(t.drained, t.state.Drained()) {
+		t.applyState()
+		t.notify()
 	}
-	<-result
 }
 
 // restore applies the state of the target that an earlier incarnation of this node
@@ -313,12 +327,13 @@
 // recordDraining applies a record of an earlier incarnation of this node which says
 // that the target is draining.
 func (t *gateTask) recordDraining(published targetstate.Announcement) {
-	t.events <- func(time.Time) {
-		if t.state.RecordDraining(published) {
-			t.applyState()
-			t.notify()
-		}
-	}
+	t.events <- func(time.Time) { t.stateChanged(t.state.RecordDraining(published)) }
+}
+
+// recordDrained applies a record of an earlier incarnation of this node about other
+// incarnations of the target that have drained.
+func (t *gateTask) recordDrained(drained []targetstate.Incarnation) {
+	t.events <- func(time.Time) { t.stateChanged(t.state.RecordDrained(drained)) }
 }
 
 // reconfigure replaces the target after a change of the settings.
@@ -345,7 +360,7 @@
 // applyState updates the gate from the state of the target.
 func (t *gateTask) applyState() {
 	current := t.state.Current()
-	t.target = &current
+	t.target, t.drained = &current, t.state.Drained()
 	slots := current.Slots
 	if bound := t.maxConnections(current.Service); bound > 0 {
 		slots = min(slots, bound)
@@ -366,6 +381,6 @@
 	view := t.view.Load()
 	t.logger.Info("The state of the target changes.", zap.String("target", view.target.TargetID), zap.Uint64("sequence", view.target.Sequence),
 		zap.Int64("born", view.target.StartMillis), zap.Int("slots", view.target.Slots), zap.Bool("serving", view.serving),
-		zap.Bool("leaving", view.targetDraining), zap.Bool("recalled", t.state.Restored()))
+		zap.Bool("leaving", view.targetDraining), zap.Bool("recalled", t.state.Restored()), zap.Int("others_left", len(view.drained)))
 	t.changed(*view)
 }
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -52,6 +52,8 @@
 	// recordDraining passes on that an earlier incarnation of this node had published
 	// that the target is draining.
 	recordDraining func(published targetstate.Announcement)
+	// recordDrained passes on which other targets had drained by then.
+	recordDrained func(drained []targetstate.Incarnation)
 
 	roster *roster.Roster
 	// self is this node's announcement. It is replaced, not modified.
@@ -154,6 +156,7 @@
 		seen:           make(map[string]peerView),
 		// The caller replaces these functions.
 		recordDraining: func(targetstate.Announcement) {},
+		recordDrained:  func([]targetstate.Incarnation) {},
 		membersChanged: func(*quotaMembers) {},
 		// The method followers replaces these functions.
 		storeResponds: func() bool { return true },
@@ -217,6 +220,7 @@
 	t.self.TargetLeaving = view.targetDraining
 	t.self.TargetBornMillis = view.target.StartMillis
 	t.self.TargetSequence = view.target.Sequence
+	t.self.DrainedTargets = drainedTargets(view.drained)
 	if !view.serving && !view.draining {
 		t.self.TargetId = ""
 	}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -230,6 +230,7 @@
 	r.members.storeRates = o.StoreRates
 	r.members.restore = r.gate.restore
 	r.members.recordDraining = r.gate.recordDraining
+	r.members.recordDrained = r.gate.recordDrained
 	r.targets = newTargetClient(o.HeaderCodec, r.budget)
 	r.targets.bounds = func() connectionBounds {
 		view := r.gate.view.Load()
@@ -395,15 +396,18 @@
 	if a.Phase != targetstate.Draining || notInEffect {
 		return err
 	}
-	return errors.CombineErrors(r.members.awaitDrainRecorded(), err)
+	return errors.CombineErrors(r.members.awaitDrainRecorded(a.TargetID), err)
 }
 
-// DrainTarget marks the target as draining. After it returns, no new request is sent to
-// this incarnation of the target. It returns ErrNotRecorded if a later incarnation of
-// this node might not know that.
-func (r *Relay) DrainTarget(targetID string) error {
-	r.gate.drainTarget(targetID)
-	return r.members.awaitDrainRecorded()
+// DrainTarget marks an incarnation of the target as draining. After it returns, no new
+// request is sent to this incarnation, also if its announcements arrive late. It returns
+// ErrNotRecorded if a later incarnation of this node might not know that, and
+// targetstate.ErrDrainIgnored if the drain is not in effect.
+func (r *Relay) DrainTarget(left targetstate.Incarnation) error {
+	if err := r.gate.drainTarget(left); err != nil {
+		return err
+	}
+	return r.members.awaitDrainRecorded(left.TargetID)
 }
 
 // Ready reports whether clients may send requests to this node.
--- a/node/relay/simfleet_test.go
+++ b/node/relay/simfleet_test.go
@@ -206,7 +206,7 @@
 	if phase != targetstate.Draining || err != nil {
 		return
 	}
-	if task.awaitDrainRecorded() != nil {
+	if task.awaitDrainRecorded(announcement.TargetID) != nil {
 		return
 	}
 	held := make(chan bool, 1)
