relay: do not rely on a record that may be older than an acknowledged drain

What callers saw: the store was down, and a target sent Leave, which its node answered with 200. All processes were killed right after that.

Cause: while the store does not respond, a drain is acknowledged once another node holds it. Both nodes forgot it when they were killed. The restarted node found the record of before the drain on the store, and took the late heartbeat, whose count is higher, for a proof that the target is in use.

Change: a node that starts relies on such a record only if the store responded to its first reads, or a holder that ran before it has answered (SyncResponse.uptime_nanos). Otherwise the target is used after a second announcement in this life, as it already was if nobody knows the record. This ends after 10 s, by when late announcements have arrived.

Related: the record of an orderly stop is relied on without any announcement, and a node that was started while the store was down acknowledged a drain although that record was still there. Another node now suffices only once the store has an announcement of this incarnation.

Weighed: holding the acknowledgement back while the store is down binds without further rules, but a target then gets none for as long as that lasts, up to 8 s on the sites in force where 4 to 5 s are allowed, and exits without one. What a Leave gets while the store is down: before, 200 after about 0.5 s if another node is in reach, 503 otherwise; now the same, except at a node that was started within the outage, which answers 503 until the store responds.

--- a/node/relay/drainrecord.go
+++ b/node/relay/drainrecord.go
@@ -17,6 +17,11 @@
 // store, which may lose it when it returns from a copy, and by another node, which returns
 // it to the next incarnation. If one of them does not respond, the other one suffices after
 // a while.
+//
+// Without the store, all that hold the drain may be killed at once. A node that starts and
+// finds neither the store in service nor a holder that ran before it therefore does not
+// take its record on the store, which may be older than the drain, and an announcement that
+// may be late, for a proof that the target is in use.
 
 const (
 	// peerSufficesAfter is how long after a call of the target another node suffices.
@@ -84,7 +89,46 @@
 // process.
 func (t *membersTask) isRecorded(w drainWaiter, now time.Time) bool {
 	byStore, byPeer := t.published >= w.revision, t.heldByPeer >= w.revision
-	return byStore && (byPeer || !t.hasOthers() || now.After(w.storeSuffices)) || byPeer && now.After(w.peerSuffices)
+	if byStore {
+		return byPeer || !t.hasOthers() || now.After(w.storeSuffices)
+	}
+	// The store may still have the last announcement of an earlier incarnation that was
+	// stopped, which the next one would rely on, until it has one of this incarnation.
+	return byPeer && now.After(w.peerSuffices) && t.published > 0
+}
+
+const (
+	// survivorLead is how much longer than this node another one must have run to have
+	// heard the earlier incarnation of this node. Nodes that were killed at the same time
+	// start within a shorter time of each other.
+	survivorLead = 5 * time.Second
+	// maxAnnouncementDelay is how late an announcement of a target may arrive.
+	maxAnnouncementDelay = 10 * time.Second
+)
+
+// drainMemory is what a starting node knows about who remembers the drains that its earlier
+// incarnation acknowledged.
+type drainMemory struct {
+	// storeFailed is set if the store did not respond to the first reads. It may not have
+	// responded to the earlier incarnation either.
+	storeFailed bool
+	// survivor is set if a holder that ran before this node was started has responded.
+	survivor bool
+}
+
+// mayBeLost reports whether a drain may have been acknowledged of which nobody knows any
+// more. Announcements that were sent before such a drain have arrived after
+// maxAnnouncementDelay.
+func (m drainMemory) mayBeLost(uptime time.Duration) bool {
+	return m.storeFailed && !m.survivor && uptime < maxAnnouncementDelay
+}
+
+// noteSurvivor records that the node at an address, which has run for the given time, has
+// responded.
+func (t *membersTask) noteSurvivor(address string, uptime time.Duration) {
+	if uptime-time.Since(t.started) > survivorLead && t.isHolder(address) {
+		t.memory.survivor = true
+	}
 }
 
 // firstDrainCall returns when a target was first announced to be draining, for a call at
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -112,8 +112,10 @@
 	// startEra makes the followers read their topics again after the store has returned
 	// from a copy.
 	startEra func(era.Era)
-	// storeResponds reports whether the store responds to reads of the members.
+	// storeResponds reports whether the store responds to reads of the members, and
+	// storeFailed whether such a read has failed since the start.
 	storeResponds func() bool
+	storeFailed   func() bool
 	// readerReported is when a reader last reported that it follows the store.
 	readerReported time.Time
 	// comparesUntil is the end of the comparisons with other nodes after the store has
@@ -121,6 +123,9 @@
 	comparesUntil time.Time
 	// queries are the comparisons of a node that starts.
 	queries startupQueries
+	// memory is what a node that starts knows about drains that its earlier incarnation
+	// may have acknowledged without the store.
+	memory drainMemory
 	// membersChanged receives the members for the quotas. reportedChanges is the number
 	// of changes of the roster that it has received, plus 1.
 	membersChanged  func(*quotaMembers)
@@ -160,6 +165,7 @@
 		membersChanged: func(*quotaMembers) {},
 		// The method followers replaces these functions.
 		storeResponds: func() bool { return true },
+		storeFailed:   func() bool { return false },
 		startEra:      func(era.Era) {},
 		configRole:    newStoreRole(),
 	}
@@ -275,6 +281,7 @@
 	t.events <- func() {
 		t.loaded = true
 		t.loadedEra = e
+		t.memory.storeFailed = t.storeFailed()
 		t.restorePrevious()
 	}
 }
@@ -290,7 +297,7 @@
 // announced: from the store, or from another node that keeps drains. If nobody knows, the
 // target shows by a second announcement that it is not draining.
 func (t *membersTask) knowsPrevious() bool {
-	return t.loaded && (t.isPreviousCurrent() || t.queries.answered)
+	return t.loaded && !t.memory.mayBeLost(time.Since(t.started)) && (t.isPreviousCurrent() || t.queries.answered)
 }
 
 // hasOthers reports whether other nodes are known.
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -115,8 +115,9 @@
 	maxRetryWait time.Duration
 	// responded is called when the store responds again after an outage.
 	responded func()
-	// unavailable is set while the store does not respond.
+	// unavailable is set while the store does not respond, and failed once it did not.
 	unavailable atomic.Bool
+	failed      atomic.Bool
 	// interrupt cancels the read in progress.
 	interrupt atomic.Pointer[context.CancelCauseFunc]
 	// retry ends the wait after a failed read.
@@ -175,6 +176,7 @@
 		// long waits do no harm.
 		maxRetryWait: t.rules.PropagationBound, responded: members.restart}
 	t.storeResponds = func() bool { return !members.unavailable.Load() }
+	t.storeFailed = members.failed.Load
 	t.startEra = func(e era.Era) {
 		config.startEra(e)
 		members.startEra(e)
@@ -327,6 +329,7 @@
 	case err != nil && !f.unavailable.Load():
 		f.logger.Warn("The store does not answer.", zap.String("topic", f.name), telemetry.ErrorField(err))
 		f.unavailable.Store(true)
+		f.failed.Store(true)
 	case err == nil && f.unavailable.Load():
 		f.logger.Info("The store answers again.", zap.String("topic", f.name))
 		f.unavailable.Store(false)
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -185,6 +185,7 @@
 	delete(t.syncing, address)
 	if err == nil {
 		t.applySync(address, requestedAt, response)
+		t.noteSurvivor(address, time.Duration(response.GetUptimeNanos()))
 		t.startupQueryDone(ctx, address, response.GetConfigVersion() > 0)
 		t.restorePrevious()
 		return
@@ -249,6 +250,7 @@
 	response.MembersCount = t.roster.Changes()
 	response.FollowsStore = t.followsStore()
 	response.StoreEra = uint64(t.config.storeEra.Get())
+	response.UptimeNanos = int64(time.Since(t.started))
 	if !viewsDiffer {
 		return
 	}
