quota: end the right of a holder that is out of contact

What callers saw: one machine of six was cut off from the store and all others while a machine was added that took its place as an owner of quotas.

Cause: an owner stops using its part of a quota when it learns that another member has taken its place, and the new owner waits for 3 s, within which views are expected to agree. An owner that is cut off learns nothing and went on granting to its own entry without end.

Change: the right of an owner to its parts ends 5 s after its last contact (core/quota/contact.go): with a majority of four witnesses, the first candidates, that know the same candidates, or with the store, directly or through other nodes. The first keeps it while the store is down for all, the second while most witnesses are gone. After a gap, contact with the store counts from 2 s on, when the changes that were missed are known. The time of day counts too, since the steady clock does not run on a suspended machine. An owner without the right answers "not owner", and its entry refuses with quota_unknown.

A member that joins asks the first eight members, among which are all that may have held its part. If they all know the new view, it waits 3 s in all as before. Otherwise it waits until its announcement has been on the store for 2 s, a majority of the witnesses knows it, and the right of all others has ended. If no majority answers for another 30 s, the rest counts as gone.

Evidence: TestIsolatedHolderLosesItsPart plays seven forms (one, two and three machines cut off, alone and together, beside a join and a return, with the store down for the rest). With holders and joining members as before, which TestIsolationCheckFindsHolderWithoutEnd brings about, all seven break the bound.

TestScheduleCheckFindsBrokenOwner breaks the owner in one more way, because the new rule makes a joining owner wait for its contact; the check itself is unchanged.

--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -94,6 +94,7 @@
 				}
 			}
 			now := start.Add(time.Minute)
+			o.SetContact(Contact{Quorum: now.Add(time.Hour)}, time.Time{})
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
@@ -165,6 +166,7 @@
 		}
 		for _, x := range exchanges {
 			response := &pb.QuotaResponse{}
+			s.owners[x.Owner].SetContact(Contact{Quorum: s.now}, s.now)
 			s.owners[x.Owner].Serve(s.now, x.Request, response)
 			e.Apply(s.now, x, response)
 			s.messages, s.bytes = s.messages+1, s.bytes+proto.Size(x.Request)+proto.Size(response)
@@ -206,6 +208,7 @@
 		ownerSize := heapGrowth(func() any {
 			o := NewOwner(view.candidates[0], 1, now, true)
 			o.SetView(now, view)
+			o.SetContact(Contact{Quorum: now}, now)
 			for _, a := range accounts {
 				o.Serve(now, &pb.QuotaRequest{Demands: []*pb.QuotaDemand{{Account: a.Name}}}, &pb.QuotaResponse{})
 			}
--- a/core/quota/entry.go
+++ b/core/quota/entry.go
@@ -73,12 +73,17 @@
 	// that have been removed.
 	list     []*entryAccount
 	contacts map[string]*contact
-	// relied holds the owners on which this entry relies for credit, and asked is when
-	// each was asked last.
-	relied []string
-	asked  map[string]time.Time
-	window time.Duration
-	seed   uint64
+	// regular holds the members that this node asks in each period, and asked is when each
+	// was asked last.
+	regular []string
+	asked   map[string]time.Time
+	// confirmed is when the latest request was sent to which a member has responded that
+	// it knows the candidates of the view in force.
+	confirmed map[string]time.Time
+	// joining is set until this node may use its first part.
+	joining bool
+	window  time.Duration
+	seed    uint64
 
 	urgentMu sync.Mutex
 	// urgent holds the accounts that may need an exchange before the next round.
@@ -101,7 +106,7 @@
 func NewEntry(rules Rules, seed uint64) *Entry {
 	return &Entry{
 		accounts: make(map[string]*entryAccount), contacts: make(map[string]*contact),
-		asked:  make(map[string]time.Time),
+		asked: make(map[string]time.Time), confirmed: make(map[string]time.Time),
 		window: rules.Window, seed: seed,
 	}
 }
@@ -110,15 +115,18 @@
 func (e *Entry) SetView(view *View) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.view == nil || e.view.candidatesHash != view.candidatesHash {
+		clear(e.confirmed)
+	}
 	e.view = view
-	e.relied = view.relied()
+	e.regular = view.asked(e.joining)
 	for name := range e.accounts {
 		if _, limited := view.limits[name]; !limited {
 			delete(e.accounts, name)
 		}
 	}
 	for vm := range e.contacts {
-		if !slices.Contains(view.candidates, vm) {
+		if !slices.Contains(view.candidates, vm) && !slices.Contains(view.first, vm) {
 			delete(e.contacts, vm)
 			delete(e.asked, vm)
 		}
--- a/core/quota/exchange.go
+++ b/core/quota/exchange.go
@@ -56,7 +56,7 @@
 }
 
 // collect returns exchanges for the accounts that match, one for each owner, and for the
-// owners that are relied on for credit and were not asked within the period.
+// members that are asked in each period and were not asked within it.
 func (e *Entry) collect(now time.Time, accounts []*entryAccount, matches func(*entryAccount) bool) []*Exchange {
 	exchanges := e.demands(now, accounts, matches)
 	e.mu.Lock()
@@ -64,7 +64,7 @@
 	for _, x := range exchanges {
 		e.asked[x.Owner] = now
 	}
-	for _, vm := range e.relied {
+	for _, vm := range e.regular {
 		if now.Sub(e.asked[vm]) >= Period {
 			e.asked[vm] = now
 			exchanges = append(exchanges, &Exchange{Owner: vm, Request: &pb.QuotaRequest{}, sent: now})
@@ -183,6 +183,9 @@
 		c.exhausted[hash] = true
 	}
 	e.contacts[x.Owner] = c
+	if e.view != nil && response.GetCandidates() == e.view.candidatesHash {
+		e.confirmed[x.Owner] = later(e.confirmed[x.Owner], x.sent)
+	}
 	e.mu.Unlock()
 	for i, a := range x.accounts {
 		if i >= len(response.GetGrants()) || response.GetGrants()[i].GetNotOwner() {
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -11,9 +11,10 @@
 	// LeaseTTL is how long a lease lasts. It covers an exchange that fails and the
 	// next one, which renews it.
 	LeaseTTL = 600 * time.Millisecond
-	// ViewDelay is how long an owner waits before it uses a larger part of a quota
+	// ViewDelay is how long an owner waits at least before it uses a larger part of a quota
 	// after a change of the members, because an earlier owner may not know the change
-	// yet. The views of nodes differ for up to 2 s, and leases last 0.6 s.
+	// yet. The views of nodes differ for up to 2 s, and leases last 0.6 s. A node that
+	// joins waits longer for holders that are cut off, see joining.
 	ViewDelay = 3 * time.Second
 	// slotDuration is the resolution of the times at which leases expire.
 	slotDuration = 50 * time.Millisecond
@@ -38,6 +39,10 @@
 	viewDelay time.Duration
 
 	mu sync.Mutex
+	// right is what the right to use the parts depends on, and joining how long the first
+	// part is not used.
+	right   contactRight
+	joining joining
 	// epochs are the views of the last ViewDelay, the one in force last.
 	epochs []epoch
 	// changedAt is when the parts of this node last changed, and generation counts the
@@ -80,6 +85,8 @@
 // incarnation ended, only the leases of that incarnation are waited for.
 func NewOwner(vm string, incarnation uint64, start time.Time, rejoining bool) *Owner {
 	o := &Owner{vm: vm, firstLease: incarnation, start: start, viewDelay: ViewDelay, parts: make(map[string]*part), low: make(map[string]*part)}
+	// The node has just learned the members.
+	o.right.confirmQuorum(start)
 	wait := LeaseTTL
 	if !rejoining {
 		o.epochs = []epoch{{end: start}}
@@ -121,8 +128,11 @@
 // prune drops the views that ended more than ViewDelay ago.
 func (o *Owner) prune(now time.Time) {
 	for len(o.epochs) > 1 {
-		effective := o.epochs[0].end.Add(o.viewDelay)
-		if now.Before(effective) {
+		effective, known := o.epochs[0].end.Add(o.viewDelay), true
+		if o.epochs[0].view == nil {
+			effective, known = o.joining.effective(o.start, o.viewDelay)
+		}
+		if !known || now.Before(effective) {
 			return
 		}
 		o.epochs = o.epochs[1:]
@@ -145,7 +155,7 @@
 
 func (o *Owner) grant(now time.Time, d *pb.QuotaDemand) *pb.QuotaGrant {
 	p := o.parts[d.GetAccount()]
-	if p == nil {
+	if p == nil || !o.right.valid(now) {
 		return &pb.QuotaGrant{NotOwner: true}
 	}
 	o.advance(now, d.GetAccount(), p)
@@ -169,9 +179,18 @@
 
 // list adds the accounts without credit to a response.
 func (o *Owner) list(now time.Time, response *pb.QuotaResponse) {
-	if last := len(o.epochs) - 1; last >= 0 && o.epochs[last].view != nil {
-		response.View = o.epochs[last].view.hash
+	var view *View
+	if last := len(o.epochs) - 1; last >= 0 {
+		view = o.epochs[last].view
+	}
+	if view != nil {
+		response.Candidates = view.candidatesHash
+	}
+	if view == nil || !o.right.valid(now) {
+		response.ExhaustedIncomplete = true
+		return
 	}
+	response.View = view.hash
 	for name, p := range o.low {
 		o.advance(now, name, p)
 		if p.tokens >= creditMinimum {
--- a/core/quota/refusal.go
+++ b/core/quota/refusal.go
@@ -45,9 +45,10 @@
 	return false
 }
 
+// inContact reports whether an owner that may use its part has responded lately.
 func (e *Entry) inContact(now time.Time, a *entryAccount) bool {
 	return slices.ContainsFunc(a.owners, func(vm string) bool {
 		c := e.contacts[vm]
-		return c != nil && now.Sub(c.at) < contactPeriod
+		return c != nil && now.Sub(c.at) < contactPeriod && c.view != 0
 	})
 }
--- a/core/quota/schedule_test.go
+++ b/core/quota/schedule_test.go
@@ -68,7 +68,7 @@
 	kinds := []faultKind{
 		{"kill", s.kill}, {"kill half", func(*fakeNode) { s.killShare(2) }}, {"kill all", func(*fakeNode) { s.killShare(1) }}, {"freeze", s.freeze},
 		{"partition", func(*fakeNode) { s.partition() }}, {"cut off", s.cutOff}, {"join", func(*fakeNode) { s.join() }}, {"stop", s.stop},
-		{"lower", func(*fakeNode) { s.lower() }},
+		{"lower", func(*fakeNode) { s.lower() }}, {"isolate", func(n *fakeNode) { s.isolate(n) }}, {"store down", func(*fakeNode) { s.downStore() }},
 	}
 	w.rng.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 	// Some schedules have few kinds, so that one fault does not hide another.
@@ -76,6 +76,10 @@
 	if len(w.nodes) <= maxScaleOut && w.rng.IntN(2) == 0 {
 		// A small fleet grows under load, so that owners change often.
 		s.kinds, s.faultRate, s.load = []faultKind{{"join", func(*fakeNode) { s.join() }}}, 2, 8
+		if w.rng.IntN(2) == 0 {
+			s.kinds = append(s.kinds, faultKind{"isolate", func(n *fakeNode) { s.isolate(n) }})
+			s.faultRate = 0.5
+		}
 	}
 	return s
 }
@@ -165,8 +169,17 @@
 		return
 	}
 	n.entry, n.owner = nil, nil
+	s.restart(n)
+}
+
+// restart starts a process again after a while. An isolated node does not learn the members.
+func (s *schedule) restart(n *fakeNode) {
 	s.after(s.within(2*time.Second), func() {
-		if n.entry == nil && slices.Contains(n.members, n.vm) {
+		switch {
+		case n.entry != nil || !slices.Contains(n.members, n.vm):
+		case n.isolated:
+			s.restart(n)
+		default:
 			s.start(n, true)
 		}
 	})
@@ -194,6 +207,31 @@
 	s.cutFor(func(from, to int) bool { return from == n.index || to == n.index })
 }
 
+// isolate cuts a node and perhaps some others off from all others and from the store, for
+// longer than a holder may use its part without contact.
+func (s *schedule) isolate(n *fakeNode) {
+	side := map[int]bool{n.index: true}
+	for range s.rng.IntN(3) {
+		side[s.rng.IntN(len(s.nodes))] = true
+	}
+	for index := range side {
+		s.nodes[index].isolated = true
+	}
+	s.cut = func(from, to int) bool { return side[from] != side[to] }
+	s.after(3*time.Second+s.within(9*time.Second), func() {
+		s.cut = func(int, int) bool { return false }
+		for index := range side {
+			s.nodes[index].isolated = false
+		}
+	})
+}
+
+// downStore makes the store unavailable to all.
+func (s *schedule) downStore() {
+	s.storeDown = true
+	s.after(s.within(9*time.Second), func() { s.storeDown = false })
+}
+
 func (s *schedule) cutFor(cut func(from, to int) bool) {
 	s.cut = cut
 	s.after(s.within(6*time.Second), func() { s.cut = func(int, int) bool { return false } })
@@ -215,7 +253,7 @@
 
 // stop makes a node announce its stop and end.
 func (s *schedule) stop(n *fakeNode) {
-	if n.entry == nil || len(s.current()) <= 2 {
+	if n.entry == nil || n.isolated || len(s.current()) <= 2 {
 		return
 	}
 	n.members = nil
@@ -240,14 +278,22 @@
 // not run learns of it when it starts.
 func (s *schedule) tell(change func([]string) []string) {
 	for _, n := range s.nodes {
-		s.after(s.within(maxViewLag), func() {
-			if slices.Contains(n.members, n.vm) {
-				s.view(n, change(n.members))
-			}
-		})
+		s.tellNode(n, change)
 	}
 }
 
+// tellNode tells one node. An isolated one learns of the change when it is in reach again.
+func (s *schedule) tellNode(n *fakeNode, change func(members []string) []string) {
+	s.after(s.within(maxViewLag), func() {
+		switch {
+		case n.isolated:
+			s.tellNode(n, change)
+		case slices.Contains(n.members, n.vm):
+			s.view(n, change(n.members))
+		}
+	})
+}
+
 // lower lowers the limits of a random account. Nodes apply it within maxViewLag.
 func (s *schedule) lower() {
 	index := s.rng.IntN(len(s.accounts))
@@ -276,11 +322,15 @@
 }
 
 // Guards against a check that finds nothing: an owner that fills its bucket at once after a
-// change of the members must break the bound.
+// change of the members, and needs no contact, must break the bound.
 func TestScheduleCheckFindsBrokenOwner(t *testing.T) {
 	found := 0
 	for seed := *scheduleSeed; seed < *scheduleSeed+*scheduleCount && found == 0; seed++ {
-		if newSchedule(seed, func(o *Owner) { o.viewDelay, o.changedAt, o.epochs = 0, o.start, nil }).run() > 0 {
+		broken := func(o *Owner) {
+			o.viewDelay, o.changedAt, o.epochs = 0, o.start, nil
+			o.right.quorumAt = o.start.Add(time.Hour)
+		}
+		if newSchedule(seed, broken).run() > 0 {
 			found++
 		}
 	}
--- a/core/quota/view.go
+++ b/core/quota/view.go
@@ -18,6 +18,12 @@
 	// few candidates, one message covers all accounts, and an entry stays in contact
 	// with the owners of accounts that it rarely sees.
 	membersPerCandidate = 64
+	// maxWitnesses is the number of members that a holder of a part asks whether its view
+	// still holds.
+	maxWitnesses = 4
+	// maxPredecessors is the number of members that may own quotas in the views of others
+	// while up to four members join at about the same time.
+	maxPredecessors = 2 * maxOwners
 	// scoreKeyBytes is the length of an account's and a VM's name up to which a score
 	// needs no allocation.
 	scoreKeyBytes = 256
@@ -28,6 +34,8 @@
 type View struct {
 	// candidates are the VMs that may own quotas, in the order that all nodes use.
 	candidates []string
+	// first are the first members in the order of the candidates.
+	first []string
 	// home is the index, modulo the number of owners, of the owner that this node
 	// prefers. Consecutive members have consecutive indices, so that entries are
 	// spread evenly over the owners.
@@ -35,8 +43,10 @@
 	// members is the number of members.
 	members int
 	limits  map[string]Limits
-	// hash identifies the owners of all quotas.
-	hash uint64
+	// hash identifies the owners of all quotas, and candidatesHash the candidates.
+	hash, candidatesHash uint64
+	// self is this node.
+	self string
 }
 
 // NewView returns the view of the node on a VM. The members are the VMs of all members
@@ -52,6 +62,7 @@
 	}
 	slices.SortFunc(order, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.vm, b.vm)) })
 	v := &View{
+		self:    self,
 		home:    max(slices.IndexFunc(order, func(r ranked) bool { return r.vm == self }), 0),
 		members: len(members),
 		limits:  make(map[string]Limits),
@@ -60,23 +71,32 @@
 	for _, r := range order[:min(count, len(order))] {
 		v.candidates = append(v.candidates, r.vm)
 	}
+	for _, r := range order[:min(maxPredecessors, len(order))] {
+		v.first = append(v.first, r.vm)
+	}
 	for _, a := range accounts {
 		if a.Limited() {
 			v.limits[a.Name] = LimitsOf(rules, a, len(members))
 		}
 	}
+	v.candidatesHash = v.hashCandidates()
 	v.hash = v.ownersHash()
 	return v
 }
 
-// ownersHash returns a hash of what determines the owners of all quotas.
-func (v *View) ownersHash() uint64 {
+// hashCandidates returns a hash of the candidates.
+func (v *View) hashCandidates() uint64 {
 	digest := xxhash.New()
 	for _, vm := range v.candidates {
 		// Writing to a digest does not fail.
 		_, _ = digest.WriteString(vm + "\x00")
 	}
-	sum := digest.Sum64()
+	return digest.Sum64()
+}
+
+// ownersHash returns a hash of what determines the owners of all quotas.
+func (v *View) ownersHash() uint64 {
+	sum := v.candidatesHash
 	for name, limits := range v.limits {
 		sum += xxhash.Sum64String(name + "\x00" + strconv.Itoa(limits.Owners))
 	}
@@ -123,13 +143,25 @@
 	return xxhash.Sum64(append(append(append(buffer[:0], account...), 0), vm...))
 }
 
-// relied returns the owners on which an entry relies for credit, if they are few enough to
-// contact all of them in each period.
-func (v *View) relied() []string {
-	if len(v.limits) == 0 || len(v.candidates) > minCandidates {
+// witnesses returns the members that a holder of a part asks whether its view still holds.
+func (v *View) witnesses() []string { return v.candidates[:min(maxWitnesses, len(v.candidates))] }
+
+// asked returns the members that this node asks in each period: the owners on which an
+// entry relies for credit, if they are few enough to contact all of them, and otherwise the
+// witnesses, if this node is a candidate. A node that joins also asks those that may have
+// had its part.
+func (v *View) asked(joining bool) []string {
+	switch {
+	case len(v.limits) == 0:
 		return nil
+	case joining:
+		return v.first
+	case len(v.candidates) <= minCandidates:
+		return v.candidates
+	case slices.Contains(v.candidates, v.self):
+		return v.witnesses()
 	}
-	return v.candidates
+	return nil
 }
 
 // Owns reports whether a VM owns a part of the quota of an account.
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -39,6 +39,8 @@
 	nextRound, next time.Time
 	waiting         []pendingExchange
 	breakOwner      func(*Owner)
+	// isolated is set while the node reaches neither the store nor nodes that do.
+	isolated bool
 }
 
 type pendingExchange struct {
@@ -57,6 +59,8 @@
 	// cut reports whether a message is lost, and loss is the probability of another loss.
 	cut  func(from, to int) bool
 	loss float64
+	// storeDown is set while the store responds to nobody.
+	storeDown bool
 	// ran holds the times at which requests of each account ran, and asked counts them.
 	ran   map[string][]time.Time
 	asked map[string][]time.Time
@@ -107,6 +111,9 @@
 	n.frozenUntil, n.waiting = time.Time{}, nil
 	n.nextRound = w.now.Add(time.Duration(w.rng.Int64N(int64(Period))))
 	w.view(n, n.members)
+	if w.reachesStore(n) {
+		n.owner.SetAnnounced(w.now)
+	}
 }
 
 // view gives a node a view of the members and of the accounts.
@@ -120,6 +127,8 @@
 	n.entry.SetView(view)
 }
 
+func (w *world) reachesStore(n *fakeNode) bool { return !n.isolated && !w.storeDown }
+
 func (n *fakeNode) runs(now time.Time) bool { return n.entry != nil && !now.Before(n.frozenUntil) }
 
 func (w *world) node(vm string) *fakeNode {
@@ -170,6 +179,13 @@
 
 // exchange gives exchanges up that take too long and starts those that are due.
 func (w *world) exchange(n *fakeNode) {
+	storeAsOf := time.Time{}
+	if w.reachesStore(n) {
+		storeAsOf = w.now
+		n.owner.SetAnnounced(w.now)
+	}
+	n.owner.SetContact(n.entry.Contact(), storeAsOf)
+	n.entry.SetJoining(n.owner.Joining(w.now))
 	n.waiting = slices.DeleteFunc(n.waiting, func(p pendingExchange) bool {
 		if !*p.done && w.now.After(p.deadline) {
 			*p.done = true
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -130,6 +130,8 @@
 	// of changes of the roster that it has received, plus 1.
 	membersChanged  func(*quotaMembers)
 	reportedChanges uint64
+	// announced is when an announcement of this incarnation was first on the store.
+	announced time.Time
 	// ticks counts calls of tick, syncs counts calls of syncWithNext.
 	ticks, syncs int
 	// seen holds the part of each peer's view that this node has received, by
--- a/node/relay/quota.go
+++ b/node/relay/quota.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/primrosemount/primrosemount/core/account"
+	"github.com/primrosemount/primrosemount/core/freshness"
 	"github.com/primrosemount/primrosemount/core/ingress"
 	"github.com/primrosemount/primrosemount/core/outcome"
 	"github.com/primrosemount/primrosemount/core/quota"
@@ -41,8 +42,11 @@
 	rules       quota.Rules
 	exchange    quotaExchange
 	table       func() *ingress.Table
-	logger      *zap.Logger
-	entry       *quota.Entry
+	// storeAge returns the time since this node was in contact with the store, directly or
+	// through other nodes.
+	storeAge func(now time.Time) time.Duration
+	logger   *zap.Logger
+	entry    *quota.Entry
 	// owner is nil until the members are known.
 	owner atomic.Pointer[quota.Owner]
 	// members is replaced by the members task.
@@ -56,7 +60,9 @@
 	usedMembers *quotaMembers
 	limited     int
 	nextRound   time.Time
-	exchanges   sync.WaitGroup
+	// inContact is whether this node could use its parts at the last step.
+	inContact bool
+	exchanges sync.WaitGroup
 }
 
 // quotaMembers are the members that may own quotas, and their addresses by VM.
@@ -65,6 +71,8 @@
 	addresses map[string]string
 	// rejoining is true if this node was a member when its earlier incarnation ended.
 	rejoining bool
+	// announced is when the store acknowledged that this node is a member, or zero.
+	announced time.Time
 }
 
 // newQuotaTask returns a task that admits nothing to accounts with a quota until it runs.
@@ -76,9 +84,11 @@
 	}
 	return &quotaTask{
 		vm: o.VM, incarnation: incarnation, started: started, rules: rules, exchange: exchange, table: table,
-		logger: telemetry.Named(o.Logger, telemetry.PartEntry),
-		entry:  quota.NewEntry(rules, roster.Identity(o.VM, incarnation)),
-		urgent: make(chan struct{}, 1),
+		// The caller replaces this function.
+		storeAge: func(time.Time) time.Duration { return freshness.Unknown },
+		logger:   telemetry.Named(o.Logger, telemetry.PartEntry),
+		entry:    quota.NewEntry(rules, roster.Identity(o.VM, incarnation)),
+		urgent:   make(chan struct{}, 1),
 	}
 }
 
@@ -135,6 +145,7 @@
 	if q.limited == 0 {
 		return
 	}
+	q.updateContact(now)
 	if now.Before(q.nextRound) {
 		q.start(ctx, q.entry.Urgent(now))
 		return
@@ -143,6 +154,23 @@
 	q.start(ctx, q.entry.Round(now))
 }
 
+// updateContact tells the owner of this node what its right to its parts depends on.
+func (q *quotaTask) updateContact(now time.Time) {
+	owner, storeAsOf := q.owner.Load(), time.Time{}
+	if age := q.storeAge(now); age != freshness.Unknown {
+		storeAsOf = now.Add(-age)
+	}
+	if announced := q.usedMembers.announced; !announced.IsZero() {
+		owner.SetAnnounced(announced)
+	}
+	owner.SetContact(q.entry.Contact(), storeAsOf)
+	q.entry.SetJoining(owner.Joining(now))
+	if inContact := owner.InContact(now); inContact != q.inContact {
+		q.inContact = inContact
+		q.logger.Info("The right of this node to its parts of quotas has changed.", zap.Bool("in_contact", inContact))
+	}
+}
+
 // refresh puts a new view in force if the members or the accounts have changed.
 func (q *quotaTask) refresh(now time.Time) {
 	table, members := q.table(), q.members.Load()
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -238,6 +238,7 @@
 	}
 	r.gate.reportsWork = r.config.placesByCost
 	r.quotas = newQuotaTask(o, incarnation, start, r.pool.ExchangeQuota, r.config.table.Load)
+	r.quotas.storeAge = r.config.tracker.Age
 	r.members.membersChanged = r.quotas.setMembers
 	budgets := newBudgets(o.RetryRatio, o.RetrySlack)
 	r.limits = newRetryLimits(budgets, r.config.limitByRetryBudget, events.entry)
