targetstate: let no late heartbeat of an earlier incarnation end a drain

What callers saw: a target crashed, started again under its ID, and sent Leave, which was acknowledged.

Cause: three announcements with an earlier start time, while the current incarnation is silent, are taken for a restart with an earlier clock. One that drains is always silent.

Change: while the current incarnation drains, such announcements count only if they arrive 10 s after that was known, when none that is late can. A target that truly starts again with an earlier clock after a drain is used from its third announcement after that time on. Nothing changes while the current incarnation is in use.

--- a/core/targetstate/drained_test.go
+++ b/core/targetstate/drained_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -66,6 +67,7 @@
 func TestLateAnnouncementsOfReplacedIncarnationAreOutdated(t *testing.T) {
 	s := servingState(t)
 	requireLeft(t, s, "a", 1000)
+	s.Advance(time.Time{}.Add(targetstate.MaxDelay))
 	for sequence := range uint64(3) {
 		_, _ = s.Apply(announcement("b", 500, sequence+1, targetstate.Ready))
 	}
@@ -102,3 +104,36 @@
 		})
 	}
 }
+
+// Guards against a drain that was acknowledged and is taken back by late announcements of an
+// incarnation that began before, and against a target that is never used again after a
+// restart with an earlier clock.
+func TestDrainOutlastsLateAnnouncementsOfEarlierIncarnation(t *testing.T) {
+	for name, drain := range map[string]func(s *targetstate.State){
+		"leave":     func(s *targetstate.State) { _, _ = s.Leave(targetstate.Incarnation{TargetID: "a", StartMillis: 1000}) },
+		"heartbeat": func(s *targetstate.State) { _, _ = s.Apply(announcement("a", 1000, 6, targetstate.Draining)) },
+		"record":    func(s *targetstate.State) { s.RecordDraining(announcement("a", 1000, 6, targetstate.Draining)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(100, 0)
+			s := servingState(t)
+			s.Advance(start)
+			drain(s)
+			sequence := uint64(100)
+			earlier := func() {
+				sequence++
+				_, _ = s.Apply(announcement("a", 900, sequence, targetstate.Ready))
+			}
+			for at := time.Duration(0); at < targetstate.MaxDelay; at += 100 * time.Millisecond {
+				s.Advance(start.Add(at))
+				earlier()
+				require.False(t, s.Serving(), "after %v", at)
+			}
+			s.Advance(start.Add(targetstate.MaxDelay))
+			for range 3 {
+				earlier()
+			}
+			require.True(t, s.Serving(), "the target goes on announcing itself")
+		})
+	}
+}
--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -21,7 +21,8 @@
 // A target may start again with an earlier start time, because its clock was ahead
 // before. Its announcements then look like delayed ones of an earlier incarnation.
 // Delayed announcements end, so that several of them with increasing sequence
-// numbers, while the current incarnation is silent, are those of a new one.
+// numbers, while the current incarnation is silent, are those of a new one. If the current
+// one drains, it is silent in any case, and they count once no delayed ones can arrive.
 //
 // A State is not safe for concurrent use; it is owned by one goroutine.
 package targetstate
@@ -86,6 +87,9 @@
 // incarnation if the current one has sent none in between.
 const maxSilentAnnouncements = 3
 
+// MaxDelay is how late an announcement may arrive.
+const MaxDelay = 10 * time.Second
+
 // drainIgnoredError is the type of ErrDrainIgnored.
 type drainIgnoredError struct{}
 
@@ -119,6 +123,9 @@
 	earlierAnnouncements int
 	// drained holds the other incarnations that are known to have drained.
 	drained drainedSet
+	// now is the time of the latest call of Advance, and drainingSince that as of which the
+	// current incarnation was known to drain.
+	now, drainingSince time.Time
 }
 
 // New returns the state of the target at the address, without an announcement.
@@ -126,6 +133,9 @@
 	return &State{address: address, service: service}
 }
 
+// Advance sets the time for the calls that follow.
+func (s *State) Advance(now time.Time) { s.now = now }
+
 // Reconfigure sets the address and the service. If one of them changes, the
 // state is reset.
 func (s *State) Reconfigure(address, service string) {
@@ -151,6 +161,7 @@
 			// The target has begun to drain since the announcement was
 			// published.
 			published.Phase = Draining
+			s.drainingSince = s.now
 		}
 		if !s.sameIncarnation(published) {
 			s.keepDrained()
@@ -197,6 +208,9 @@
 	if !same {
 		s.keepDrained()
 	}
+	if a.Phase == Draining && !(same && before.Phase == Draining) {
+		s.drainingSince = s.now
+	}
 	s.current = a
 	s.confirmed = s.confirmed && same || s.restored || a.Phase == Draining || s.announcements > 1
 	return !same || before.Phase != a.Phase || before.Slots != a.Slots || s.confirmed != confirmedBefore, nil
@@ -208,6 +222,10 @@
 	if a.StartMillis <= 0 || a.StartMillis >= s.current.StartMillis {
 		return false
 	}
+	if s.current.Phase == Draining && s.now.Sub(s.drainingSince) < MaxDelay {
+		// Whoever drains is silent, so that the silence proves nothing.
+		return false
+	}
 	sameAsBefore := a.TargetID == s.earlier.TargetID && a.StartMillis == s.earlier.StartMillis
 	switch {
 	case !sameAsBefore || s.earlierAnnouncements == 0:
@@ -256,7 +274,7 @@
 		return false
 	}
 	s.current.Phase = Draining
-	s.confirmed = true
+	s.confirmed, s.drainingSince = true, s.now
 	return true
 }
 
@@ -265,7 +283,7 @@
 	s.keepDrained()
 	s.current = a
 	s.current.Address, s.current.Service, s.current.Phase = s.address, s.service, Draining
-	s.confirmed, s.announcements = true, 0
+	s.confirmed, s.announcements, s.drainingSince = true, 0, s.now
 }
 
 // keepDrained keeps the current incarnation, which is about to be replaced, if it drained.
--- a/node/relay/drainrecord.go
+++ b/node/relay/drainrecord.go
@@ -97,14 +97,10 @@
 	return byPeer && now.After(w.peerSuffices) && t.published > 0
 }
 
-const (
-	// survivorLead is how much longer than this node another one must have run to have
-	// heard the earlier incarnation of this node. Nodes that were killed at the same time
-	// start within a shorter time of each other.
-	survivorLead = 5 * time.Second
-	// maxAnnouncementDelay is how late an announcement of a target may arrive.
-	maxAnnouncementDelay = 10 * time.Second
-)
+// survivorLead is how much longer than this node another one must have run to have heard the
+// earlier incarnation of this node. Nodes that were killed at the same time start within a
+// shorter time of each other.
+const survivorLead = 5 * time.Second
 
 // drainMemory is what a starting node knows about who remembers the drains that its earlier
 // incarnation acknowledged.
@@ -118,9 +114,9 @@
 
 // mayBeLost reports whether a drain may have been acknowledged of which nobody knows any
 // more. Announcements that were sent before such a drain have arrived after
-// maxAnnouncementDelay.
+// targetstate.MaxDelay.
 func (m drainMemory) mayBeLost(uptime time.Duration) bool {
-	return m.storeFailed && !m.survivor && uptime < maxAnnouncementDelay
+	return m.storeFailed && !m.survivor && uptime < targetstate.MaxDelay
 }
 
 // noteSurvivor records that the node at an address, which has run for the given time, has
--- a/node/relay/gatetask.go
+++ b/node/relay/gatetask.go
@@ -142,7 +142,9 @@
 		case <-ctx.Done():
 			return
 		case event := <-t.events:
-			event(time.Now())
+			now := time.Now()
+			t.state.Advance(now)
+			event(now)
 		case <-timer.C:
 			timerEnds = time.Time{}
 		}
