soak: play drains beside late announcements and kills of all nodes

Targets crash, start again under a new ID, leave at once, and their first announcements arrive after the acknowledgement. In one of two seeds, a target leaves while the store is down, and all nodes are killed right after that. The steps come from a random stream of their own, so that the schedules of earlier seeds stay as they are.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	Calm       time.Duration `arg:"--calm" default:"3s" help:"time of load after the recovery"`
 	Sabotage   bool          `arg:"--sabotage" help:"duplicate what is sent to targets, which the checks must find"`
 	NoReturns  bool          `arg:"--no-returns" help:"leave out returns of the store from copies"`
+	NoDrains   bool          `arg:"--no-drains" help:"leave out drains beside late announcements and kills of all nodes"`
 	Accounts   string        `arg:"--accounts" default:"some" help:"seeds with client accounts: some (one in three), all or none"`
 	Regression bool          `arg:"--regression" help:"play the schedules that failed once instead of seeds"`
 }
@@ -103,7 +104,7 @@
 		Binary: binary, Folder: folder, Seed: s.Seed, VMs: s.VMs, Clients: a.Clients,
 		Faults: s.Faults, Calm: a.Calm, Sabotage: a.Sabotage,
 		// The schedules that failed once had no returns.
-		Returns: !a.NoReturns && !a.Regression, Accounts: s.Accounts,
+		Returns: !a.NoReturns && !a.Regression, Drains: !a.NoDrains && !a.Regression, Accounts: s.Accounts,
 	})
 	if err != nil {
 		return false, err
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -26,6 +26,10 @@
 // lowered quota binds one window after each VM has been undisturbed long enough to have
 // it.
 //
+// Drains. PlanDrains adds targets that crash and start again under a new ID, leave at once,
+// and whose first announcements arrive after the acknowledgement, and, in one of two seeds,
+// a Leave while the store is down, right after which all nodes are killed.
+//
 // Checks. A History records all requests that clients sent with their responses,
 // and all requests that targets received and ran. Check returns the guarantees that
 // a history violates. After the last fault, the fleet has RecoveryBound until it
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -67,6 +67,11 @@
 	KeyRemoved
 	QuotaLowered
 	QuotaRestored
+	// TargetLeavesEarly replaces a target by one that leaves before its first
+	// announcements arrive, which are up to For late. NodesKilled kills all nodes at once
+	// and starts them again after For. They are drawn by PlanDrains.
+	TargetLeavesEarly
+	NodesKilled
 )
 
 // ofAccounts reports whether the kind concerns client accounts.
@@ -79,6 +84,10 @@
 		return "runner stalled"
 	case StoreReturns:
 		return "store returns from a copy"
+	case TargetLeavesEarly:
+		return "target leaves before its announcements"
+	case NodesKilled:
+		return "all nodes killed"
 	}
 	if k.ofAccounts() {
 		return [...]string{"account surges", "key added", "key removed", "quota lowered", "quota restored"}[k-AccountSurge]
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -36,6 +36,8 @@
 	Sabotage bool
 	// Returns adds returns of the store from copies to the schedule.
 	Returns bool
+	// Drains adds drains beside late announcements and kills to the schedule.
+	Drains bool
 	// Accounts adds client accounts to the configuration, and steps that concern them to
 	// the schedule.
 	Accounts bool
@@ -87,6 +89,9 @@
 	if o.Returns {
 		steps = PlanReturns(steps, o.Seed, o.Faults)
 	}
+	if o.Drains {
+		steps = PlanDrains(steps, o.Seed, o.VMs, o.Faults)
+	}
 	if o.Accounts {
 		steps = PlanAccounts(steps, o.Seed, o.Faults)
 	}
@@ -159,7 +164,7 @@
 	affected := s.VM
 	switch s.Kind {
 	case StoreDown, StoreSlow, StoreLosesResponses, StoreReturns, ConfigChange,
-		AccountSurge, KeyAdded, KeyRemoved, QuotaLowered, QuotaRestored:
+		AccountSurge, KeyAdded, KeyRemoved, QuotaLowered, QuotaRestored, NodesKilled:
 		affected = allVMs
 	}
 	defer r.history.beginDisturbance(s.Kind, affected)()
@@ -185,6 +190,8 @@
 		err = r.fleet.configureAccount(s)
 	case AccountSurge:
 		r.surge(s)
+	case NodesKilled:
+		err = r.killAll(s.For)
 	default:
 		err = r.stepTarget(s, v.target)
 	}
@@ -278,6 +285,8 @@
 		return nil
 	case TargetDrain:
 		return t.drain(s.For > (minFault+maxFault)/2)
+	case TargetLeavesEarly:
+		return t.leaveEarly(s.For)
 	case TargetRestart:
 		t.stop()
 		return t.start(true)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -43,6 +43,55 @@
 	require.NotZero(t, report.Served)
 }
 
+// Runs a short schedule in which targets leave before their announcements arrive, and all
+// nodes are killed after a Leave while the store is down, and guards against any violation
+// of the guarantees in it.
+func TestSoakWithDrains(t *testing.T) {
+	report, err := Run(Options{
+		Binary: build(t), Folder: t.TempDir(), Seed: 65, VMs: 4, Clients: 2,
+		Faults: 8 * time.Second, Calm: time.Second, Drains: true,
+	})
+	require.NoError(t, err)
+	for _, kind := range []Kind{TargetLeavesEarly, NodesKilled} {
+		require.True(t, slices.ContainsFunc(report.Steps, func(s Step) bool { return s.Kind == kind }), kind.String())
+	}
+	require.Empty(t, report.Findings, "seed %d", report.Seed)
+	require.NotZero(t, report.Served)
+}
+
+// Guards against drains that change the schedules of earlier seeds, and against seeds
+// without any.
+func TestDrainsAreAddedToSchedules(t *testing.T) {
+	killed := 0
+	for seed := range uint64(50) {
+		steps := Plan(seed, 6, 20*time.Second)
+		added := PlanDrains(slices.Clone(steps), seed, 6, 20*time.Second)
+		require.Equal(t, added, PlanDrains(slices.Clone(steps), seed, 6, 20*time.Second))
+		require.True(t, slices.IsSortedFunc(added, func(a, b Step) int { return int(a.At - b.At) }))
+		require.True(t, slices.ContainsFunc(added, func(s Step) bool { return s.Kind == TargetLeavesEarly }))
+		require.Equal(t, len(steps), len(added)-countDrains(added))
+		if slices.ContainsFunc(added, func(s Step) bool { return s.Kind == NodesKilled }) {
+			killed++
+		}
+	}
+	require.Greater(t, killed, 10)
+}
+
+// countDrains returns the number of steps that PlanDrains has added.
+func countDrains(steps []Step) int {
+	count := 0
+	for _, s := range steps {
+		switch s.Kind {
+		case TargetLeavesEarly:
+			count++
+		case NodesKilled:
+			// The outage of the store and the drain before it.
+			count += 3
+		}
+	}
+	return count
+}
+
 // Runs a short schedule with client accounts, and guards against any violation of the
 // guarantees in it.
 func TestSoakWithAccounts(t *testing.T) {
--- a/internal/standin/plainplatform/announce.go
+++ b/internal/standin/plainplatform/announce.go
@@ -35,10 +35,13 @@
 	return Post(node, "/v1/Instances.Heartbeat/"+a.TargetID, body)
 }
 
+// LeavePath is the path of a leave call, which the ID of the target follows.
+const LeavePath = "/v1/Instances.Leave/"
+
 // Leave notifies the node that a target is going out of service and returns the
 // response status.
 func Leave(node, targetID string) (int, error) {
-	return Post(node, "/v1/Instances.Leave/"+targetID, "{}")
+	return Post(node, LeavePath+targetID, "{}")
 }
 
 // Post sends a call of a target to its node and returns the response status.
