targetstate: require silence before an earlier start time is accepted

Three announcements with an earlier start time are accepted now only after 3 s without an announcement of the current incarnation, that is two heartbeats. A target that starts again with an earlier clock needs that long for its third heartbeat anyway. TestTargetRestartsAfterItsClockWasAhead lets 1.5 s pass between the announcements, as they do between heartbeats; its checks are unchanged.

--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -90,6 +90,11 @@
 // MaxDelay is how late an announcement may arrive.
 const MaxDelay = 10 * time.Second
 
+// minSilence is how long the current incarnation must have sent nothing before another one
+// with an earlier start time takes its place. Several late announcements may arrive between
+// two heartbeats, which are about 1.5 s apart.
+const minSilence = 3 * time.Second
+
 // drainIgnoredError is the type of ErrDrainIgnored.
 type drainIgnoredError struct{}
 
@@ -123,9 +128,10 @@
 	earlierAnnouncements int
 	// drained holds the other incarnations that are known to have drained.
 	drained drainedSet
-	// now is the time of the latest call of Advance, and drainingSince that as of which the
-	// current incarnation was known to drain.
-	now, drainingSince time.Time
+	// now is the time of the latest call of Advance, announcedAt that of the latest
+	// announcement of the current incarnation, and drainingSince that as of which it was
+	// known to drain.
+	now, announcedAt, drainingSince time.Time
 }
 
 // New returns the state of the target at the address, without an announcement.
@@ -195,7 +201,7 @@
 		}
 		return false, ErrOutdated
 	}
-	s.earlierAnnouncements = 0
+	s.earlierAnnouncements, s.announcedAt = 0, s.now
 	same := s.sameIncarnation(a)
 	if same && s.current.Phase == Draining {
 		a.Phase = Draining
@@ -235,7 +241,7 @@
 	}
 	s.earlier = a
 	s.earlierAnnouncements++
-	return s.earlierAnnouncements >= maxSilentAnnouncements
+	return s.earlierAnnouncements >= maxSilentAnnouncements && s.now.Sub(s.announcedAt) >= minSilence
 }
 
 // Leave records that an incarnation of the target is draining and reports whether the
--- a/core/targetstate/targetstate_test.go
+++ b/core/targetstate/targetstate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -240,13 +241,23 @@
 	s.Restore(targetstate.Announcement{}, false)
 	_, err := s.Apply(announcement("a", 5000, 1, targetstate.Ready))
 	require.NoError(t, err)
+	// The announcements are 1.5 s apart.
+	const interval = 1500 * time.Millisecond
+	now := time.Time{}
+	advance := func() {
+		now = now.Add(interval)
+		s.Advance(now)
+	}
+	advance()
 	_, err = s.Apply(announcement("a", 3000, 1, targetstate.Ready))
 	require.ErrorIs(t, err, targetstate.ErrOutdated)
 	_, err = s.Apply(announcement("a", 3000, 1, targetstate.Ready))
 	require.ErrorIs(t, err, targetstate.ErrOutdated, "a repeated announcement proves nothing")
+	advance()
 	_, err = s.Apply(announcement("a", 3000, 2, targetstate.Draining))
 	require.ErrorIs(t, err, targetstate.ErrDrainIgnored)
 	require.True(t, s.Serving())
+	advance()
 	_, err = s.Apply(announcement("a", 3000, 3, targetstate.Draining))
 	require.NoError(t, err)
 	require.True(t, s.IsDraining())
