targetstate: let a drained incarnation that was replaced replace nothing

Found by reading: a repeated Leave of an incarnation whose clock was ahead, and which had drained and been replaced, arrived late and took the present one out of use. After a restart of the node, the record of such an incarnation did the same. An incarnation that is known to have drained now only counts when announcements of it arrive.

TestLateAnnouncementsOfReplacedIncarnationAreOutdated covers both; the new lines failed before.

--- a/core/targetstate/drained_test.go
+++ b/core/targetstate/drained_test.go
@@ -75,7 +75,17 @@
 	_, err := s.Apply(announcement("a", 1000, 9, targetstate.Ready))
 	require.ErrorIs(t, err, targetstate.ErrOutdated)
 	require.True(t, s.Serving())
-	require.Equal(t, []targetstate.Incarnation{{TargetID: "a", StartMillis: 1000}}, s.Drained())
+	replaced := targetstate.Incarnation{TargetID: "a", StartMillis: 1000}
+	changed, err := s.Leave(replaced)
+	require.NoError(t, err)
+	require.False(t, changed, "a repeated Leave that is late")
+	require.True(t, s.Serving())
+	require.Equal(t, []targetstate.Incarnation{replaced}, s.Drained())
+
+	restarted := targetstate.New(address, service)
+	restarted.RecordDrained(s.Drained())
+	restarted.Restore(s.Current(), true)
+	require.True(t, restarted.Serving(), "the node has restarted")
 }
 
 // Guards against a restarted node that uses an incarnation whose Leave its earlier
--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -254,11 +254,11 @@
 // target after a restart with an earlier clock, to which the requests would still be sent.
 func (s *State) Leave(left Incarnation) (bool, error) {
 	switch {
+	case s.drained.find(left) != nil:
+		return false, nil
 	case s.current.TargetID == "", s.startedBefore(left):
 		s.replace(Announcement{TargetID: left.TargetID, StartMillis: left.StartMillis, Phase: Draining})
 		return true, nil
-	case s.drained.find(left) != nil:
-		return false, nil
 	case left.TargetID != s.current.TargetID:
 		s.drained.add(left, false)
 		return false, nil
@@ -317,12 +317,16 @@
 // drained, and the announcements of which may still arrive.
 func (s *State) Drained() []Incarnation { return s.drained.incarnations() }
 
-// RecordDrained applies what an earlier incarnation of the node has recorded as Drained.
+// RecordDrained applies what an earlier incarnation of the node has recorded as Drained, and
+// reports whether the current announcement changed. Other incarnations only count when
+// announcements of them arrive, since the earlier incarnation had another one in use.
 func (s *State) RecordDrained(drained []Incarnation) (changed bool) {
 	for _, d := range drained {
-		// An error means that the current incarnation is a later one.
-		became, err := s.Leave(d)
-		changed = changed || became && err == nil
+		if d.TargetID == s.current.TargetID && (d.StartMillis == s.current.StartMillis || d.StartMillis == 0) {
+			changed = s.markDraining() || changed
+			continue
+		}
+		s.drained.add(d, false)
 	}
 	return changed
 }
