targetstate: let Leave and RecordDraining share one rule

Both now call leave; a record only tells more of the incarnation. The new line of TestLateAnnouncementsOfReplacedIncarnationAreOutdated failed before.

--- a/core/targetstate/drained_test.go
+++ b/core/targetstate/drained_test.go
@@ -79,6 +79,7 @@
 	changed, err := s.Leave(replaced)
 	require.NoError(t, err)
 	require.False(t, changed, "a repeated Leave that is late")
+	require.False(t, s.RecordDraining(announcement("a", 1000, 9, targetstate.Draining)), "a record that is late")
 	require.True(t, s.Serving())
 	require.Equal(t, []targetstate.Incarnation{replaced}, s.Drained())
 
--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -253,11 +253,17 @@
 // ID of the current one and an earlier start time: it may have ended long ago, or be the
 // target after a restart with an earlier clock, to which the requests would still be sent.
 func (s *State) Leave(left Incarnation) (bool, error) {
+	return s.leave(Announcement{TargetID: left.TargetID, StartMillis: left.StartMillis})
+}
+
+// leave is Leave for an incarnation of which more may be known than its name.
+func (s *State) leave(a Announcement) (bool, error) {
+	left := a.Incarnation()
 	switch {
 	case s.drained.find(left) != nil:
 		return false, nil
 	case s.current.TargetID == "", s.startedBefore(left):
-		s.replace(Announcement{TargetID: left.TargetID, StartMillis: left.StartMillis, Phase: Draining})
+		s.replace(a)
 		return true, nil
 	case left.TargetID != s.current.TargetID:
 		s.drained.add(left, false)
@@ -305,12 +311,9 @@
 // current announcement changed. If the record has no start time, it applies to the
 // target ID.
 func (s *State) RecordDraining(a Announcement) bool {
-	if s.current.TargetID == "" || s.startedBefore(a.Incarnation()) {
-		s.replace(a)
-		return true
-	}
-	changed, err := s.Leave(a.Incarnation())
-	return changed && err == nil
+	// An error means that the current incarnation is a later one.
+	changed, _ := s.leave(a)
+	return changed
 }
 
 // Drained returns the incarnations, except the current one, that are known to have
