--- a/core/quota/contact.go
+++ b/core/quota/contact.go
@@ -32,7 +32,8 @@
 )
 
 // elapsed returns the time between two times by the steady clock, or by the time of day if
-// that is longer: the steady clock does not run while a machine is suspended.
+// that is longer: the steady clock does not run while a machine is suspended. From the zero
+// time it is the longest duration.
 func elapsed(from, to time.Time) time.Duration {
 	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
 }
@@ -55,7 +56,7 @@
 	if !at.After(c.storeAt) {
 		return
 	}
-	if c.storeAt.IsZero() || elapsed(c.storeAt, at) >= ContactTTL {
+	if elapsed(c.storeAt, at) >= ContactTTL {
 		c.storeSince = at
 	}
 	c.storeAt = at
@@ -63,10 +64,10 @@
 
 // valid reports whether the holder may use its part.
 func (c *contactRight) valid(now time.Time) bool {
-	if !c.quorumAt.IsZero() && elapsed(c.quorumAt, now) < ContactTTL {
+	if elapsed(c.quorumAt, now) < ContactTTL {
 		return true
 	}
-	return !c.storeAt.IsZero() && elapsed(c.storeAt, now) < ContactTTL && now.Sub(c.storeSince) >= viewSpread
+	return elapsed(c.storeAt, now) < ContactTTL && now.Sub(c.storeSince) >= viewSpread
 }
 
 // joining is the state of a node that may not use its part yet, because others may hold it.
@@ -149,9 +150,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.right.confirmStore(storeAsOf)
-	if !contact.Quorum.IsZero() {
-		o.right.confirmQuorum(contact.Quorum)
-	}
+	o.right.confirmQuorum(contact.Quorum)
 	if o.joining.quorum.IsZero() {
 		o.joining.quorum = contact.Quorum
 	}
