--- a/internal/soak/drains.go
+++ b/internal/soak/drains.go
@@ -49,7 +49,7 @@
 
 // leaveEarly replaces the target by a new incarnation that leaves at once. Its first
 // announcements arrive after the acknowledgement, as late as the given time.
-func (t *target) leaveEarly(late time.Duration) error {
+func (t *target) leaveEarly(delay time.Duration) error {
 	t.stop()
 	if err := t.start(false); err != nil {
 		return err
@@ -59,23 +59,20 @@
 		t.mutex.Unlock()
 		return nil
 	}
-	id, born := t.id, t.startTime
+	var late [lateAnnouncements]plainplatform.Announcement
+	for i := range late {
+		late[i] = t.nextAnnouncement()
+	}
+	id, body := t.id, fmt.Sprintf(`{"born":%d}`, t.startTime.UnixMilli())
 	t.draining, t.silent = true, true
 	t.mutex.Unlock()
-	body := fmt.Sprintf(`{"born":%d}`, born.UnixMilli())
-	for try := 0; try < 5; try++ {
-		if acknowledged(plainplatform.Post(t.vm.announceAddress, plainplatform.LeavePath+id, body)) {
-			t.history.drainNotice(DrainNotice{TargetID: id, Acked: time.Now()})
-			break
-		}
-	}
-	for sequence := range lateAnnouncements {
-		time.Sleep(late / lateAnnouncements)
+	t.repeatDrain(id, func() bool {
+		return acknowledged(plainplatform.Post(t.vm.announceAddress, plainplatform.LeavePath+id, body))
+	})
+	for _, announcement := range late {
+		time.Sleep(delay / lateAnnouncements)
 		// Whether the node takes a late announcement is not the target's concern.
-		_, _ = plainplatform.Announce(t.vm.announceAddress, plainplatform.Announcement{
-			TargetID: id, Address: t.vm.toTarget.address(), Service: t.vm.service, Zone: t.vm.zone,
-			Slots: targetSlots, StartTime: born, Sequence: sequence + 1,
-		})
+		_, _ = plainplatform.Announce(t.vm.announceAddress, announcement)
 	}
 	time.Sleep(drainTimeout + 2*timeoutSlack)
 	t.stop()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -25,6 +25,8 @@
 	// callsPerVM is larger than the number of calls that one target makes, so that
 	// call numbers differ between VMs.
 	callsPerVM = 10_000_000
+	// maxDrainCalls is how often a target repeats a call that is not acknowledged.
+	maxDrainCalls = 5
 	// announceInterval is the time between two announcements of a target.
 	announceInterval = 300 * time.Millisecond
 )
@@ -158,13 +160,19 @@
 		t.mutex.Unlock()
 		return false
 	}
+	announcement := t.nextAnnouncement()
+	t.mutex.Unlock()
+	return acknowledged(plainplatform.Announce(t.vm.announceAddress, announcement))
+}
+
+// nextAnnouncement returns the next announcement of the incarnation. The caller holds the
+// mutex.
+func (t *target) nextAnnouncement() plainplatform.Announcement {
 	t.sequence++
-	announcement := plainplatform.Announcement{
+	return plainplatform.Announcement{
 		TargetID: t.id, Address: t.vm.toTarget.address(), Service: t.vm.service, Zone: t.vm.zone,
 		Slots: targetSlots, StartTime: t.startTime, Draining: t.draining, Sequence: t.sequence,
 	}
-	t.mutex.Unlock()
-	return acknowledged(plainplatform.Announce(t.vm.announceAddress, announcement))
 }
 
 // acknowledged reports whether the node accepted a call of the target.
@@ -178,13 +186,9 @@
 	id := t.id
 	t.draining, t.silent = true, abrupt
 	t.mutex.Unlock()
-	acked := false
-	for try := 0; try < 5 && !acked; try++ {
-		acked = abrupt && acknowledged(plainplatform.Leave(t.vm.announceAddress, id)) || !abrupt && t.announce()
-		if acked {
-			t.history.drainNotice(DrainNotice{TargetID: id, Acked: time.Now()})
-		}
-	}
+	t.repeatDrain(id, func() bool {
+		return abrupt && acknowledged(plainplatform.Leave(t.vm.announceAddress, id)) || !abrupt && t.announce()
+	})
 	time.Sleep(drainTimeout + 2*timeoutSlack)
 	t.mutex.Lock()
 	t.silent = true
@@ -195,6 +199,17 @@
 	return t.start(false)
 }
 
+// repeatDrain makes a call that says that an incarnation drains until it is acknowledged, up
+// to maxDrainCalls times, and records the acknowledgement.
+func (t *target) repeatDrain(id string, call func() bool) {
+	for range maxDrainCalls {
+		if call() {
+			t.history.drainNotice(DrainNotice{TargetID: id, Acked: time.Now()})
+			return
+		}
+	}
+}
+
 // set starts or ends TargetSlow or TargetFaulty.
 func (t *target) set(kind Kind, on bool) {
 	t.mutex.Lock()
