--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -72,11 +72,22 @@
 	expected := p.expected
 	n.mutex.Unlock()
 	if !expected {
-		n.history.unexpectedExit(fmt.Sprintf("the node of %s exited unexpectedly in incarnation %d: %v", n.vm.name, incarnation, err))
+		n.history.unexpectedExit(fmt.Sprintf("the node of %s exited unexpectedly in incarnation %d: %v; last output: %q",
+			n.vm.name, incarnation, err, lastLine(p.output.Name())))
 	}
 	close(p.ended)
 }
 
+// lastLine returns the last line of a file, or what kept it from being read.
+func lastLine(path string) string {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	text := strings.TrimSpace(string(content))
+	return text[strings.LastIndexByte(text, '\n')+1:]
+}
+
 // signal sends a signal to the running process, if any, and returns the process.
 // mayEnd states that the process may exit because of the signal. Signal 0 only
 // updates peakKB.
