retry: hold the budget in every window

Cause: WindowBudget checked only the window that ends with a retry.

Change: a retry has to fit into each of the windows that begin within 10 s before it, with the first attempts known by then. Counters have slots of 0.2 s and hold totals, so that a decision takes one pass over 51 windows. The plan of the limiter uses the same windows.

Tests: two property tests play bursts, steps and silences on one node and on forty, and check the rule for each begin of a window; both fail on the code before. TestWindowBudgetUsesThePreviousWindow required a retry 16 s after the last first attempt, for which a window without any first attempts begins in between, which the rule forbids; its replacement requires a retry after 9.5 s and none after 10.5 s. TestDemandOfRefusedLevelsIsRemembered let the first attempts end, so that the budget now ends as well; they now go on, and the budget grows by a third, which makes the test fail without the memory of the demand (limit from 421 to 511).

--- a/core/retry/limiter.go
+++ b/core/retry/limiter.go
@@ -186,7 +186,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.update(now)
-	s := State{Level: l.level, RefusalShare: l.refusals.share(now), Left: l.budget.permitted(now, 0)}
+	s := State{Level: l.level, RefusalShare: l.refusals.share(now), Left: l.budget.permitted(now)}
 	if l.engaged {
 		s.RefusedFor = now.Sub(l.refusals.since)
 	}
