era: tell the era with number 0 from an unknown one

Cause: 0 stood for "the store does not tell its era" in parseEra, in the records on the store and in what nodes tell each other.

Change: era.Era holds the number plus one, and is converted where a number is read or written. The fields store_era have presence; a message of an earlier version without the field means unknown, as before. The gauge of the era is left out if the store tells none, and the stand-in of the store can count from 0.

--- a/core/era/era.go
+++ b/core/era/era.go
@@ -10,17 +10,46 @@
 package era
 
 import (
+	"math"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
 
-// An Era is the number of an era. Later eras have higher numbers.
+// An Era identifies an era. Later eras have higher values. The value is not the number that
+// the store gives the era; see FromNumber.
 type Era uint64
 
 // Unknown is the era of a response that does not tell one. It cannot be told apart from
 // any other era.
 const Unknown Era = 0
 
+// FromNumber returns the era with a number of the store, or Unknown if the number is nil.
+// The store may count from 0, which is not Unknown.
+func FromNumber(number *uint64) Era {
+	if number == nil || *number == math.MaxUint64 {
+		return Unknown
+	}
+	return Era(*number + 1)
+}
+
+// Number returns the number that the store gives an era, or nil if the era is unknown.
+func (e Era) Number() *uint64 {
+	if e == Unknown {
+		return nil
+	}
+	number := uint64(e) - 1
+	return &number
+}
+
+// String implements fmt.Stringer.
+func (e Era) String() string {
+	if e == Unknown {
+		return "unknown"
+	}
+	return strconv.FormatUint(*e.Number(), 10)
+}
+
 // Same reports whether two eras may be the same one.
 func (e Era) Same(other Era) bool { return e == other || e == Unknown || other == Unknown }
 
--- a/core/era/era_test.go
+++ b/core/era/era_test.go
@@ -1,6 +1,8 @@
 package era_test
 
 import (
+	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -20,6 +22,24 @@
 	require.False(t, p.ValidIn(2))
 }
 
+// Guards against the era with number 0 that counts as unknown, and against numbers that
+// change on their way from one node to another.
+func TestNumbersOfErasStartAt0(t *testing.T) {
+	require.Equal(t, era.Unknown, era.FromNumber(nil))
+	require.Nil(t, era.Unknown.Number())
+	require.Equal(t, "unknown", era.Unknown.String())
+	last := era.Unknown
+	for _, number := range []uint64{0, 1, 7, math.MaxUint64 - 1} {
+		e := era.FromNumber(&number)
+		require.Greater(t, e, last)
+		require.Equal(t, number, *e.Number())
+		require.Equal(t, strconv.FormatUint(number, 10), e.String())
+		last = e
+	}
+	largest := uint64(math.MaxUint64)
+	require.Equal(t, era.Unknown, era.FromNumber(&largest))
+}
+
 // Guards against a late response of an earlier era that counts as a new era.
 func TestLatestNeverGoesBack(t *testing.T) {
 	var latest era.Latest
--- a/internal/standin/logservice/copy.go
+++ b/internal/standin/logservice/copy.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/primrosemount/primrosemount/core/era"
 )
 
 // A Copy is the content of the service at one moment.
@@ -16,32 +18,39 @@
 }
 
 // Restore replaces the content by a copy: records appended since the copy was made are
-// lost, and their offsets are given out again. It starts the next era if responses tell
-// the era. A copy can be restored several times.
+// lost, and their offsets are given out again. It starts the next era. A
+// copy can be restored several times.
 func (s *Service) Restore(c Copy) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.streams = cloneStreams(c.streams)
 	s.returns++
-	if s.era > 0 {
-		s.era++
-	}
+	s.era++
 	s.wakeReaders()
 }
 
 // SetEra sets the era that responses tell. A new service tells none, like a store that
-// does not know eras, and neither does it for 0.
-func (s *Service) SetEra(era uint64) {
+// does not know eras.
+func (s *Service) SetEra(number uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.era = era
+	s.era, s.tellsEra = number, true
+}
+
+// knownEra returns the present era, or era.Unknown if responses tell none. The mutex must
+// be held.
+func (s *Service) knownEra() era.Era {
+	if !s.tellsEra {
+		return era.Unknown
+	}
+	return era.FromNumber(&s.era)
 }
 
 // eraAndReturns returns the present era and the number of returns from a copy.
-func (s *Service) eraAndReturns() (era uint64, returns int) {
+func (s *Service) eraAndReturns() (present era.Era, returns int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.era, s.returns
+	return s.knownEra(), s.returns
 }
 
 // wakeReaders ends the waits of all reads. The mutex must be held.
--- a/internal/standin/logservice/http.go
+++ b/internal/standin/logservice/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/streamlog"
 )
 
@@ -32,8 +33,8 @@
 	mux.HandleFunc("GET /v1/log-read", s.serveRead)
 	mux.HandleFunc("GET /v1/log-newest", s.serveNewest)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		era, returns := s.eraAndReturns()
-		mux.ServeHTTP(&eraWriter{ResponseWriter: w, service: s, era: era, returns: returns}, r)
+		present, returns := s.eraAndReturns()
+		mux.ServeHTTP(&eraWriter{ResponseWriter: w, service: s, era: present, returns: returns}, r)
 	})
 }
 
@@ -46,7 +47,7 @@
 	http.ResponseWriter
 	service *Service
 	// era is the era in which the call began, and returns the number of returns before.
-	era     uint64
+	era     era.Era
 	returns int
 	written bool
 }
@@ -71,8 +72,8 @@
 	if _, returns := w.service.eraAndReturns(); returns != w.returns {
 		panic(http.ErrAbortHandler)
 	}
-	if w.era > 0 {
-		w.Header().Set(headerEra, strconv.FormatUint(w.era, 10))
+	if w.era != era.Unknown {
+		w.Header().Set(headerEra, w.era.String())
 	}
 }
 
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -14,7 +14,6 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/streamlog"
 )
 
@@ -54,10 +53,11 @@
 	appends uint64
 	// appended is closed and replaced at each append and at each return from a copy.
 	appended chan struct{}
-	// era is the era that responses tell. 0 means that they tell none. returns counts
+	// era is the era that responses tell if tellsEra is set. returns counts
 	// the returns from a copy.
-	era     uint64
-	returns int
+	era      uint64
+	tellsEra bool
+	returns  int
 }
 
 type stream struct {
@@ -204,7 +204,7 @@
 	defer s.mutex.Unlock()
 	st := s.stream(name)
 	next := st.firstOffset + uint64(len(st.records))
-	batch := streamlog.Batch{Earliest: st.firstOffset, Next: next, Era: era.Era(s.era)}
+	batch := streamlog.Batch{Earliest: st.firstOffset, Next: next, Era: s.knownEra()}
 	from = max(from, st.firstOffset)
 	for offset := from; offset < next && len(batch.Records) < limit; offset++ {
 		batch.Records = append(batch.Records, streamlog.Record{Offset: offset, Data: st.records[offset-st.firstOffset]})
--- a/node/control/log.go
+++ b/node/control/log.go
@@ -115,7 +115,7 @@
 	t.dirty = t.dirty || r.Era() != eraBefore
 	if r.Era() != eraBefore && eraBefore != era.Unknown {
 		t.logger.Warn("control: the log has returned from a copy and has all records again", zap.String("stream", m.s.name),
-			zap.Uint64("era", uint64(r.Era())), zap.Uint64("before", uint64(eraBefore)))
+			zap.Stringer("era", r.Era()), zap.Stringer("before", eraBefore))
 	}
 	t.restoreLost(m.s)
 	if advanced || r.Known() != known {
--- a/node/relay/announcement.go
+++ b/node/relay/announcement.go
@@ -72,7 +72,7 @@
 
 func (t *membersTask) put(ctx context.Context, self *pb.RelayMember) (era.Position, error) {
 	tagged := proto.CloneOf(self)
-	tagged.StoreEra = uint64(t.config.storeEra.Get())
+	tagged.StoreEra = t.config.storeEra.Get().Number()
 	record, err := roster.Encode(tagged)
 	if err != nil {
 		return era.Position{}, err
--- a/node/relay/configuration.go
+++ b/node/relay/configuration.go
@@ -258,5 +258,5 @@
 // sample returns the values of the metrics.
 func (c *configuration) sample() telemetry.ConfigurationSample {
 	now := time.Now()
-	return telemetry.ConfigurationSample{Version: c.version(), Age: c.tracker.Age(now), StoreAge: c.tracker.StoreAge(now), StoreEra: uint64(c.storeEra.Get())}
+	return telemetry.ConfigurationSample{Version: c.version(), Age: c.tracker.Age(now), StoreAge: c.tracker.StoreAge(now), StoreEra: c.storeEra.Get().Number()}
 }
--- a/node/relay/members.go
+++ b/node/relay/members.go
@@ -292,7 +292,7 @@
 // incarnation of this node. It may have lost it if it has returned from a copy since the
 // one that it has was written.
 func (t *membersTask) isPreviousCurrent() bool {
-	return t.loadedEra == era.Unknown || t.previous != nil && t.previous.GetStoreEra() == uint64(t.loadedEra)
+	return t.loadedEra == era.Unknown || t.previous != nil && era.FromNumber(t.previous.StoreEra) == t.loadedEra
 }
 
 // knowsPrevious reports whether this node knows what its earlier incarnation had
@@ -400,7 +400,7 @@
 	if t.previous == nil || roster.Newer(m, t.previous) {
 		return true
 	}
-	return !roster.Newer(t.previous, m) && m.GetStoreEra() > t.previous.GetStoreEra()
+	return !roster.Newer(t.previous, m) && era.FromNumber(m.StoreEra) > era.FromNumber(t.previous.StoreEra)
 }
 
 // route passes the members to the router.
--- a/node/relay/store.go
+++ b/node/relay/store.go
@@ -279,7 +279,7 @@
 	f.eraSeen(batch.Next.Era)
 	if !next.ValidIn(batch.Next.Era) {
 		f.logger.Warn("The position in the topic is of an earlier era of the store.", zap.String("topic", f.name),
-			zap.Uint64("era", uint64(batch.Next.Era)), zap.Uint64("position_era", uint64(next.Era)), zap.Uint64("offset", next.Offset))
+			zap.Stringer("era", batch.Next.Era), zap.Stringer("position_era", next.Era), zap.Uint64("offset", next.Offset))
 		return era.Position{}, errEraChanged
 	}
 	f.apply(batch.Records, batch.Next)
--- a/node/relay/storeera.go
+++ b/node/relay/storeera.go
@@ -43,7 +43,7 @@
 	if !later || before == era.Unknown {
 		return before, later
 	}
-	t.logger.Warn("The store has returned from a copy.", zap.Uint64("era", uint64(seen)), zap.Uint64("before", uint64(before)),
+	t.logger.Warn("The store has returned from a copy.", zap.Stringer("era", seen), zap.Stringer("before", before),
 		zap.String("from", from.name), zap.String("address", from.address), zap.Uint64("config", t.config.version()))
 	t.startEra(seen)
 	return before, later
--- a/node/relay/storeera_test.go
+++ b/node/relay/storeera_test.go
@@ -188,7 +188,7 @@
 
 // earlierRecord returns a record of an earlier incarnation of the node, written in an era.
 func earlierRecord(e uint64, stopped bool) *pb.RelayMember {
-	return &pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 5, Revision: 2, TargetId: "i-1", Stopped: stopped, StoreEra: e}
+	return &pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 5, Revision: 2, TargetId: "i-1", Stopped: stopped, StoreEra: era.Era(e).Number()}
 }
 
 // Guards against a node that uses its target because of a record of an earlier era, while
@@ -241,7 +241,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		task := newMembersTask(&pb.RelayMember{Vm: "vm", Address: "vm:1", Incarnation: 9}, idleTopic{}, route.New(route.Config{Start: time.Now()}),
 			func(context.Context, string, *pb.SyncRequest) (*pb.SyncResponse, error) {
-				return &pb.SyncResponse{ConfigVersion: 2, Config: document(2), StoreEra: 2}, nil
+				return &pb.SyncResponse{ConfigVersion: 2, Config: document(2), StoreEra: era.Era(2).Number()}, nil
 			}, newConfiguration(decodeDocument, time.Now(), zap.NewNop()), testRules, zap.NewNop())
 		runUntilCleanup(t, task.run)
 		task.config.storeEra.Observe(2)
--- a/node/relay/sync.go
+++ b/node/relay/sync.go
@@ -164,7 +164,7 @@
 		MembersDigest: t.roster.Digest(),
 		MembersSeen:   seen.changes,
 		MembersSeenOf: seen.incarnation,
-		StoreEra:      uint64(t.config.storeEra.Get()),
+		StoreEra:      t.config.storeEra.Get().Number(),
 	}
 	go func() {
 		requestedAt := time.Now()
@@ -200,7 +200,7 @@
 // applySync merges the response of a peer to a request sent at requestedAt.
 func (t *membersTask) applySync(address string, requestedAt time.Time, response *pb.SyncResponse) {
 	age := time.Duration(response.GetConfigAgeNanos())
-	t.observeReportedEra(era.Era(response.GetStoreEra()), address)
+	t.observeReportedEra(era.FromNumber(response.StoreEra), address)
 	if document := response.GetConfig(); len(document) > 0 {
 		t.config.offer(document, origin{name: "peer", address: address, age: age})
 	}
@@ -227,7 +227,7 @@
 			t.merge([]*pb.RelayMember{request.GetSelf()})
 		}
 		viewsDiffer := request.GetMembersDigest() != t.roster.Digest()
-		t.observeReportedEra(era.Era(request.GetStoreEra()), request.GetSenderAddress())
+		t.observeReportedEra(era.FromNumber(request.StoreEra), request.GetSenderAddress())
 		if request.GetConfigVersion() > t.config.knownVersion() || viewsDiffer && !t.followsStore() {
 			t.syncWith(ctx, request.GetSenderAddress(), "")
 		}
@@ -249,7 +249,7 @@
 	response.Incarnation = t.self.GetIncarnation()
 	response.MembersCount = t.roster.Changes()
 	response.FollowsStore = t.followsStore()
-	response.StoreEra = uint64(t.config.storeEra.Get())
+	response.StoreEra = t.config.storeEra.Get().Number()
 	response.UptimeNanos = int64(time.Since(t.started))
 	if !viewsDiffer {
 		return
--- a/telemetry/configuration.go
+++ b/telemetry/configuration.go
@@ -13,9 +13,9 @@
 	// the latest version. StoreAge is the time since the store last responded.
 	Age      time.Duration
 	StoreAge time.Duration
-	// StoreEra is the latest era of the store that the node has seen, or 0 if the store
-	// does not tell it.
-	StoreEra uint64
+	// StoreEra is the number of the latest era of the store that the node has seen, or nil
+	// if the store does not tell it.
+	StoreEra *uint64
 }
 
 // ObserveConfiguration registers the gauges of the configuration. sample is called
@@ -25,6 +25,6 @@
 		m.gauge("primrosemount.configuration.version", "{version}", "Version of the configuration in force.", func() int64 { return int64(sample().Version) }),
 		m.gauge("primrosemount.configuration.age", "ms", "Time since the configuration was last known to be the newest.", func() int64 { return sample().Age.Milliseconds() }),
 		m.gauge("primrosemount.configuration.store_age", "ms", "Time since the store's latest answer about the configuration.", func() int64 { return sample().StoreAge.Milliseconds() }),
-		m.gauge("primrosemount.store.era", "{era}", "Latest era of the store that the node has seen. It rises by one each time the store returns from a copy.", func() int64 { return int64(sample().StoreEra) }),
+		m.gaugeIfKnown("primrosemount.store.era", "{era}", "Latest era of the store that the node has seen, if the store tells it. It rises by one each time the store returns from a copy.", func() *uint64 { return sample().StoreEra }),
 	)
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -415,12 +415,23 @@
 }
 
 func (m *Metrics) gauge(name, unit, description string, value func() int64) error {
-	_, err := m.meter.Int64ObservableGauge(name,
-		metric.WithUnit(unit),
-		metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(value())
-			return nil
-		}))
+	return m.observableGauge(name, unit, description, func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(value())
+		return nil
+	})
+}
+
+// gaugeIfKnown is gauge for a value that may be unknown, which is then left out.
+func (m *Metrics) gaugeIfKnown(name, unit, description string, value func() *uint64) error {
+	return m.observableGauge(name, unit, description, func(_ context.Context, o metric.Int64Observer) error {
+		if known := value(); known != nil {
+			o.Observe(int64(*known))
+		}
+		return nil
+	})
+}
+
+func (m *Metrics) observableGauge(name, unit, description string, callback metric.Int64Callback) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description), metric.WithInt64Callback(callback))
 	return err
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosemount/primrosemount/core/outcome"
 )
@@ -40,7 +41,7 @@
 	m.SuppressedLine()
 	require.NoError(t, m.ObserveGate(func() GateSample { return GateSample{InFlight: 7, Limit: 9} }))
 	require.NoError(t, m.ObserveConfiguration(func() ConfigurationSample {
-		return ConfigurationSample{Version: 6, Age: 2 * time.Second, StoreAge: 3 * time.Second, StoreEra: 4}
+		return ConfigurationSample{Version: 6, Age: 2 * time.Second, StoreAge: 3 * time.Second, StoreEra: proto.Uint64(4)}
 	}))
 	require.NoError(t, m.ObserveCertificate(func() time.Time { return time.Unix(12, 0) }))
 	require.NoError(t, m.ObserveJournal(func() uint64 { return 5 }))
