--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -97,7 +97,8 @@
 	AdvertisedAddress string
 	// MetricsAddress is the listener for metrics. Empty disables it.
 	MetricsAddress string
-	// GracePeriod is the time from the stop signal until the process is killed.
+	// GracePeriod is the time from the stop signal until the process is killed, until
+	// Reconfigure sets another one.
 	GracePeriod time.Duration
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
@@ -167,9 +168,11 @@
 	peerListener net.Listener
 	target       atomic.Pointer[targetEndpoint]
 	stopping     atomic.Bool
-	cancel       context.CancelFunc
-	tasks        sync.WaitGroup
-	closeOnce    sync.Once
+	// gracePeriod is the grace period in nanoseconds for a stop that begins now.
+	gracePeriod atomic.Int64
+	cancel      context.CancelFunc
+	tasks       sync.WaitGroup
+	closeOnce   sync.Once
 }
 
 // targetEndpoint is the address and the service of the target.
@@ -180,6 +183,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{options: options, logger: telemetry.Named(options.Logger, telemetry.PartNode), cancel: cancel}
 	r.target.Store(&targetEndpoint{address: options.TargetAddress, service: options.Service})
+	r.gracePeriod.Store(int64(options.GracePeriod))
 	r.build(ctx)
 	if err := r.listen(ctx); err != nil {
 		cancel()
@@ -399,11 +403,13 @@
 	return !r.stopping.Load() && r.config.version() > 0
 }
 
-// Reconfigure updates the target after a change of the settings.
-func (r *Relay) Reconfigure(address, service string) {
+// Reconfigure updates the target and the grace period after a change of the settings. A
+// stop that has begun keeps the grace period with which it began.
+func (r *Relay) Reconfigure(address, service string, gracePeriod time.Duration) {
+	r.gracePeriod.Store(int64(gracePeriod))
 	before := r.target.Swap(&targetEndpoint{address: address, service: service})
 	if before.address != address || before.service != service {
 		r.gate.reconfigure(address, service)
 	}
-	r.logger.Info("The settings were read again.", zap.String("target", address), zap.String("service", service))
+	r.logger.Info("The settings were read again.", zap.String("target", address), zap.String("service", service), zap.Duration("grace_period", gracePeriod))
 }
--- a/node/relay/stop.go
+++ b/node/relay/stop.go
@@ -37,7 +37,7 @@
 	started := time.Now()
 	r.stopping.Store(true)
 	r.logger.Info("The node stops.", zap.Int64("running", r.entry.running.Load()))
-	schedule := shutdown.NewSchedule(started, r.options.GracePeriod)
+	schedule := shutdown.NewSchedule(started, time.Duration(r.gracePeriod.Load()))
 	time.Sleep(gateStopDelay)
 	r.gate.stop()
 	time.Sleep(entryStopDelay - gateStopDelay)
