targetstate, logservice: one rule for an incarnation, one field for the era

RecordDrained repeated the comparison of drainedSet.find; both call Incarnation.includes now. The stand-in of the store kept the era in a number and a flag, which era.Era already tells apart. The comment on keptSlots names what the slots are for.

--- a/core/retry/windowbudget.go
+++ b/core/retry/windowbudget.go
@@ -17,8 +17,9 @@
 	// for retries, so that a coarser resolution permits fewer retries.
 	slotDuration = 200 * time.Millisecond
 	windowSlots  = int(BudgetWindow / slotDuration)
-	// keptSlots is the number of slots that are kept. The first attempts of a retry's
-	// earliest window are those of two windows. It is a power of two.
+	// keptSlots is the number of slots that are kept. It is a power of two and covers two
+	// windows: the first attempts that count for the earliest window of a retry may be
+	// that old.
 	keptSlots = 128
 	// requestPeriod is the period over which requested retries are counted.
 	requestPeriod = time.Second
--- a/core/targetstate/drained.go
+++ b/core/targetstate/drained.go
@@ -9,6 +9,12 @@
 	StartMillis int64
 }
 
+// includes reports whether an incarnation is this one. One that was recorded without its
+// start time stands for all with its target ID.
+func (i Incarnation) includes(other Incarnation) bool {
+	return i.TargetID == other.TargetID && (i.StartMillis == other.StartMillis || i.StartMillis == 0)
+}
+
 // maxDrained limits the number of incarnations that are known to have drained. Their
 // announcements arrive seconds late at most, so that few of them matter at a time.
 const maxDrained = 8
@@ -23,12 +29,11 @@
 // drainedSet holds incarnations that have drained. The zero value is empty.
 type drainedSet struct{ members []drainedIncarnation }
 
-// find returns the member that an incarnation is, or nil. One that was recorded without its
-// start time stands for all with its target ID.
+// find returns the member that includes an incarnation, or nil.
 func (d *drainedSet) find(i Incarnation) *drainedIncarnation {
 	for n := range d.members {
 		known := &d.members[n]
-		if known.TargetID == i.TargetID && (known.StartMillis == i.StartMillis || known.StartMillis == 0) {
+		if known.includes(i) {
 			return known
 		}
 	}
--- a/core/targetstate/targetstate.go
+++ b/core/targetstate/targetstate.go
@@ -325,7 +325,7 @@
 // announcements of them arrive, since the earlier incarnation had another one in use.
 func (s *State) RecordDrained(drained []Incarnation) (changed bool) {
 	for _, d := range drained {
-		if d.TargetID == s.current.TargetID && (d.StartMillis == s.current.StartMillis || d.StartMillis == 0) {
+		if d.includes(s.current.Incarnation()) {
 			changed = s.markDraining() || changed
 			continue
 		}
--- a/internal/standin/logservice/copy.go
+++ b/internal/standin/logservice/copy.go
@@ -18,14 +18,16 @@
 }
 
 // Restore replaces the content by a copy: records appended since the copy was made are
-// lost, and their offsets are given out again. It starts the next era. A
-// copy can be restored several times.
+// lost, and their offsets are given out again. It starts the next era if responses tell
+// the era. A copy can be restored several times.
 func (s *Service) Restore(c Copy) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.streams = cloneStreams(c.streams)
 	s.returns++
-	s.era++
+	if s.era != era.Unknown {
+		s.era++
+	}
 	s.wakeReaders()
 }
 
@@ -34,23 +36,14 @@
 func (s *Service) SetEra(number uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.era, s.tellsEra = number, true
-}
-
-// knownEra returns the present era, or era.Unknown if responses tell none. The mutex must
-// be held.
-func (s *Service) knownEra() era.Era {
-	if !s.tellsEra {
-		return era.Unknown
-	}
-	return era.FromNumber(&s.era)
+	s.era = era.FromNumber(&number)
 }
 
 // eraAndReturns returns the present era and the number of returns from a copy.
 func (s *Service) eraAndReturns() (present era.Era, returns int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.knownEra(), s.returns
+	return s.era, s.returns
 }
 
 // wakeReaders ends the waits of all reads. The mutex must be held.
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/primrosemount/primrosemount/core/era"
 	"github.com/primrosemount/primrosemount/streamlog"
 )
 
@@ -53,11 +54,10 @@
 	appends uint64
 	// appended is closed and replaced at each append and at each return from a copy.
 	appended chan struct{}
-	// era is the era that responses tell if tellsEra is set. returns counts
+	// era is the era that responses tell, or era.Unknown if they tell none. returns counts
 	// the returns from a copy.
-	era      uint64
-	tellsEra bool
-	returns  int
+	era     era.Era
+	returns int
 }
 
 type stream struct {
@@ -204,7 +204,7 @@
 	defer s.mutex.Unlock()
 	st := s.stream(name)
 	next := st.firstOffset + uint64(len(st.records))
-	batch := streamlog.Batch{Earliest: st.firstOffset, Next: next, Era: s.knownEra()}
+	batch := streamlog.Batch{Earliest: st.firstOffset, Next: next, Era: s.era}
 	from = max(from, st.firstOffset)
 	for offset := from; offset < next && len(batch.Records) < limit; offset++ {
 		batch.Records = append(batch.Records, streamlog.Record{Offset: offset, Data: st.records[offset-st.firstOffset]})
